--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# One entry point per job; every target sets up what it needs.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed-$(shell cat requirements/*.txt | cksum | cut -d' ' -f1)
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: setup demo test format lint check unit measure soak binary clean
+
+setup: $(STAMP)
+
+$(STAMP):
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	  -r requirements/dev.txt
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+format: setup
+	$(BIN)/ruff format .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+unit: setup
+	$(BIN)/python -m pytest -n 6 --dist loadfile
+
+test: lint unit
+
+measure: setup
+	$(BIN)/python -m standins.measure
+
+soak: setup
+	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS)
+
+binary: setup
+	$(BIN)/python -m standins.build_binary
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/bergamotdeal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission and load shedding at a target's node."""
--- /dev/null
+++ b/bergamotdeal/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/bergamotdeal/calls/__init__.py
@@ -0,0 +1,3 @@
+"""The life of one call: dispatch at its origin, execution at its target."""
+
+__all__ = ["core", "engine", "messages"]
--- /dev/null
+++ b/bergamotdeal/calls/core.py
@@ -0,0 +1,138 @@
+"""Main types of a call: the request, the answer and the load report."""
+
+import dataclasses
+
+from bergamotdeal.errors import core as errors
+
+Headers = list[tuple[str, str]]
+"""Header names in lower case with their values, in the order received."""
+
+MAX_HEADER_BYTES = 32 * 1024
+MAX_BODY_BYTES = 1024 * 1024
+MAX_CALL_DEPTH = 32
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Request:
+    """An HTTP request as the target's backend server receives it.
+
+    Attributes:
+      service: Name of the service that is called.
+      method: HTTP method.
+      path: Path and query below the service, with a leading slash.
+      headers: End-to-end headers, without the system's own.
+      body: The complete body.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Load:
+    """Load of one target as its node reports it in each answer.
+
+    Attributes:
+      running: Requests that run on the backend server.
+      queued: Requests that wait at the node.
+      limit: Concurrency limit in force.
+    """
+
+    running: int
+    queued: int
+    limit: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Call:
+    """One dispatch of a request to a target's node.
+
+    Attributes:
+      number: Number that is unique in the origin's process lifetime.
+      user_request_id: Id of the user request at the root of the call tree.
+      call_id: Id of this call, the same for each of its dispatches.
+      request: What the backend server is to run.
+      deadline_ms: Time left when the frame was sent, in milliseconds.
+      attempt: Zero for the first sending; counts callers' and own re-sends.
+      may_have_run: Whether an earlier sending may have reached a server.
+      tokens: Re-sends that the target may spend below this call.
+      ticket: Encoded ticket, empty when none is presented.
+      class_name: Class of the user request, empty when not yet known.
+      depth: Number of calls above this one.
+      epoch: Epoch of the configuration in force at the origin.
+    """
+
+    number: int
+    user_request_id: str
+    call_id: str
+    request: Request
+    deadline_ms: int
+    attempt: int = 0
+    may_have_run: bool = False
+    tokens: int = 0
+    ticket: bytes = b""
+    class_name: str = ""
+    depth: int = 0
+    epoch: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Answer:
+    """The answer to one call or to one caller.
+
+    Attributes:
+      outcome: What is known about the execution.
+      error: Error kind when the system itself answers, else None.
+      status: HTTP status code.
+      headers: End-to-end headers of the backend server's answer.
+      body: The complete body.
+      ticket: Encoded ticket that the caller is to send, else empty.
+      retry_after_s: Seconds after which a resend can help, or None.
+      tokens_left: Re-sends that come back unspent.
+      repeatable: False once a non-repeatable call below was handed over.
+      threshold: Share of request hashes, 0.0 to 1.0, that the target and its
+        own targets admit for this route and class.
+      load: Load of the target, or None when the answer came from elsewhere.
+      epoch: Epoch of the configuration in force at the target.
+    """
+
+    outcome: errors.Outcome
+    error: errors.ErrorKind | None = None
+    status: int = 200
+    headers: Headers = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    ticket: bytes = b""
+    retry_after_s: int | None = None
+    tokens_left: int = 0
+    repeatable: bool = True
+    threshold: float = 1.0
+    load: Load | None = None
+    epoch: int = 0
+
+
+def error_answer(
+    kind: errors.ErrorKind, *, may_have_run: bool = False, detail: str = ""
+) -> Answer:
+    """Builds the system's own answer for an error kind.
+
+    Args:
+      kind: The error.
+      may_have_run: Whether a sending of the request may have run.
+      detail: A sentence that replaces the kind's standard message.
+
+    Returns:
+      An answer with a plain text body.
+    """
+    entry = errors.ANSWERS_BY_KIND[kind]
+    message = detail or entry.message
+    return Answer(
+        outcome=errors.outcome_for(kind, may_have_run=may_have_run),
+        error=kind,
+        status=entry.status,
+        headers=[("content-type", "text/plain; charset=utf-8")],
+        body=message.encode() + b"\n",
+        retry_after_s=entry.retry_after_s,
+    )
--- /dev/null
+++ b/bergamotdeal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/bergamotdeal/errors/core.py
@@ -0,0 +1,174 @@
+"""Error kinds, request outcomes and the table from kind to answer."""
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.Enum):
+    """What the system knows about the execution of a request."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Every reason for which the system itself answers a request."""
+
+    # Bad input from a caller.
+    MALFORMED_REQUEST = "malformed-request"
+    HEADER_INVALID = "header-invalid"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNAUTHORIZED = "unauthorized"
+
+    # Tickets.
+    TICKET_REQUIRED = "ticket-required"
+    TICKET_INVALID = "ticket-invalid"
+    TICKET_MISMATCH = "ticket-mismatch"
+    TICKET_EXPIRED = "ticket-expired"
+    TICKET_BURNT = "ticket-burnt"
+    TICKET_LOST = "ticket-lost"
+    TICKET_TABLE_FULL = "ticket-table-full"
+    ANSWER_GONE = "answer-gone"
+
+    # Load and availability.
+    SHED = "shed"
+    DRAINING = "draining"
+    NOT_READY = "not-ready"
+    NO_SERVER = "no-server"
+    QUARANTINED = "quarantined"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    CANCELLED = "cancelled"
+
+    # Lost or unusable answers.
+    PEER_UNREACHABLE = "peer-unreachable"
+    PEER_LOST = "peer-lost"
+    SERVER_UNREACHABLE = "server-unreachable"
+    SERVER_LOST = "server-lost"
+    SERVER_SHED = "server-shed"
+    SERVER_ANSWER_INVALID = "server-answer-invalid"
+    ANSWER_TOO_LARGE = "answer-too-large"
+
+    # Operators' calls.
+    CONFLICT = "conflict"
+    STORE_UNAVAILABLE = "store-unavailable"
+    NOT_FOUND = "not-found"
+
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ErrorAnswer:
+    """The answer that belongs to an error kind.
+
+    Attributes:
+      status: HTTP status code.
+      outcome: Outcome when this is the request's first sending. A later
+        sending never answers ``NOT_RUN``; see ``outcome_for``.
+      retry_after_s: Value of ``Retry-After`` in seconds, or None when a
+        resend can't help.
+      message: One sentence for the caller.
+    """
+
+    status: int
+    outcome: Outcome
+    retry_after_s: int | None = None
+    message: str
+
+
+def _not_run(
+    status: int, message: str, retry_after_s: int | None = None
+) -> ErrorAnswer:
+    return ErrorAnswer(
+        status=status,
+        outcome=Outcome.NOT_RUN,
+        retry_after_s=retry_after_s,
+        message=message,
+    )
+
+
+def _unknown(
+    status: int, message: str, retry_after_s: int | None = None
+) -> ErrorAnswer:
+    return ErrorAnswer(
+        status=status,
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=retry_after_s,
+        message=message,
+    )
+
+
+ANSWERS_BY_KIND: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.MALFORMED_REQUEST: _not_run(400, "The request is malformed."),
+    ErrorKind.HEADER_INVALID: _not_run(400, "A header value is invalid."),
+    ErrorKind.HEADERS_TOO_LARGE: _not_run(431, "The headers are too large."),
+    ErrorKind.BODY_TOO_LARGE: _not_run(413, "The body is too large."),
+    ErrorKind.UNKNOWN_SERVICE: _not_run(404, "No such service."),
+    ErrorKind.UNAUTHORIZED: _not_run(401, "The credentials are not valid."),
+    ErrorKind.TICKET_REQUIRED: _not_run(
+        428, "Send the request again with the ticket.", 0
+    ),
+    ErrorKind.TICKET_INVALID: _unknown(400, "The ticket is not valid."),
+    ErrorKind.TICKET_MISMATCH: _unknown(
+        409, "The ticket was first used with a different request."
+    ),
+    ErrorKind.TICKET_EXPIRED: _unknown(410, "The ticket has expired."),
+    ErrorKind.TICKET_BURNT: _not_run(
+        410, "The ticket was refused before the request ran.", 1
+    ),
+    ErrorKind.TICKET_LOST: _unknown(
+        410, "The node that issued the ticket has stopped."
+    ),
+    ErrorKind.TICKET_TABLE_FULL: _not_run(503, "No ticket is available.", 1),
+    ErrorKind.ANSWER_GONE: _unknown(
+        410, "The request has run; its answer is no longer kept."
+    ),
+    ErrorKind.SHED: _not_run(503, "The service is overloaded.", 1),
+    ErrorKind.DRAINING: _not_run(503, "The backend server is leaving.", 1),
+    ErrorKind.NOT_READY: _not_run(503, "The node is not ready.", 1),
+    ErrorKind.NO_SERVER: _not_run(503, "No backend server is available.", 1),
+    ErrorKind.QUARANTINED: _not_run(
+        503, "The request is quarantined after crashes.", 30
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: _unknown(504, "The deadline has passed."),
+    ErrorKind.CANCELLED: _unknown(499, "The caller cancelled the request."),
+    ErrorKind.PEER_UNREACHABLE: _not_run(502, "No node could be reached.", 1),
+    ErrorKind.PEER_LOST: _unknown(502, "The connection to the node was lost."),
+    ErrorKind.SERVER_UNREACHABLE: _not_run(
+        502, "The backend server could not be reached.", 1
+    ),
+    ErrorKind.SERVER_LOST: _unknown(
+        502, "The connection to the backend server was lost."
+    ),
+    ErrorKind.SERVER_SHED: _not_run(
+        503, "The backend server refused the request.", 1
+    ),
+    ErrorKind.SERVER_ANSWER_INVALID: _unknown(
+        502, "The backend server's answer is incomplete or malformed."
+    ),
+    ErrorKind.ANSWER_TOO_LARGE: _unknown(502, "The answer is too large."),
+    ErrorKind.CONFLICT: _not_run(409, "The object has changed."),
+    ErrorKind.STORE_UNAVAILABLE: _not_run(503, "The store is unavailable.", 5),
+    ErrorKind.NOT_FOUND: _not_run(404, "No such object."),
+    ErrorKind.INTERNAL: _unknown(500, "The node failed internally."),
+}
+
+
+def outcome_for(kind: ErrorKind, *, may_have_run: bool) -> Outcome:
+    """Returns the outcome to report for an error.
+
+    Args:
+      kind: The error that ends the request.
+      may_have_run: Whether any sending of the same request, this one included,
+        was handed over to a backend server or could have been.
+
+    Returns:
+      The kind's own outcome, or ``UNKNOWN`` in place of ``NOT_RUN`` when the
+      request may have run.
+    """
+    outcome = ANSWERS_BY_KIND[kind].outcome
+    if may_have_run and outcome is Outcome.NOT_RUN:
+        return Outcome.UNKNOWN
+    return outcome
--- /dev/null
+++ b/bergamotdeal/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Which hosts are in the fleet, and in what state."""
+
+__all__ = ["core"]
--- /dev/null
+++ b/bergamotdeal/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: its tasks, sockets and timers."""
--- /dev/null
+++ b/bergamotdeal/presets/__init__.py
@@ -0,0 +1,3 @@
+"""Presets: their model, their files and the one that is in force."""
+
+__all__ = ["model"]
--- /dev/null
+++ b/bergamotdeal/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash backend servers."""
--- /dev/null
+++ b/bergamotdeal/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on re-sends per user request and per service."""
--- /dev/null
+++ b/bergamotdeal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the backend server that runs a call."""
--- /dev/null
+++ b/bergamotdeal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/bergamotdeal/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Time line, structured logs and metrics."""
+
+__all__ = ["catalogue"]
--- /dev/null
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -0,0 +1,103 @@
+"""The numbered events of the time line and the logs.
+
+Each subpackage has its own block of one hundred numbers. A number is never
+reused; the message's fields are filled from the event.
+"""
+
+import enum
+
+
+class EventCode(enum.IntEnum):
+    """Number of each event."""
+
+    # 100 calls
+    CALL_ARRIVED = 100
+    CALL_DISPATCHED = 101
+    CALL_QUEUED = 102
+    RUN_STARTED = 103
+    RUN_ENDED = 104
+    CALL_ANSWERED = 105
+    CALL_RETRIED = 106
+    CALL_CANCELLED = 107
+    LATE_ANSWER_DROPPED = 108
+    CALL_FAILED_INTERNALLY = 109
+    DISPATCH_FAILED = 110
+
+    # 200 tickets
+    TICKET_ISSUED = 200
+    TICKET_USED = 201
+    TICKET_REFUSED = 202
+
+    # 300 admission
+    CALL_SHED = 300
+    THRESHOLD_CHANGED = 301
+    LIMIT_CHANGED = 302
+
+    # 400 routing
+    OUTLIER_FOUND = 400
+
+    # 500 quarantine
+    REQUEST_QUARANTINED = 500
+
+    # 600 membership
+    MEMBER_JOINED = 600
+    MEMBER_STATE_CHANGED = 601
+
+    # 700 presets
+    PRESET_IN_FORCE = 700
+    PRESET_REJECTED = 701
+
+    # 800 store
+    STORE_UNAVAILABLE = 800
+    STORE_AVAILABLE = 801
+
+    # 900 node
+    NODE_STARTED = 900
+    NODE_READY = 901
+    DRAIN_STARTED = 902
+    DRAIN_FINISHED = 903
+    SERVER_ANNOUNCED = 904
+    SERVER_STOPPED = 905
+    PEER_LINK_OPENED = 906
+    PEER_LINK_CLOSED = 907
+    PEER_REJECTED = 908
+    FRAME_MALFORMED = 909
+
+
+MESSAGES_BY_CODE: dict[EventCode, str] = {
+    EventCode.CALL_ARRIVED: "{method} {service}{path} arrived at {face}",
+    EventCode.CALL_DISPATCHED: "call {number} sent to {host}",
+    EventCode.CALL_QUEUED: "call {number} queued, {queued} waiting",
+    EventCode.RUN_STARTED: "run {run} started on the backend server",
+    EventCode.RUN_ENDED: "run {run} ended: {result}",
+    EventCode.CALL_ANSWERED: "answered {outcome} {status} {error}",
+    EventCode.CALL_RETRIED: "call {number} sent again, {tokens} re-sends left",
+    EventCode.CALL_CANCELLED: "call {number} cancelled",
+    EventCode.LATE_ANSWER_DROPPED: "answer to closed call {number} dropped",
+    EventCode.CALL_FAILED_INTERNALLY: "internal failure: {trace}",
+    EventCode.DISPATCH_FAILED: "call {number} failed, handed over: {handed}",
+    EventCode.TICKET_ISSUED: "ticket {serial} issued",
+    EventCode.TICKET_USED: "ticket {serial} used",
+    EventCode.TICKET_REFUSED: "ticket refused: {error}",
+    EventCode.CALL_SHED: "call shed at {place}: {reason}",
+    EventCode.THRESHOLD_CHANGED: "threshold of {name} is {threshold}",
+    EventCode.LIMIT_CHANGED: "concurrency limit is {limit}",
+    EventCode.OUTLIER_FOUND: "host {host} is an outlier",
+    EventCode.REQUEST_QUARANTINED: "request {fingerprint} quarantined",
+    EventCode.MEMBER_JOINED: "host {host} joined",
+    EventCode.MEMBER_STATE_CHANGED: "host {host} is {state}",
+    EventCode.PRESET_IN_FORCE: "preset {name} in force, epoch {epoch}",
+    EventCode.PRESET_REJECTED: "preset of epoch {epoch} rejected: {reason}",
+    EventCode.STORE_UNAVAILABLE: "store unavailable: {reason}",
+    EventCode.STORE_AVAILABLE: "store available",
+    EventCode.NODE_STARTED: "node {host} started, incarnation {incarnation}",
+    EventCode.NODE_READY: "node ready",
+    EventCode.DRAIN_STARTED: "drain started",
+    EventCode.DRAIN_FINISHED: "drain finished",
+    EventCode.SERVER_ANNOUNCED: "server of {service} announced {slots} slots",
+    EventCode.SERVER_STOPPED: "backend server stopped",
+    EventCode.PEER_LINK_OPENED: "link to {host} opened",
+    EventCode.PEER_LINK_CLOSED: "link to {host} closed: {reason}",
+    EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
+    EventCode.FRAME_MALFORMED: "malformed frame from {address}",
+}
--- /dev/null
+++ b/bergamotdeal/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets that let a non-repeatable request run at most once."""
--- /dev/null
+++ b/bergamotdeal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers shared by the subpackages."""
--- /dev/null
+++ b/bergamotdeal/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Frames and datagrams between nodes."""
+
+__all__ = ["codec", "messages"]
--- /dev/null
+++ b/bergamotdeal/wire/codec.py
@@ -0,0 +1,215 @@
+"""Encoding and decoding of frames with Cap'n Proto."""
+
+import pathlib
+
+import capnp
+import result
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.errors import core as errors
+from bergamotdeal.wire import messages
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+"""Longest frame: a body, its headers and the encoding's overhead."""
+
+_WORD_BYTES = 8
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("frame.capnp")))
+
+_OUTCOME_NAMES = {
+    errors.Outcome.COMPLETED: "completed",
+    errors.Outcome.NOT_RUN: "notRun",
+    errors.Outcome.UNKNOWN: "unknown",
+}
+_OUTCOMES_BY_NAME = {name: value for value, name in _OUTCOME_NAMES.items()}
+
+
+def encode(frame: messages.Frame) -> bytes:
+    """Encodes a frame.
+
+    Args:
+      frame: The frame to encode.
+
+    Returns:
+      The encoded message, without the length in front.
+    """
+    builder = _SCHEMA.Frame.new_message()
+    match frame:
+        case messages.CallFrame():
+            _build_call(builder.init("call"), frame.call)
+        case messages.AnswerFrame():
+            _build_answer(builder.init("answer"), frame)
+        case messages.CancelFrame():
+            builder.cancel = frame.number
+        case messages.Ping():
+            builder.ping = frame.number
+        case messages.Pong():
+            builder.pong = frame.number
+        case messages.Hello():
+            hello = builder.init("hello")
+            hello.hostId = frame.host_id
+            hello.incarnation = frame.incarnation
+            hello.nonce = frame.nonce
+        case messages.Proof():
+            builder.proof = frame.digest
+        case messages.BulkRequest():
+            builder.bulkRequest = frame.payload
+        case messages.BulkResponse():
+            builder.bulkResponse = frame.payload
+    return builder.to_bytes()
+
+
+def decode(data: bytes) -> result.Result[messages.Frame, str]:
+    """Decodes a frame.
+
+    Args:
+      data: One encoded message, without the length in front.
+
+    Returns:
+      The frame, or the reason for which the message is malformed.
+    """
+    if len(data) % _WORD_BYTES:
+        return result.Err("length is not a whole number of words")
+    try:
+        with _SCHEMA.Frame.from_bytes(data) as reader:
+            return result.Ok(_read(reader))
+    except (capnp.KjException, RuntimeError, KeyError, ValueError) as e:
+        return result.Err(str(e).partition("\n")[0])
+
+
+def _read(reader) -> messages.Frame:
+    match str(reader.which()):
+        case "call":
+            return messages.CallFrame(call=_read_call(reader.call))
+        case "answer":
+            return _read_answer(reader.answer)
+        case "cancel":
+            return messages.CancelFrame(number=reader.cancel)
+        case "ping":
+            return messages.Ping(number=reader.ping)
+        case "pong":
+            return messages.Pong(number=reader.pong)
+        case "hello":
+            return messages.Hello(
+                host_id=reader.hello.hostId,
+                incarnation=reader.hello.incarnation,
+                nonce=bytes(reader.hello.nonce),
+            )
+        case "proof":
+            return messages.Proof(digest=bytes(reader.proof))
+        case "bulkRequest":
+            return messages.BulkRequest(payload=bytes(reader.bulkRequest))
+        case "bulkResponse":
+            return messages.BulkResponse(payload=bytes(reader.bulkResponse))
+        case other:
+            raise ValueError(f"unknown frame kind {other}")
+
+
+def _build_headers(builder, headers: calls.Headers) -> None:
+    for entry, (name, value) in zip(builder, headers, strict=True):
+        entry.name = name
+        entry.value = value
+
+
+def _read_headers(reader) -> calls.Headers:
+    return [(entry.name, entry.value) for entry in reader]
+
+
+def _build_call(builder, call: calls.Call) -> None:
+    request = call.request
+    builder.number = call.number
+    builder.userRequestId = call.user_request_id
+    builder.callId = call.call_id
+    builder.service = request.service
+    builder.method = request.method
+    builder.path = request.path
+    _build_headers(
+        builder.init("headers", len(request.headers)), request.headers
+    )
+    builder.body = request.body
+    builder.deadlineMs = call.deadline_ms
+    builder.attempt = call.attempt
+    builder.mayHaveRun = call.may_have_run
+    builder.tokens = call.tokens
+    builder.ticket = call.ticket
+    builder.className = call.class_name
+    builder.depth = call.depth
+    builder.epoch = call.epoch
+
+
+def _read_call(reader) -> calls.Call:
+    return calls.Call(
+        number=reader.number,
+        user_request_id=reader.userRequestId,
+        call_id=reader.callId,
+        request=calls.Request(
+            service=reader.service,
+            method=reader.method,
+            path=reader.path,
+            headers=_read_headers(reader.headers),
+            body=bytes(reader.body),
+        ),
+        deadline_ms=reader.deadlineMs,
+        attempt=reader.attempt,
+        may_have_run=reader.mayHaveRun,
+        tokens=reader.tokens,
+        ticket=bytes(reader.ticket),
+        class_name=reader.className,
+        depth=reader.depth,
+        epoch=reader.epoch,
+    )
+
+
+def _build_answer(builder, frame: messages.AnswerFrame) -> None:
+    answer = frame.answer
+    builder.number = frame.number
+    builder.userRequestId = frame.user_request_id
+    builder.outcome = _OUTCOME_NAMES[answer.outcome]
+    if answer.error is not None:
+        builder.error = answer.error.value
+    builder.status = answer.status
+    _build_headers(builder.init("headers", len(answer.headers)), answer.headers)
+    builder.body = answer.body
+    builder.ticket = answer.ticket
+    if answer.retry_after_s is not None:
+        builder.retryAfterS = answer.retry_after_s
+    builder.tokensLeft = answer.tokens_left
+    builder.repeatable = answer.repeatable
+    builder.threshold = answer.threshold
+    if answer.load is not None:
+        load = builder.init("load")
+        load.running = answer.load.running
+        load.queued = answer.load.queued
+        load.limit = answer.load.limit
+    builder.epoch = answer.epoch
+
+
+def _read_answer(reader) -> messages.AnswerFrame:
+    load = None
+    if reader._has("load"):
+        load = calls.Load(
+            running=reader.load.running,
+            queued=reader.load.queued,
+            limit=reader.load.limit,
+        )
+    retry_after_s = reader.retryAfterS
+    answer = calls.Answer(
+        outcome=_OUTCOMES_BY_NAME[str(reader.outcome)],
+        error=errors.ErrorKind(reader.error) if reader.error else None,
+        status=reader.status,
+        headers=_read_headers(reader.headers),
+        body=bytes(reader.body),
+        ticket=bytes(reader.ticket),
+        retry_after_s=None if retry_after_s < 0 else retry_after_s,
+        tokens_left=reader.tokensLeft,
+        repeatable=reader.repeatable,
+        threshold=reader.threshold,
+        load=load,
+        epoch=reader.epoch,
+    )
+    return messages.AnswerFrame(
+        number=reader.number,
+        user_request_id=reader.userRequestId,
+        answer=answer,
+    )
--- /dev/null
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -0,0 +1,88 @@
+"""Frames survive a round trip and malformed ones are rejected."""
+
+import random
+
+import pytest
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.errors import core as errors
+from bergamotdeal.wire import codec
+from bergamotdeal.wire import messages
+
+CALL = messages.CallFrame(
+    call=calls.Call(
+        number=7,
+        user_request_id="r-1",
+        call_id="r-1.2",
+        request=calls.Request(
+            service="kitview",
+            method="POST",
+            path="/kits?line=3",
+            headers=[("accept", "*/*"), ("x-ü", "ä")],
+            body=b"\x00\xff",
+        ),
+        deadline_ms=120,
+        attempt=1,
+        may_have_run=True,
+        tokens=2,
+        ticket=b"t",
+        class_name="browse",
+        depth=3,
+        epoch=9,
+    )
+)
+ANSWER = messages.AnswerFrame(
+    number=7,
+    user_request_id="r-1",
+    answer=calls.Answer(
+        outcome=errors.Outcome.NOT_RUN,
+        error=errors.ErrorKind.SHED,
+        status=503,
+        headers=[("a", "b")],
+        body=b"x",
+        retry_after_s=0,
+        tokens_left=2,
+        repeatable=False,
+        threshold=0.5,
+        load=calls.Load(running=1, queued=2, limit=3),
+        epoch=4,
+    ),
+)
+FRAMES = [
+    CALL,
+    ANSWER,
+    messages.Hello(host_id="h", incarnation="i", nonce=b"n"),
+    messages.Proof(digest=b"d"),
+    messages.CancelFrame(number=3),
+    messages.Ping(number=1),
+    messages.Pong(number=1),
+    messages.BulkRequest(payload=b"p"),
+    messages.BulkResponse(payload=b"q"),
+]
+
+
+@pytest.mark.parametrize("frame", FRAMES, ids=lambda f: type(f).__name__)
+def test_round_trip(frame):
+    assert codec.decode(codec.encode(frame)).unwrap() == frame
+
+
+@pytest.mark.parametrize("frame", FRAMES, ids=lambda f: type(f).__name__)
+def test_every_cut_is_rejected(frame):
+    data = codec.encode(frame)
+    for length in range(len(data)):
+        assert codec.decode(data[:length]).is_err()
+
+
+def test_random_bytes_never_raise():
+    rng = random.Random(11)
+    for _ in range(2000):
+        codec.decode(rng.randbytes(8 * rng.randrange(12)))
+
+
+def test_flipped_bytes_never_raise():
+    rng = random.Random(12)
+    for frame in (CALL, ANSWER):
+        for _ in range(2000):
+            data = bytearray(codec.encode(frame))
+            data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+            codec.decode(bytes(data))
