--- /dev/null
+++ b/bergamotdeal/node/faces.py
@@ -0,0 +1,266 @@
+"""The entry and egress faces: HTTP exchanges to and from call events."""
+
+import base64
+import binascii
+from collections.abc import Callable
+import itertools
+import random
+
+import result
+from twisted.internet import interfaces
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.calls import messages
+from bergamotdeal.errors import core as errors
+from bergamotdeal.node import http_server
+from bergamotdeal.utils import headers as header_names
+
+MAX_ID_CHARS = 128
+MAX_DEADLINE_MS = 3_600_000
+MAX_ATTEMPT = 65_535
+MAX_PATH_CHARS = 8192
+MAX_CONTEXT_CHARS = 128
+_REQUEST_ID_BYTES = 12
+
+
+class FaceTask:
+    """One HTTP face; it owns its listening port and open exchanges.
+
+    Args:
+      face: Which face this is.
+      post: Takes the events for the call engine.
+      rng: Source of request ids.
+      origin_ids: Counter that all faces of the node share.
+      handle_own: Answers a request for the node itself, whose path starts
+        with ``/v1/``; only the egress face has such requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        face: messages.Face,
+        post: Callable[[messages.Event], None],
+        rng: random.Random,
+        origin_ids: "itertools.count[int]",
+        handle_own: Callable[
+            [http_server.Exchange, http_server.HttpRequest], None
+        ]
+        | None = None,
+    ) -> None:
+        self._face = face
+        self._post = post
+        self._rng = rng
+        self._origin_ids = origin_ids
+        self._handle_own = handle_own
+        self._exchanges_by_origin: dict[int, http_server.Exchange] = {}
+        self._listener: interfaces.IListeningPort | None = None
+
+    @property
+    def port(self) -> int:
+        """Port that the face listens on."""
+        return self._listener.getHost().port
+
+    @property
+    def open_exchanges(self) -> int:
+        """Number of exchanges that wait for their answer."""
+        return len(self._exchanges_by_origin)
+
+    def start(
+        self, *, reactor: interfaces.IReactorTCP, address: str, port: int
+    ) -> None:
+        """Starts listening.
+
+        Args:
+          reactor: The reactor.
+          address: IP address.
+          port: TCP port; zero lets the kernel choose one.
+        """
+        factory = http_server.Factory(handler=self._request_received)
+        self._listener = reactor.listenTCP(
+            port, factory, interface=address, backlog=1024
+        )
+
+    def stop(self) -> None:
+        """Stops listening; open connections stay."""
+        if self._listener is not None:
+            self._listener.stopListening()
+
+    def reply(self, effect: messages.ReplyToCaller) -> bool:
+        """Writes the answer of an exchange.
+
+        Args:
+          effect: The answer with its origin id.
+
+        Returns:
+          Whether the exchange belongs to this face.
+        """
+        exchange = self._exchanges_by_origin.pop(effect.origin_id, None)
+        if exchange is None:
+            return False
+        answer = effect.answer
+        headers = http_server.answer_headers(answer, effect.user_request_id)
+        if answer.ticket:
+            headers.append((header_names.TICKET, encode_ticket(answer.ticket)))
+        exchange.respond(answer, headers)
+        return True
+
+    def _request_received(
+        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+    ) -> None:
+        if self._handle_own is not None and request.target.startswith("/v1/"):
+            self._handle_own(exchange, request)
+            return
+        origin_id = next(self._origin_ids)
+        parsed = parse_call(
+            request, face=self._face, origin_id=origin_id, rng=self._rng
+        )
+        if isinstance(parsed, result.Err):
+            answer = calls.error_answer(
+                parsed.err_value, may_have_run=_is_resend(request)
+            )
+            exchange.respond(answer, http_server.answer_headers(answer, ""))
+            return
+        self._exchanges_by_origin[origin_id] = exchange
+        exchange.on_disconnect = lambda: self._caller_gone(origin_id)
+        self._post(parsed.ok_value)
+
+    def _caller_gone(self, origin_id: int) -> None:
+        if self._exchanges_by_origin.pop(origin_id, None) is not None:
+            self._post(messages.CallerGone(origin_id=origin_id))
+
+
+def parse_call(
+    request: http_server.HttpRequest,
+    *,
+    face: messages.Face,
+    origin_id: int,
+    rng: random.Random,
+) -> result.Result[messages.CallArrived, errors.ErrorKind]:
+    """Reads a call from an HTTP request.
+
+    Args:
+      request: The request.
+      face: Face on which it arrived.
+      origin_id: Number of the exchange.
+      rng: Source of request ids.
+
+    Returns:
+      The event for the call engine, or what is wrong with the request.
+    """
+    service, path = split_target(request.target)
+    if not service or len(request.target) > MAX_PATH_CHARS:
+        return result.Err(errors.ErrorKind.MALFORMED_REQUEST)
+    deadline_ms = _whole_number(
+        request.header(header_names.DEADLINE_MS), 1, MAX_DEADLINE_MS
+    )
+    attempt = _whole_number(
+        request.header(header_names.ATTEMPT), 0, MAX_ATTEMPT
+    )
+    ticket = decode_ticket(request.header(header_names.TICKET))
+    request_id = request.header(header_names.REQUEST_ID)
+    key = request.header(header_names.IDEMPOTENCY_KEY)
+    context = request.header(header_names.CONTEXT)
+    valid = (
+        deadline_ms.is_ok()
+        and attempt.is_ok()
+        and ticket.is_ok()
+        and _is_id(request_id)
+        and _is_id(key)
+        and len(context) <= MAX_CONTEXT_CHARS
+    )
+    if not valid:
+        return result.Err(errors.ErrorKind.HEADER_INVALID)
+    is_egress = face is messages.Face.EGRESS
+    return result.Ok(
+        messages.CallArrived(
+            origin_id=origin_id,
+            face=face,
+            request=calls.Request(
+                service=service,
+                method=request.method,
+                path=path,
+                headers=header_names.end_to_end(request.headers),
+                body=request.body,
+            ),
+            user_request_id=request_id or mint_request_id(rng),
+            deadline_ms=deadline_ms.ok_value,
+            attempt=attempt.ok_value or 0,
+            ticket=ticket.ok_value,
+            # A context from outside the fleet has no meaning.
+            context=context if is_egress else "",
+            idempotency_key=key if is_egress else "",
+        )
+    )
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Splits a request target into the service and the path below it.
+
+    Args:
+      target: Request target such as ``/kitview/kits?line=3``.
+
+    Returns:
+      The service's name, empty when there is none, and the path.
+    """
+    if not target.startswith("/"):
+        return "", ""
+    path, mark, query = target[1:].partition("?")
+    service, _, rest = path.partition("/")
+    return service, "/" + rest + mark + query
+
+
+def mint_request_id(rng: random.Random) -> str:
+    """Returns a new request id.
+
+    Args:
+      rng: Source of random bits.
+    """
+    return rng.randbytes(_REQUEST_ID_BYTES).hex()
+
+
+def encode_ticket(ticket: bytes) -> str:
+    """Returns the header value for a ticket.
+
+    Args:
+      ticket: The encoded ticket.
+    """
+    return base64.urlsafe_b64encode(ticket).decode("ascii")
+
+
+def decode_ticket(value: str) -> result.Result[bytes, errors.ErrorKind]:
+    """Reads a ticket from its header value.
+
+    Args:
+      value: The header's value; empty for no ticket.
+    """
+    try:
+        return result.Ok(base64.b64decode(value, altchars=b"-_", validate=True))
+    except (binascii.Error, ValueError):
+        return result.Err(errors.ErrorKind.HEADER_INVALID)
+
+
+def _is_resend(request: http_server.HttpRequest) -> bool:
+    # Whatever the malformed values mean, an earlier sending may have run.
+    attempt = request.header(header_names.ATTEMPT)
+    return attempt not in ("", "0") or bool(request.header(header_names.TICKET))
+
+
+def _is_id(value: str) -> bool:
+    return (
+        len(value) <= MAX_ID_CHARS
+        and value.isascii()
+        and (not value or value.isprintable())
+    )
+
+
+def _whole_number(
+    value: str, low: int, high: int
+) -> result.Result[int | None, errors.ErrorKind]:
+    if not value:
+        return result.Ok(None)
+    if not (value.isascii() and value.isdigit() and len(value) <= 10):
+        return result.Err(errors.ErrorKind.HEADER_INVALID)
+    number = int(value)
+    if not low <= number <= high:
+        return result.Err(errors.ErrorKind.HEADER_INVALID)
+    return result.Ok(number)
--- /dev/null
+++ b/bergamotdeal/utils/headers.py
@@ -0,0 +1,60 @@
+"""Names of the system's HTTP headers and the hop-by-hop rule."""
+
+REQUEST_ID = "bergamot-request-id"
+DEADLINE_MS = "bergamot-deadline-ms"
+ATTEMPT = "bergamot-attempt"
+CONTEXT = "bergamot-context"
+TICKET = "bergamot-ticket"
+OUTCOME = "bergamot-outcome"
+ERROR = "bergamot-error"
+IDEMPOTENCY_KEY = "idempotency-key"
+RETRY_AFTER = "retry-after"
+
+OWN_PREFIX = "bergamot-"
+
+# Hop-by-hop headers of RFC 9110 section 7.6.1, and those that each hop sets
+# from what it sends itself.
+_PER_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Returns the headers that travel on, without the system's own.
+
+    Args:
+      headers: Names in lower case with their values.
+
+    Returns:
+      The headers that are neither hop-by-hop nor the system's.
+    """
+    listed = _listed_in_connection(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in _PER_HOP
+        and name not in listed
+        and not name.startswith(OWN_PREFIX)
+    ]
+
+
+def _listed_in_connection(headers: list[tuple[str, str]]) -> frozenset[str]:
+    for name, value in headers:
+        if name == "connection":
+            return frozenset(
+                token.strip().lower() for token in value.split(",")
+            )
+    return frozenset()
