--- a/bergamotdeal/presets/__init__.py
+++ b/bergamotdeal/presets/__init__.py
@@ -1,3 +1,3 @@
 """Presets: their model, their files and the one that is in force."""
 
-__all__ = ["model"]
+__all__ = ["codec", "model", "parser"]
--- /dev/null
+++ b/bergamotdeal/presets/parser.py
@@ -0,0 +1,294 @@
+"""Reading and writing of presets as INI text.
+
+    [preset]
+    name = ordinary
+    classes = critical, browse
+
+    [service kitview]
+    shed_status = 503
+
+    [route kitview GET /kits]
+    class = browse
+    repeatable = yes
+
+The sections ``[retries]``, ``[admission]``, ``[routing]``, ``[quarantine]``
+and ``[tickets]`` hold the fields of the model's policies.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import re
+import typing
+
+import result
+
+from bergamotdeal.presets import model
+from bergamotdeal.utils import ini
+
+NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
+_METHOD_PATTERN = re.compile(r"^(\*|[A-Z]{1,16})$")
+
+_POLICY_BY_SECTION = {
+    "retries": model.RetryPolicy,
+    "admission": model.AdmissionPolicy,
+    "routing": model.RoutingPolicy,
+    "quarantine": model.QuarantinePolicy,
+    "tickets": model.TicketPolicy,
+}
+_GIVEN_FIELDS = ("services_by_name", "routes", *_POLICY_BY_SECTION)
+_ROUTE_FIELD_BY_KEY = {"class": "class_name"}
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Draft:
+    """Parts of a preset while its sections are read."""
+
+    header: Mapping[str, str] | None = None
+    services_by_name: dict[str, model.ServicePolicy] = dataclasses.field(
+        default_factory=dict
+    )
+    routes_by_match: dict[tuple[str, str, str], model.Route] = (
+        dataclasses.field(default_factory=dict)
+    )
+    policies_by_section: dict[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    problems: list[ini.Problem] = dataclasses.field(default_factory=list)
+
+    def report(self, section: str, key: str, message: str) -> None:
+        self.problems.append(
+            ini.Problem(section=section, key=key, message=message)
+        )
+
+
+def parse(text: str) -> result.Result[model.Preset, list[ini.Problem]]:
+    """Parses the INI text of a preset.
+
+    Args:
+      text: The file's content.
+
+    Returns:
+      The preset, or all problems found in the text.
+    """
+    match ini.read(text):
+        case result.Err(problems):
+            return result.Err(problems)
+        case result.Ok(sections):
+            pass
+    draft = _Draft()
+    for section, values in sections.items():
+        _read_section(draft, section, values)
+    preset = _assemble(draft)
+    if preset is not None:
+        draft.problems.extend(check(preset))
+    if draft.problems:
+        return result.Err(draft.problems)
+    return result.Ok(preset)
+
+
+def _read_section(
+    draft: _Draft, section: str, values: Mapping[str, str]
+) -> None:
+    match section.split():
+        case ["preset"]:
+            draft.header = values
+        case [name] if name in _POLICY_BY_SECTION:
+            policy = _convert(draft, _POLICY_BY_SECTION[name], section, values)
+            draft.policies_by_section[name] = policy
+        case ["service", name]:
+            _read_service(draft, section, name, values)
+        case ["route", service, method, prefix]:
+            _read_route(draft, section, (service, method, prefix), values)
+        case ["service", *_]:
+            draft.report(section, "", "accepted is [service NAME]")
+        case ["route", *_]:
+            draft.report(
+                section, "", "accepted is [route SERVICE METHOD /PREFIX]"
+            )
+        case words:
+            known = ["preset", "service NAME", "route SERVICE METHOD /PREFIX"]
+            known.extend(_POLICY_BY_SECTION)
+            advice = ini.nearest(" ".join(words), known)
+            draft.report(section, "", f"unknown section; {advice}")
+
+
+def _convert(
+    draft: _Draft,
+    kind: type,
+    section: str,
+    values: Mapping[str, str],
+    **options,
+) -> typing.Any:
+    match ini.convert(kind, section, values, **options):
+        case result.Ok(value):
+            return value
+        case result.Err(problems):
+            draft.problems.extend(problems)
+    return None
+
+
+def _read_service(
+    draft: _Draft, section: str, name: str, values: Mapping[str, str]
+) -> None:
+    if name in draft.services_by_name:
+        draft.report(section, "", "given twice")
+    policy = _convert(draft, model.ServicePolicy, section, values)
+    if policy is not None:
+        draft.services_by_name[name] = policy
+
+
+def _read_route(
+    draft: _Draft,
+    section: str,
+    match_key: tuple[str, str, str],
+    values: Mapping[str, str],
+) -> None:
+    if match_key in draft.routes_by_match:
+        draft.report(section, "", "given twice")
+    service, method, prefix = match_key
+    route = _convert(
+        draft,
+        model.Route,
+        section,
+        values,
+        given={"service": service, "method": method, "prefix": prefix},
+        field_by_key=_ROUTE_FIELD_BY_KEY,
+    )
+    if route is not None:
+        draft.routes_by_match[match_key] = route
+
+
+def _assemble(draft: _Draft) -> model.Preset | None:
+    if draft.header is None:
+        draft.report("preset", "", "missing; it names the preset")
+        return None
+    given = {
+        "services_by_name": draft.services_by_name,
+        "routes": tuple(draft.routes_by_match.values()),
+    }
+    for section, kind in _POLICY_BY_SECTION.items():
+        given[section] = draft.policies_by_section.get(section) or kind()
+    return _convert(draft, model.Preset, "preset", draft.header, given=given)
+
+
+def check(preset: model.Preset) -> list[ini.Problem]:
+    """Checks what the types of the fields alone can't express.
+
+    Args:
+      preset: A preset from a file, the store or another node.
+
+    Returns:
+      All problems; an empty list when the preset can be used.
+    """
+    problems = _check_header(preset)
+    for name in preset.services_by_name:
+        if not NAME_PATTERN.match(name):
+            problems.append(
+                ini.Problem(
+                    section=f"service {name}",
+                    key="",
+                    message=f"the name must match {NAME_PATTERN.pattern}",
+                )
+            )
+    for route in preset.routes:
+        problems.extend(_check_route(preset, route))
+    admission = preset.admission
+    if admission.window_min_ms > admission.window_max_ms:
+        problems.append(
+            ini.Problem(
+                section="admission",
+                key="window_min_ms",
+                message="must not be above window_max_ms",
+            )
+        )
+    return problems
+
+
+def _check_header(preset: model.Preset) -> list[ini.Problem]:
+    problems = []
+
+    def report(key: str, message: str) -> None:
+        problems.append(ini.Problem(section="preset", key=key, message=message))
+
+    if not NAME_PATTERN.match(preset.name):
+        report("name", f"{preset.name!r} must match {NAME_PATTERN.pattern}")
+    if not preset.classes:
+        report("classes", "at least one class is needed")
+    if len(set(preset.classes)) != len(preset.classes):
+        report("classes", "a class is given twice")
+    for class_name in preset.classes:
+        if not NAME_PATTERN.match(class_name):
+            report(
+                "classes", f"{class_name!r} must match {NAME_PATTERN.pattern}"
+            )
+    return problems
+
+
+def _check_route(preset: model.Preset, route: model.Route) -> list[ini.Problem]:
+    problems = []
+    section = route_section(route)
+
+    def report(key: str, message: str) -> None:
+        problems.append(ini.Problem(section=section, key=key, message=message))
+
+    if not NAME_PATTERN.match(route.service):
+        report("", f"the service must match {NAME_PATTERN.pattern}")
+    if not _METHOD_PATTERN.match(route.method):
+        report("", "the method must be in capitals, or * for any")
+    if not route.prefix.startswith("/") or "?" in route.prefix:
+        report("", "the prefix must start with / and hold no query")
+    if route.class_name not in preset.classes:
+        advice = ini.nearest(route.class_name, preset.classes)
+        report("class", f"unknown class {route.class_name!r}; {advice}")
+    return problems
+
+
+def route_section(route: model.Route) -> str:
+    """Returns the name of a route's section in the INI text."""
+    return f"route {route.service} {route.method} {route.prefix}"
+
+
+def render(preset: model.Preset) -> str:
+    """Writes a preset as INI text that parses to the same preset.
+
+    Args:
+      preset: The preset.
+    """
+    blocks = [_render_section("preset", preset, omit=_GIVEN_FIELDS)]
+    for section in _POLICY_BY_SECTION:
+        blocks.append(_render_section(section, getattr(preset, section)))
+    for name, policy in preset.services_by_name.items():
+        blocks.append(_render_section(f"service {name}", policy))
+    for route in preset.routes:
+        blocks.append(
+            _render_section(
+                route_section(route),
+                route,
+                omit=("service", "method", "prefix"),
+            )
+        )
+    return "\n".join(blocks)
+
+
+def _render_section(
+    section: str, value: typing.Any, *, omit: tuple[str, ...] = ()
+) -> str:
+    key_by_field = {field: key for key, field in _ROUTE_FIELD_BY_KEY.items()}
+    lines = [f"[{section}]"]
+    for field in dataclasses.fields(value):
+        content = getattr(value, field.name)
+        if field.name in omit or content is None:
+            continue
+        key = key_by_field.get(field.name, field.name)
+        lines.append(f"{key} = {_render_value(content)}")
+    return "\n".join(lines) + "\n"
+
+
+def _render_value(content: typing.Any) -> str:
+    match content:
+        case bool():
+            return "yes" if content else "no"
+        case tuple():
+            return ", ".join(content)
+        case _:
+            return str(content)
--- /dev/null
+++ b/bergamotdeal/presets/tests/test_parser.py
@@ -0,0 +1,185 @@
+"""INI text of presets: what is accepted and how problems are told."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from bergamotdeal.presets import codec
+from bergamotdeal.presets import model
+from bergamotdeal.presets import parser
+
+TEXT = """\
+[preset]
+name = peak
+classes = critical, browse, bulk
+default_deadline_ms = 1200
+
+[retries]
+allowance = 2
+
+[admission]
+feedback = no
+target_delay_ms = 15
+
+[service kitview]
+shed_status = 503
+accepts_cancellation = yes
+
+[route kitview GET /kits]
+class = browse
+repeatable = yes
+deadline_ms = 800
+
+[route kitview * /]
+class = critical
+"""
+
+
+def test_sections_become_the_model():
+    preset = parser.parse(TEXT).unwrap()
+    assert preset.name == "peak"
+    assert preset.classes == ("critical", "browse", "bulk")
+    assert preset.default_deadline_ms == 1200
+    assert preset.retries == model.RetryPolicy(allowance=2)
+    assert preset.admission.feedback is False
+    assert preset.services_by_name["kitview"].shed_status == 503
+    assert preset.routes[0] == model.Route(
+        service="kitview",
+        method="GET",
+        prefix="/kits",
+        class_name="browse",
+        repeatable=True,
+        deadline_ms=800,
+    )
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "section", "key", "words"),
+    [
+        ("allowance = 2", "allowence = 2", "retries", "allowence", "allowance"),
+        (
+            "allowance = 2",
+            "allowance = 101",
+            "retries",
+            "allowance",
+            "0 to 100",
+        ),
+        ("allowance = 2", "allowance = x", "retries", "allowance", "integer"),
+        ("[retries]", "[retires]", "retires", "", "retries"),
+        ("feedback = no", "feedback = 2", "admission", "feedback", "yes or no"),
+        (
+            "feedback = no",
+            "feedback = no\nfeedback = yes",
+            "admission",
+            "feedback",
+            "twice",
+        ),
+        ("[retries]", "[admission]", "admission", "", "twice"),
+        ("name = peak", "", "preset", "name", "missing"),
+        ("name = peak", "name = Pe ak", "preset", "name", "must match"),
+        (
+            "class = browse",
+            "class = brose",
+            "route kitview GET /kits",
+            "class",
+            "did you mean browse?",
+        ),
+        ("[route kitview * /]", "[route kitview]", "route kitview", "", "MET"),
+        (
+            "shed_status = 503",
+            "shed_status = 200",
+            "service kitview",
+            "shed_status",
+            "400 to 599",
+        ),
+        (
+            "target_delay_ms = 15",
+            "window_min_ms = 300",
+            "admission",
+            "window_min_ms",
+            "window_max_ms",
+        ),
+    ],
+)
+def test_problem_names_place_and_accepted(old, new, section, key, words):
+    problems = parser.parse(TEXT.replace(old, new, 1)).unwrap_err()
+    assert len(problems) == 1, problems
+    assert (problems[0].section, problems[0].key) == (section, key)
+    assert words in problems[0].message
+
+
+def test_all_problems_are_told_at_once():
+    text = TEXT.replace("allowance = 2", "allowance = -1\nnope = 1")
+    text = text.replace("deadline_ms = 800", "deadline_ms = 0")
+    assert len(parser.parse(text).unwrap_err()) == 3
+
+
+@pytest.mark.parametrize("text", ["", "x = 1", "[preset", "[DEFAULT]\nname=a"])
+def test_broken_files_give_problems(text):
+    assert parser.parse(text).unwrap_err()
+
+
+@given(st.text(max_size=200))
+def test_no_text_raises(text):
+    parser.parse(text)
+
+
+PRESETS = st.builds(
+    model.Preset,
+    name=st.from_regex(r"[a-z0-9][a-z0-9._-]{0,20}", fullmatch=True),
+    routes=st.lists(
+        st.builds(
+            model.Route,
+            service=st.sampled_from(["kitview", "feederdesk"]),
+            method=st.sampled_from(["*", "GET", "POST"]),
+            prefix=st.sampled_from(["/", "/kits", "/a/b"]),
+            class_name=st.sampled_from(["critical", "browse"]),
+            repeatable=st.booleans(),
+            deadline_ms=st.integers(1, 3_600_000),
+        ),
+        unique_by=lambda r: (r.service, r.method, r.prefix),
+    ).map(tuple),
+    services_by_name=st.dictionaries(
+        st.sampled_from(["kitview", "orderline"]),
+        st.builds(
+            model.ServicePolicy,
+            shed_status=st.none() | st.integers(400, 599),
+            accepts_cancellation=st.booleans(),
+        ),
+    ),
+    retries=st.builds(model.RetryPolicy, ratio=st.floats(0, 1)),
+)
+
+
+@given(PRESETS)
+def test_render_parses_to_the_same_preset(preset):
+    assert parser.parse(parser.render(preset)).unwrap() == preset
+
+
+@given(PRESETS)
+def test_codec_round_trip_is_stable(preset):
+    data = codec.encode(preset)
+    assert codec.decode(data).unwrap() == preset
+    turned = dataclasses.replace(
+        preset,
+        services_by_name=dict(reversed(preset.services_by_name.items())),
+    )
+    assert codec.encode(turned) == data
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_raise_in_the_codec(data):
+    codec.decode(data)
+
+
+def test_codec_checks_like_the_parser():
+    preset = model.Preset(
+        name="x", routes=(model.Route(service="a", method="GET", prefix="b"),)
+    )
+    assert "prefix" in codec.decode(codec.encode(preset)).unwrap_err()
+    bad = codec.encode(model.Preset(name="x")).replace(
+        b'"ratio":0.1', b'"ratio":9'
+    )
+    assert codec.decode(bad).is_err()
