--- a/bergamotdeal/settings/model.py
+++ b/bergamotdeal/settings/model.py
@@ -107,6 +107,18 @@
     calls_per_minute: Annotated[int, msgspec.Meta(ge=1, le=6000)] = 60
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PresetSection:
+    """``[preset]``: what applies before any preset was switched to.
+
+    Attributes:
+      file: INI file of a preset that is in force at epoch zero, or empty. A
+        node without one is not ready until it learns the preset in force.
+    """
+
+    file: str = ""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StatsdSection:
     """``[statsd]``: where metrics go.
@@ -145,6 +157,7 @@
     peer: PeerSection
     admin: AdminSection = dataclasses.field(default_factory=AdminSection)
     store: StoreSection = dataclasses.field(default_factory=StoreSection)
+    preset: PresetSection = dataclasses.field(default_factory=PresetSection)
     statsd: StatsdSection = dataclasses.field(default_factory=StatsdSection)
     telemetry: TelemetrySection = dataclasses.field(
         default_factory=TelemetrySection
