Add open-loop callers and let the engine loop back local calls

Cause: the demo and the measures need callers that resend hard; the engine already carries a node's calls to itself. Change: standins.load; the hub no longer loops local calls back. Conclusion: one place knows about local calls.

--- a/bergamotdeal/node/hub.py
+++ b/bergamotdeal/node/hub.py
@@ -13,9 +13,6 @@
 from bergamotdeal.node import server_link
 from bergamotdeal.telemetry import catalogue
 
-LOCAL_LINK_ID = 0
-"""Link id of calls from a node to itself; real links count from one."""
-
 
 class Hub:
     """Runs the call engine between the node's tasks.
@@ -26,7 +23,6 @@
     Args:
       reactor: The reactor, as clock and for the wake-up timer.
       engine: The call engine.
-      host_id: This node's host.
       record: Takes events for the time line.
       share_crash_reports: Spreads crash reports to other nodes.
     """
@@ -36,13 +32,11 @@
         *,
         reactor,
         engine: call_engine.Engine,
-        host_id: str,
         record: Callable[[messages.Record], None],
         share_crash_reports: Callable[[messages.ShareCrashReports], None],
     ) -> None:
         self._reactor = reactor
         self._engine = engine
-        self._host_id = host_id
         self._record = record
         self._share_crash_reports = share_crash_reports
         self._events: collections.deque[messages.Event] = collections.deque()
@@ -109,9 +103,9 @@
             case messages.Record():
                 self._record(effect)
             case messages.SendCall():
-                self._send_call(effect)
+                self._peer.outgoing.send_call(effect)
             case messages.SendAnswer():
-                self._send_answer(effect)
+                self._peer.send_answer(effect)
             case messages.StartRun():
                 self._server.start_run(effect)
             case messages.ReplyToCaller():
@@ -119,37 +113,10 @@
             case messages.CancelRun():
                 self._server.cancel_run(effect)
             case messages.SendCancel():
-                self._send_cancel(effect)
+                self._peer.outgoing.send_cancel(effect)
             case messages.ShareCrashReports():
                 self._share_crash_reports(effect)
 
-    def _send_call(self, effect: messages.SendCall) -> None:
-        if effect.host_id != self._host_id:
-            self._peer.outgoing.send_call(effect)
-            return
-        self.post(messages.PeerCalled(link_id=LOCAL_LINK_ID, call=effect.call))
-
-    def _send_cancel(self, effect: messages.SendCancel) -> None:
-        if effect.host_id != self._host_id:
-            self._peer.outgoing.send_cancel(effect)
-            return
-        self.post(
-            messages.PeerCancelled(link_id=LOCAL_LINK_ID, number=effect.number)
-        )
-
-    def _send_answer(self, effect: messages.SendAnswer) -> None:
-        if effect.link_id != LOCAL_LINK_ID:
-            self._peer.send_answer(effect)
-            return
-        self.post(
-            messages.PeerAnswered(
-                host_id=self._host_id,
-                number=effect.number,
-                user_request_id=effect.user_request_id,
-                answer=effect.answer,
-            )
-        )
-
     def _arm(self) -> None:
         wanted = self._engine.next_wakeup()
         armed = self._wakeup is not None and self._wakeup.active()
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,214 @@
+"""Open-loop callers: they send at a fixed mean rate and resend hard."""
+
+import collections
+import dataclasses
+import json
+import random
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from bergamotdeal.utils import headers as header_names
+from standins import http_client
+
+BROWSE_TARGET = "/kitview/kits/17"
+CRITICAL_TARGET = "/kitview/reservations"
+TICKET_REQUIRED = 428
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """One phase of load.
+
+    Attributes:
+      name: Name of the phase.
+      rate_per_s: Mean rate of user requests.
+      duration_s: Length of the phase.
+      critical_share: Share of critical requests.
+      tries: Sendings of one request at most, the first included.
+      resend_after_s: Pause of a caller before it sends again.
+      deadline_ms: Time that the caller grants for all its sendings.
+    """
+
+    name: str
+    rate_per_s: float
+    duration_s: float
+    critical_share: float = 0.2
+    tries: int = 4
+    resend_after_s: float = 0.05
+    deadline_ms: int = 1000
+
+
+@dataclasses.dataclass(kw_only=True)
+class UserRequest:
+    """One user request as its caller saw it.
+
+    Attributes:
+      phase: Name of the phase in which it was first sent.
+      request_id: Its id.
+      is_critical: Whether it is critical and not repeatable.
+      sent_at: Time of the first sending, monotonic seconds.
+      ended_at: Time of the last answer, monotonic seconds.
+      sendings: Number of sendings, without those that fetched a ticket.
+      status: Status of the last answer; zero when none arrived.
+      outcome: Outcome of the last answer.
+      error: Error kind of the last answer.
+      body: Body of the last answer.
+    """
+
+    phase: str
+    request_id: str
+    is_critical: bool
+    sent_at: float
+    ended_at: float = 0.0
+    sendings: int = 0
+    status: int = 0
+    outcome: str = "unknown"
+    error: str = "no-answer"
+    body: bytes = b""
+
+    @property
+    def completed(self) -> bool:
+        """Whether the whole request completed."""
+        return self.status == 200
+
+    @property
+    def is_answer_own(self) -> bool:
+        """Whether a completed answer belongs to this request."""
+        return json.loads(self.body)["request_id"] == self.request_id
+
+
+class Callers:
+    """Sends user requests to the entry faces of some hosts.
+
+    Args:
+      reactor: The reactor.
+      entries: Address and port of each entry face.
+      seed: Seed of arrivals, classes and request ids.
+    """
+
+    def __init__(
+        self, *, reactor, entries: list[tuple[str, int]], seed: int
+    ) -> None:
+        self._reactor = reactor
+        self._rng = random.Random(seed)
+        self._clients = [
+            http_client.Client(reactor=reactor, address=address, port=port)
+            for address, port in entries
+        ]
+        self.requests: list[UserRequest] = []
+        self._open = 0
+        self._all_done: defer.Deferred[None] | None = None
+
+    @defer.inlineCallbacks
+    def run(self, plans: list[Plan]):
+        """Runs the phases one after the other, then waits for all answers.
+
+        Args:
+          plans: The phases.
+        """
+        for plan in plans:
+            end = self._reactor.seconds() + plan.duration_s
+            due = self._reactor.seconds()
+            while due < end:
+                due += self._rng.expovariate(plan.rate_per_s)
+                delay_s = max(0.0, due - self._reactor.seconds())
+                yield task.deferLater(self._reactor, delay_s)
+                self._start(plan)
+        if self._open:
+            self._all_done = defer.Deferred()
+            yield self._all_done
+
+    def _start(self, plan: Plan) -> None:
+        request = UserRequest(
+            phase=plan.name,
+            request_id=self._rng.randbytes(8).hex(),
+            is_critical=self._rng.random() < plan.critical_share,
+            sent_at=self._reactor.seconds(),
+        )
+        self.requests.append(request)
+        self._open += 1
+        done = self._send_until_done(plan, request)
+        done.addBoth(self._ended)
+
+    def _ended(self, outcome) -> None:
+        self._open -= 1
+        if self._all_done is not None and not self._open:
+            self._all_done.callback(None)
+        if outcome is not None:
+            outcome.printTraceback()
+
+    @defer.inlineCallbacks
+    def _send_until_done(self, plan: Plan, request: UserRequest):
+        ticket = ""
+        deadline = request.sent_at + plan.deadline_ms / 1000
+        while True:
+            left_s = deadline - self._reactor.seconds()
+            if left_s <= 0:
+                break
+            response = yield self._send(request, ticket, left_s)
+            request.ended_at = self._reactor.seconds()
+            if response is not None:
+                _note(request, response)
+                ticket = response.headers_by_name.get(
+                    header_names.TICKET, ticket
+                )
+            if request.status == TICKET_REQUIRED:
+                continue
+            request.sendings += 1
+            if request.completed or request.sendings >= plan.tries:
+                break
+            yield task.deferLater(self._reactor, plan.resend_after_s)
+
+    @defer.inlineCallbacks
+    def _send(self, request: UserRequest, ticket: str, left_s: float):
+        headers_by_name = {
+            header_names.REQUEST_ID: request.request_id,
+            header_names.DEADLINE_MS: str(max(1, int(left_s * 1000))),
+            header_names.ATTEMPT: str(request.sendings),
+        }
+        if ticket:
+            headers_by_name[header_names.TICKET] = ticket
+        client = self._rng.choice(self._clients)
+        method = "POST" if request.is_critical else "GET"
+        target = CRITICAL_TARGET if request.is_critical else BROWSE_TARGET
+        try:
+            response = yield client.request(
+                method,
+                target,
+                headers_by_name=headers_by_name,
+                timeout_s=left_s + 0.1,
+            )
+        except (http_client.RequestError, defer.CancelledError):
+            return None
+        return response
+
+
+def _note(request: UserRequest, response: http_client.Response) -> None:
+    headers_by_name = response.headers_by_name
+    request.status = response.status
+    request.outcome = headers_by_name.get(header_names.OUTCOME, "unknown")
+    request.error = headers_by_name.get(header_names.ERROR, "")
+    request.body = response.body
+
+
+def count_outcomes(
+    requests: list[UserRequest],
+) -> dict[tuple[str, str, str], int]:
+    """Counts requests by phase, class and outcome.
+
+    Args:
+      requests: The requests.
+
+    Returns:
+      The count by phase, class name and either ``completed``, ``failed`` (the
+      application answered with an error) or the outcome.
+    """
+    counts: dict[tuple[str, str, str], int] = collections.Counter()
+    for request in requests:
+        class_name = "critical" if request.is_critical else "browse"
+        outcome = request.outcome
+        if outcome == "completed" and not request.completed:
+            outcome = "failed"
+        counts[request.phase, class_name, outcome] += 1
+    return counts
