Add the call engine with origin and target sides

Cause: the node's tasks need a core that takes events and returns effects. Change: calls.engine composes dispatch (origin), execution (target), runs, timers and the rule for not-run; retries holds the allowance and the budget. Admission and routing are plain interim parts until the real ones arrive; tickets are not checked yet, so every route is served as if repeatable. errors gets CALL_TOO_DEEP (508, not-run), appended.

--- a/bergamotdeal/calls/__init__.py
+++ b/bergamotdeal/calls/__init__.py
@@ -1,3 +1,14 @@
 """The life of one call: dispatch at its origin, execution at its target."""
 
-__all__ = ["core", "engine", "messages"]
+__all__ = [
+    "core",
+    "deadlines",
+    "dispatch",
+    "engine",
+    "exchanges",
+    "execution",
+    "messages",
+    "runs",
+    "state",
+    "truth",
+]
--- /dev/null
+++ b/bergamotdeal/calls/runs.py
@@ -0,0 +1,109 @@
+"""A request that the target's node holds, and the table of them."""
+
+import dataclasses
+import enum
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import deadlines
+from bergamotdeal.presets import model
+from bergamotdeal.retries import allowance
+
+CONTEXT_SEPARATOR = "."
+
+
+class Phase(enum.Enum):
+    """Where a request at its target's node stands."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Run:
+    """A request at its target's node.
+
+    Attributes:
+      run_id: Number that is unique in the process lifetime.
+      link_id: Link on which the call arrived.
+      call: The call.
+      route: Policy of the call's route.
+      class_name: The more important class of user request and route.
+      deadline: Time at which the answer must leave, monotonic seconds.
+      allowance: Re-sends that may be spent below this run.
+      phase: Where the request stands.
+      answered: Whether the call has its answer or needs none any more.
+      repeatable: False once a non-repeatable call below may have been handed
+        over.
+      threshold: The tightest threshold that its own calls reported.
+      children: Origin ids of the open calls that it made.
+      timer: Timer of the deadline.
+    """
+
+    run_id: int
+    link_id: int
+    call: core.Call
+    route: model.Route
+    class_name: str
+    deadline: float
+    allowance: allowance.Allowance
+    phase: Phase = Phase.QUEUED
+    answered: bool = False
+    repeatable: bool = True
+    threshold: float = 1.0
+    children: set[int] = dataclasses.field(default_factory=set)
+    timer: deadlines.Timer | None = None
+
+
+class RunTable:
+    """Runs by id, by call and by context."""
+
+    def __init__(self, *, incarnation: str):
+        self._incarnation = incarnation
+        self._last_id = 0
+        self.runs_by_id: dict[int, Run] = {}
+        self.runs_by_call: dict[tuple[int, int], Run] = {}
+
+    def next_id(self) -> int:
+        """Returns a run id that was never used before."""
+        self._last_id += 1
+        return self._last_id
+
+    def add(self, run: Run) -> None:
+        """Adds a run."""
+        self.runs_by_id[run.run_id] = run
+        self.runs_by_call[run.link_id, run.call.number] = run
+
+    def close_call(self, run: Run) -> None:
+        """Forgets which call a run belongs to, once it is answered."""
+        run.answered = True
+        self.runs_by_call.pop((run.link_id, run.call.number), None)
+
+    def remove(self, run: Run) -> None:
+        """Forgets a run that has ended."""
+        run.phase = Phase.ENDED
+        self.runs_by_id.pop(run.run_id, None)
+        self.close_call(run)
+
+    def context_of(self, run: Run) -> str:
+        """Returns the context that names a run of this incarnation."""
+        return f"{run.run_id:x}{CONTEXT_SEPARATOR}{self._incarnation}"
+
+    def find(self, context: str) -> Run | None:
+        """Returns the run that a context names, or None.
+
+        Args:
+          context: Value of a context header, from any source.
+        """
+        number, _, incarnation = context.partition(CONTEXT_SEPARATOR)
+        if incarnation != self._incarnation:
+            return None
+        try:
+            run_id = int(number, 16)
+        except ValueError:
+            return None
+        return self.runs_by_id.get(run_id)
+
+    def idle(self) -> bool:
+        """Whether every call that arrived is answered."""
+        return not self.runs_by_call
--- /dev/null
+++ b/bergamotdeal/calls/state.py
@@ -0,0 +1,86 @@
+"""State that the parts of the call engine share."""
+
+import random
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import deadlines
+from bergamotdeal.calls import messages
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+from bergamotdeal.telemetry import catalogue
+
+
+class EngineState:
+    """What the origin side and the target side both need.
+
+    Attributes:
+      identity: This node.
+      preset: Preset in force.
+      epoch: Its epoch.
+      rng: Random source.
+      members_by_id: Members by host id.
+      service: Service of the local backend server, or empty.
+      draining: Whether the node refuses new work.
+      now: Time of the event in hand, in monotonic seconds.
+      timers: Timers of all parts.
+      effects: Effects of the event in hand.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: membership.Member,
+        preset: model.Preset,
+        epoch: int,
+        rng: random.Random,
+    ):
+        self.identity = identity
+        self.preset = preset
+        self.epoch = epoch
+        self.rng = rng
+        self.members_by_id: dict[str, membership.Member] = {}
+        self.service = identity.server.service if identity.server else ""
+        self.draining = False
+        self.now = 0.0
+        self.timers = deadlines.Timers()
+        self.effects: list[messages.Effect] = []
+
+    def emit(self, effect: messages.Effect) -> None:
+        """Adds an effect of the event in hand."""
+        self.effects.append(effect)
+
+    def record(
+        self,
+        code: catalogue.EventCode,
+        user_request_id: str = "",
+        **fields: str | int | float | bool,
+    ) -> None:
+        """Puts a numbered event on the time line."""
+        self.effects.append(
+            messages.Record(
+                code=code, user_request_id=user_request_id, fields=fields
+            )
+        )
+
+    def class_for(self, inherited: str, own: str) -> str:
+        """Returns the more important one of two classes.
+
+        Args:
+          inherited: Class of the user request, empty when not yet known.
+          own: Class of the call's own route.
+        """
+        if not inherited:
+            return own
+        rank_of = self.preset.rank_of
+        return inherited if rank_of(inherited) <= rank_of(own) else own
+
+
+def milliseconds_left(deadline: float, now: float) -> int:
+    """Returns the time to a deadline in whole milliseconds, at least zero."""
+    return max(0, int((deadline - now) * 1000))
+
+
+def with_epoch(answer: core.Answer, epoch: int) -> core.Answer:
+    """Stamps an answer with the epoch in force and returns it."""
+    answer.epoch = epoch
+    return answer
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -58,6 +58,9 @@
 
     INTERNAL = "internal"
 
+    # Calls.
+    CALL_TOO_DEEP = "call-too-deep"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ErrorAnswer:
@@ -153,6 +156,7 @@
     ErrorKind.STORE_UNAVAILABLE: _not_run(503, "The store is unavailable.", 5),
     ErrorKind.NOT_FOUND: _not_run(404, "No such object."),
     ErrorKind.INTERNAL: _unknown(500, "The node failed internally."),
+    ErrorKind.CALL_TOO_DEEP: _not_run(508, "The chain of calls is too deep."),
 }
 
 
--- a/bergamotdeal/retries/__init__.py
+++ b/bergamotdeal/retries/__init__.py
@@ -1,1 +1,3 @@
-"""Bounds on re-sends per user request and per service."""
+"""Bounds on re-sends: per user request and per service."""
+
+__all__ = ["allowance", "budget"]
