--- /dev/null
+++ b/bergamotdeal/node/announcements.py
@@ -0,0 +1,110 @@
+"""The backend server's own requests to its node, on the egress face."""
+
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+import result
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.errors import core as errors
+from bergamotdeal.node import http_server
+from bergamotdeal.node import server_link
+
+ANNOUNCE_TARGET = "/v1/server"
+DRAIN_TARGET = "/v1/server/drain"
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+_Service = Annotated[
+    str, msgspec.Meta(pattern=r"^(?!v1$)[a-z0-9][a-z0-9._-]{0,63}$")
+]
+
+
+class AnnouncementBody(msgspec.Struct, forbid_unknown_fields=True):
+    """JSON body of an announcement, checked at the border."""
+
+    service: _Service
+    port: _Port
+    slots: _Count
+    connections: _Count
+    address: str = "127.0.0.1"
+    instance: Annotated[str, msgspec.Meta(max_length=64)] = ""
+
+
+class AnnouncementHandler:
+    """Answers announcements and drain requests.
+
+    Args:
+      on_announced: Takes each valid announcement.
+      on_drain: Called when the backend server asks to leave.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_announced: Callable[[server_link.Announcement], None],
+        on_drain: Callable[[], None],
+    ) -> None:
+        self._on_announced = on_announced
+        self._on_drain = on_drain
+
+    def handle(
+        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+    ) -> None:
+        """Answers one request.
+
+        Args:
+          exchange: The exchange.
+          request: The request.
+        """
+        answer = self._answer(request)
+        exchange.respond(answer, http_server.answer_headers(answer, ""))
+
+    def _answer(self, request: http_server.HttpRequest) -> calls.Answer:
+        match request.method, request.target:
+            case "PUT", target if target == ANNOUNCE_TARGET:
+                return self._announce(request.body)
+            case "POST", target if target == DRAIN_TARGET:
+                self._on_drain()
+                return calls.Answer(
+                    outcome=errors.Outcome.COMPLETED, status=202
+                )
+            case _:
+                return calls.error_answer(errors.ErrorKind.NOT_FOUND)
+
+    def _announce(self, body: bytes) -> calls.Answer:
+        parsed = parse_announcement(body)
+        if isinstance(parsed, result.Err):
+            return calls.error_answer(
+                errors.ErrorKind.MALFORMED_REQUEST, detail=parsed.err_value
+            )
+        self._on_announced(parsed.ok_value)
+        return calls.Answer(outcome=errors.Outcome.COMPLETED, status=204)
+
+
+def parse_announcement(
+    body: bytes,
+) -> result.Result[server_link.Announcement, str]:
+    """Reads an announcement.
+
+    Args:
+      body: The JSON body.
+
+    Returns:
+      The announcement, or what is wrong with the body.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=AnnouncementBody)
+    except msgspec.DecodeError as e:
+        return result.Err(str(e))
+    return result.Ok(
+        server_link.Announcement(
+            service=parsed.service,
+            address=parsed.address,
+            port=parsed.port,
+            slots=parsed.slots,
+            connections=parsed.connections,
+            instance=parsed.instance,
+        )
+    )
