--- /dev/null
+++ b/bergamotdeal/admission/hashing.py
@@ -0,0 +1,42 @@
+"""The hash by which every node sheds the same user requests."""
+
+import hashlib
+
+_HASH_BYTES = 8
+_HASH_RANGE = 1 << (8 * _HASH_BYTES)
+_PERSON = b"bergamot-share"
+
+
+def hash_share(user_request_id: str) -> float:
+    """Returns the place of a user request in the shedding order.
+
+    Every node computes the same value, so that under overload all of them
+    keep and shed the same user requests.
+
+    Args:
+      user_request_id: Id of the user request at the root of the call tree.
+
+    Returns:
+      A number in [0, 1), uniform over ids. Low values are kept longest.
+    """
+    digest = hashlib.blake2b(
+        user_request_id.encode(), digest_size=_HASH_BYTES, person=_PERSON
+    )
+    return min(int.from_bytes(digest.digest()) / _HASH_RANGE, 1.0 - 2.0**-53)
+
+
+def mixed_share(number: int) -> float:
+    """Returns a share that differs from node to node for one user request.
+
+    It stands in for the request hash when consistent shedding is off. The
+    mixing steps are those of SplitMix64 (Steele, Lea and Flood, 2014).
+
+    Args:
+      number: A job id.
+    """
+    mask = _HASH_RANGE - 1
+    value = (number + 0x9E3779B97F4A7C15) & mask
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & mask
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & mask
+    value ^= value >> 31
+    return (value >> 11) / float(1 << 53)
--- /dev/null
+++ b/bergamotdeal/quarantine/register.py
@@ -0,0 +1,128 @@
+"""The register of requests that were running when servers died."""
+
+import collections
+import dataclasses
+
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+
+_EVIDENCE_S = 300.0
+_MAX_FINGERPRINTS = 4096
+_MAX_DEATHS_PER_FINGERPRINT = 16
+_SUCCESSES_PER_DEATH = 3
+_MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Death:
+    host_id: str
+    heard: float
+
+
+class Register:
+    """Counts server deaths per request fingerprint.
+
+    A fingerprint that was running at the deaths of enough distinct servers is
+    refused for a time. A fingerprint that keeps completing at this node is
+    neither reported nor refused here: being in flight at a death says little
+    about a request that is always in flight.
+    """
+
+    def __init__(self, *, policy: model.QuarantinePolicy, host_id: str):
+        self._policy = policy
+        self._host_id = host_id
+        self._fingerprint_by_run: dict[int, str] = {}
+        self._successes_by_fingerprint: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._deaths_by_fingerprint: collections.OrderedDict[
+            str, dict[str, _Death]
+        ] = collections.OrderedDict()
+
+    def set_policy(self, policy: model.QuarantinePolicy) -> None:
+        """Takes the policy of a new preset."""
+        self._policy = policy
+
+    def started(self, fingerprint: str, run_id: int) -> None:
+        """Notes that a run of a request was handed over to the server."""
+        self._fingerprint_by_run[run_id] = fingerprint
+
+    def finished(self, run_id: int) -> None:
+        """Notes that a run ended and the server lives."""
+        fingerprint = self._fingerprint_by_run.pop(run_id, None)
+        if fingerprint is None:
+            return
+        successes = self._successes_by_fingerprint
+        successes[fingerprint] = successes.get(fingerprint, 0) + 1
+        successes.move_to_end(fingerprint)
+        if len(successes) > _MAX_FINGERPRINTS:
+            successes.popitem(last=False)
+
+    def server_died(
+        self, now: float, death_id: str
+    ) -> list[membership.CrashReport]:
+        """Takes the death of the local backend server.
+
+        Args:
+          now: Monotonic seconds.
+          death_id: Id of this death, unique in the fleet.
+
+        Returns:
+          Reports to share with the other nodes, one per suspect fingerprint.
+        """
+        suspects = sorted(set(self._fingerprint_by_run.values()))
+        self._fingerprint_by_run.clear()
+        reports = [
+            membership.CrashReport(
+                fingerprint=fingerprint,
+                host_id=self._host_id,
+                death_id=death_id,
+            )
+            for fingerprint in suspects
+            if not self._is_exonerated(fingerprint, deaths=1)
+        ]
+        self.hear(reports, now)
+        return reports
+
+    def hear(self, reports: list[membership.CrashReport], now: float) -> None:
+        """Takes reports of this or another node; repeated ones count once."""
+        for report in reports:
+            self._add(report, now)
+
+    def blocked(self, fingerprint: str, now: float) -> bool:
+        """Tells whether a request is refused for now."""
+        if not self._policy.enabled:
+            return False
+        deaths_by_id = self._deaths_by_fingerprint.get(fingerprint)
+        if deaths_by_id is None:
+            return False
+        recent = [
+            death
+            for death in deaths_by_id.values()
+            if now - death.heard < _EVIDENCE_S
+        ]
+        host_ids = {death.host_id for death in recent}
+        if len(host_ids) < self._policy.deaths:
+            return False
+        if self._is_exonerated(fingerprint, deaths=len(recent)):
+            return False
+        latest = max(death.heard for death in recent)
+        return now - latest < self._policy.duration_ms / _MS_PER_S
+
+    def _is_exonerated(self, fingerprint: str, *, deaths: int) -> bool:
+        successes = self._successes_by_fingerprint.get(fingerprint, 0)
+        return successes >= _SUCCESSES_PER_DEATH * deaths
+
+    def _add(self, report: membership.CrashReport, now: float) -> None:
+        deaths_by_id = self._deaths_by_fingerprint.setdefault(
+            report.fingerprint, {}
+        )
+        self._deaths_by_fingerprint.move_to_end(report.fingerprint)
+        if report.death_id not in deaths_by_id:
+            deaths_by_id[report.death_id] = _Death(
+                host_id=report.host_id, heard=now
+            )
+        if len(deaths_by_id) > _MAX_DEATHS_PER_FINGERPRINT:
+            del deaths_by_id[next(iter(deaths_by_id))]
+        if len(self._deaths_by_fingerprint) > _MAX_FINGERPRINTS:
+            self._deaths_by_fingerprint.popitem(last=False)
--- a/bergamotdeal/routing/__init__.py
+++ b/bergamotdeal/routing/__init__.py
@@ -1,1 +1,3 @@
-"""Choice of the backend server that runs a call."""
+"""Choice of a server for each call."""
+
+__all__ = ["core", "outliers", "rendezvous", "router"]
--- /dev/null
+++ b/bergamotdeal/routing/router.py
@@ -0,0 +1,270 @@
+"""The choice of a server for each call."""
+
+import random
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+from bergamotdeal.routing import core
+from bergamotdeal.routing import outliers
+from bergamotdeal.routing import rendezvous
+
+_RINGS = 3
+_SUBSET_MAX = 32
+_RING_SHARES = (0.5, 0.75, 1.0)
+_OUTLIER_PERIOD_S = 1.0
+_SLOW_START_S = 10.0
+_SLOW_START_FLOOR = 0.1
+
+
+class _Service:
+    """The servers of one service that this node uses."""
+
+    def __init__(self) -> None:
+        self.usable_ids: list[str] = []
+        self.suspect_ids: list[str] = []
+        self.targets: list[core.Target] = []
+        self.outliers_due = 0.0
+
+
+class Router:
+    """Chooses by two random choices within a stable subset of servers."""
+
+    def __init__(
+        self,
+        *,
+        policy: model.RoutingPolicy,
+        host_id: str,
+        data_centre: str,
+        region: str,
+        rng: random.Random,
+    ):
+        self._policy = policy
+        self._host_id = host_id
+        self._data_centre = data_centre
+        self._region = region
+        self._rng = rng
+        self._members_by_id: dict[str, membership.Member] = {}
+        self._targets_by_id: dict[str, core.Target] = {}
+        self._services_by_name: dict[str, _Service] = {}
+
+    def set_policy(self, policy: model.RoutingPolicy) -> None:
+        """Takes the policy of a new preset."""
+        self._policy = policy
+
+    def update_members(
+        self, members_by_id: dict[str, membership.Member]
+    ) -> None:
+        """Takes the membership view.
+
+        Args:
+          members_by_id: Every known member by host id.
+        """
+        old = self._services_by_name
+        services: dict[str, _Service] = {}
+        for host_id, member in members_by_id.items():
+            if member.server is None:
+                continue
+            service = services.setdefault(member.server.service, _Service())
+            if member.state is membership.MemberState.ALIVE:
+                service.usable_ids.append(host_id)
+            elif member.state is membership.MemberState.SUSPECT:
+                service.suspect_ids.append(host_id)
+        self._members_by_id = dict(members_by_id)
+        targets_by_id: dict[str, core.Target] = {}
+        for name, service in services.items():
+            was_known = name in old and bool(old[name].targets)
+            self._fill(service, targets_by_id, was_known=was_known)
+        self._services_by_name = services
+        self._targets_by_id = targets_by_id
+
+    def knows(self, service: str) -> bool:
+        """Tells whether any member announces a server of the service."""
+        return service in self._services_by_name
+
+    def choose(
+        self, service: str, *, exclude: frozenset[str], now: float
+    ) -> str | None:
+        """Chooses a server for a call.
+
+        Args:
+          service: Service to call.
+          exclude: Host ids that are not to be chosen.
+          now: Monotonic seconds.
+
+        Returns:
+          A host id, or None when no server is left.
+        """
+        known = self._services_by_name.get(service)
+        if known is None:
+            return None
+        self._refresh_outliers(known, now)
+        targets = [
+            target
+            for target in known.targets
+            if target.member.host_id not in exclude
+        ]
+        if not targets:
+            return self._fallback(known, exclude)
+        ring = self._near_ring(targets, now)
+        return self._pick(ring, now).member.host_id
+
+    def choose_by_hash(
+        self, service: str, key: str, *, exclude: frozenset[str]
+    ) -> str | None:
+        """Chooses the server that every node with the same view chooses.
+
+        Args:
+          service: Service to call.
+          key: What the choice depends on, such as a user request id.
+          exclude: Host ids that are not to be chosen.
+        """
+        known = self._services_by_name.get(service)
+        if known is None:
+            return None
+        for host_ids in (known.usable_ids, known.suspect_ids):
+            names = [name for name in host_ids if name not in exclude]
+            if names:
+                return rendezvous.best(key, names)
+        return None
+
+    def started(self, host_id: str, now: float) -> None:
+        """Notes that a call was sent to a server."""
+        target = self._targets_by_id.get(host_id)
+        if target is None:
+            return
+        target.in_flight += 1
+        if target.first_chosen is None:
+            target.first_chosen = now
+
+    def finished(
+        self,
+        host_id: str,
+        *,
+        latency_s: float,
+        succeeded: bool,
+        load: calls.Load | None,
+        now: float,
+    ) -> None:
+        """Notes that a call to a server ended.
+
+        Args:
+          host_id: The server's host.
+          latency_s: Time from the sending to the end, seconds.
+          succeeded: False when the server or its node is to blame.
+          load: Load that the answer carried, or None.
+          now: Monotonic seconds.
+        """
+        target = self._targets_by_id.get(host_id)
+        if target is None:
+            return
+        target.in_flight = max(0, target.in_flight - 1)
+        target.calls += 1
+        failed = 0.0 if succeeded else 1.0
+        weight = core.LATENCY_WEIGHT
+        target.failure_share += weight * (failed - target.failure_share)
+        if succeeded:
+            before = target.latency_s or latency_s
+            target.latency_s = before + weight * (latency_s - before)
+        if load is not None:
+            target.reported = load
+            target.reported_at = now
+            target.in_flight_at_report = target.in_flight
+
+    def _fill(
+        self,
+        service: _Service,
+        targets_by_id: dict[str, core.Target],
+        *,
+        was_known: bool,
+    ) -> None:
+        ids_by_ring: list[list[str]] = [[] for _ in range(_RINGS)]
+        for host_id in service.usable_ids:
+            ids_by_ring[self._ring(self._members_by_id[host_id])].append(
+                host_id
+            )
+        count = 0
+        for ring, share in enumerate(_RING_SHARES):
+            room = int(_SUBSET_MAX * share) - count
+            names = rendezvous.ranked(self._host_id, ids_by_ring[ring], room)
+            count += len(names)
+            for host_id in names:
+                target = self._target(host_id, ring, was_known=was_known)
+                targets_by_id[host_id] = target
+                service.targets.append(target)
+
+    def _target(
+        self, host_id: str, ring: int, *, was_known: bool
+    ) -> core.Target:
+        member = self._members_by_id[host_id]
+        old = self._targets_by_id.get(host_id)
+        if old is not None and old.member.incarnation == member.incarnation:
+            old.member = member
+            old.ring = ring
+            return old
+        return core.Target(member=member, ring=ring, is_new=was_known)
+
+    def _ring(self, member: membership.Member) -> int:
+        if not self._policy.prefer_near:
+            return 0
+        if member.data_centre == self._data_centre:
+            return 0
+        return 1 if member.region == self._region else 2
+
+    def _near_ring(
+        self, targets: list[core.Target], now: float
+    ) -> list[core.Target]:
+        for ring in range(_RINGS):
+            near = [target for target in targets if target.ring <= ring]
+            if not near:
+                continue
+            slots = sum(target.slots() for target in near)
+            used = sum(target.in_use(now) for target in near) / slots
+            spill = self._policy.spill_share
+            if used <= spill:
+                return near
+            if self._rng.random() >= (used - spill) / max(0.01, 1.0 - spill):
+                return near
+        return targets
+
+    def _pick(self, targets: list[core.Target], now: float) -> core.Target:
+        first = self._rng.choice(targets)
+        weight = self._weight(first, now)
+        if weight < 1.0 and self._rng.random() < weight:
+            return first
+        full = [
+            target for target in targets if self._weight(target, now) >= 1.0
+        ]
+        if not full:
+            full = targets
+        one = self._rng.choice(full)
+        other = self._rng.choice(full)
+        return one if one.score(now) <= other.score(now) else other
+
+    def _weight(self, target: core.Target, now: float) -> float:
+        if target.is_outlier:
+            return self._policy.outlier_weight
+        if not target.is_new:
+            return 1.0
+        if target.first_chosen is None:
+            return _SLOW_START_FLOOR
+        age = (now - target.first_chosen) / _SLOW_START_S
+        if age >= 1.0:
+            target.is_new = False
+            return 1.0
+        return max(_SLOW_START_FLOOR, age)
+
+    def _refresh_outliers(self, service: _Service, now: float) -> None:
+        if now < service.outliers_due:
+            return
+        service.outliers_due = now + _OUTLIER_PERIOD_S
+        outliers.mark(service.targets, self._policy)
+
+    def _fallback(
+        self, service: _Service, exclude: frozenset[str]
+    ) -> str | None:
+        for host_ids in (service.usable_ids, service.suspect_ids):
+            names = [name for name in host_ids if name not in exclude]
+            if names:
+                return self._rng.choice(names)
+        return None
