--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -29,6 +29,7 @@
     Args:
       face: Which face this is.
       post: Takes the events for the call engine.
+      is_ready: Whether the node has what it needs to serve calls.
       rng: Source of request ids.
       origin_ids: Counter that all faces of the node share.
       handle_own: Answers a request for the node itself, whose path starts
@@ -40,6 +41,7 @@
         *,
         face: messages.Face,
         post: Callable[[messages.Event], None],
+        is_ready: Callable[[], bool],
         rng: random.Random,
         origin_ids: "itertools.count[int]",
         handle_own: Callable[
@@ -49,11 +51,13 @@
     ) -> None:
         self._face = face
         self._post = post
+        self._is_ready = is_ready
         self._rng = rng
         self._origin_ids = origin_ids
         self._handle_own = handle_own
         self._exchanges_by_origin: dict[int, http_server.Exchange] = {}
         self._listener: interfaces.IListeningPort | None = None
+        self._factory = http_server.Factory(handler=self._request_received)
 
     @property
     def port(self) -> int:
@@ -61,9 +65,9 @@
         return self._listener.getHost().port
 
     @property
-    def open_exchanges(self) -> int:
-        """Number of exchanges that wait for their answer."""
-        return len(self._exchanges_by_origin)
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._factory.channels)
 
     def start(
         self, *, reactor: interfaces.IReactorTCP, address: str, port: int
@@ -75,11 +79,14 @@
           address: IP address.
           port: TCP port; zero lets the kernel choose one.
         """
-        factory = http_server.Factory(handler=self._request_received)
         self._listener = reactor.listenTCP(
-            port, factory, interface=address, backlog=1024
+            port, self._factory, interface=address, backlog=1024
         )
 
+    def start_closing(self) -> None:
+        """Closes each connection once it has no request in hand."""
+        self._factory.close_when_answered()
+
     def stop(self) -> None:
         """Stops listening; open connections stay."""
         if self._listener is not None:
@@ -115,10 +122,10 @@
             request, face=self._face, origin_id=origin_id, rng=self._rng
         )
         if isinstance(parsed, result.Err):
-            answer = calls.error_answer(
-                parsed.err_value, may_have_run=_is_resend(request)
-            )
-            exchange.respond(answer, http_server.answer_headers(answer, ""))
+            _refuse(exchange, request, parsed.err_value)
+            return
+        if not self._is_ready():
+            _refuse(exchange, request, errors.ErrorKind.NOT_READY)
             return
         self._exchanges_by_origin[origin_id] = exchange
         exchange.on_disconnect = lambda: self._caller_gone(origin_id)
@@ -239,6 +246,15 @@
         return result.Err(errors.ErrorKind.HEADER_INVALID)
 
 
+def _refuse(
+    exchange: http_server.Exchange,
+    request: http_server.HttpRequest,
+    kind: errors.ErrorKind,
+) -> None:
+    answer = calls.error_answer(kind, may_have_run=_is_resend(request))
+    exchange.respond(answer, http_server.answer_headers(answer, ""))
+
+
 def _is_resend(request: http_server.HttpRequest) -> bool:
     # Whatever the malformed values mean, an earlier sending may have run.
     attempt = request.header(header_names.ATTEMPT)
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -143,6 +143,8 @@
         if self._responded:
             return
         self._responded = True
+        if self.channel.factory.closing:
+            self.channel.persistent = False
         self.channel.transport.write(
             render(
                 answer,
@@ -200,6 +202,15 @@
         self.rawDataReceived = _ignore
         self.loseConnection()
 
+    def connectionLost(self, reason: twisted_failure.Failure) -> None:
+        """Forgets the connection.
+
+        Args:
+          reason: Why it closed.
+        """
+        self.factory.channels.discard(self)
+        super().connectionLost(reason)
+
     def _respondToBadRequestAndDisconnect(self) -> None:
         self.reject(errors.ErrorKind.MALFORMED_REQUEST)
 
@@ -214,12 +225,22 @@
     Attributes:
       handler: Called with each exchange and its request.
       channels: The open connections.
+      closing: Whether connections close after the response in hand.
     """
 
     def __init__(
         self, *, handler: Callable[[Exchange, HttpRequest], None]
     ) -> None:
         self.handler = handler
+        self.channels: set[Channel] = set()
+        self.closing = False
+
+    def close_when_answered(self) -> None:
+        """Closes idle connections now and the others after their response."""
+        self.closing = True
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
 
     def buildProtocol(self, addr) -> Channel:
         """Returns the channel of a new connection.
@@ -230,6 +251,7 @@
         del addr
         channel = Channel()
         channel.factory = self
+        self.channels.add(channel)
         return channel
 
 
