--- a/bergamotdeal/calls/core.py
+++ b/bergamotdeal/calls/core.py
@@ -63,6 +63,7 @@
       class_name: Class of the user request, empty when not yet known.
       depth: Number of calls above this one.
       epoch: Epoch of the configuration in force at the origin.
+      stamp: Stamp of the origin's hybrid logical clock, set by its peer face.
     """
 
     number: int
@@ -77,6 +78,7 @@
     class_name: str = ""
     depth: int = 0
     epoch: int = 0
+    stamp: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -97,6 +99,7 @@
         own targets admit for this route and class.
       load: Load of the target, or None when the answer came from elsewhere.
       epoch: Epoch of the configuration in force at the target.
+      stamp: Stamp of the target's hybrid logical clock, set by its peer face.
     """
 
     outcome: errors.Outcome
@@ -111,6 +114,7 @@
     threshold: float = 1.0
     load: Load | None = None
     epoch: int = 0
+    stamp: int = 0
 
 
 def error_answer(
--- /dev/null
+++ b/bergamotdeal/cli/files.py
@@ -0,0 +1,62 @@
+"""Reads the files that are named on the command line."""
+
+import pathlib
+import sys
+from typing import NoReturn
+
+import click
+import result
+
+from bergamotdeal.cli import exit_codes
+from bergamotdeal.settings import model
+from bergamotdeal.settings import parser
+from bergamotdeal.utils import ini
+
+
+def fail(code: exit_codes.ExitCode, *lines: str) -> NoReturn:
+    """Ends the command.
+
+    Args:
+      code: Exit code.
+      *lines: What went wrong, for the standard error.
+    """
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(code)
+
+
+def read_text(path: str) -> str:
+    """Returns a file's text, or ends the command.
+
+    Args:
+      path: Path of the file; ``-`` is the standard input.
+    """
+    try:
+        if path == "-":
+            return sys.stdin.read()
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fail(exit_codes.ExitCode.INVALID, f"{path}: can't be read: {error}")
+
+
+def read_settings(path: str) -> model.Settings:
+    """Returns a settings file's content, or ends the command.
+
+    Args:
+      path: Path of the INI file.
+    """
+    read = parser.parse(read_text(path))
+    if isinstance(read, result.Err):
+        report_problems(path, read.err_value)
+    return read.ok_value
+
+
+def report_problems(path: str, problems: list[ini.Problem]) -> NoReturn:
+    """Ends the command over the problems of a file.
+
+    Args:
+      path: Path of the file.
+      problems: What is wrong in it.
+    """
+    lines = [f"{path}: {problem}" for problem in problems]
+    fail(exit_codes.ExitCode.INVALID, *lines)
--- /dev/null
+++ b/bergamotdeal/cli/main.py
@@ -0,0 +1,73 @@
+"""Entry point of the command line.
+
+Subcommands are imported when they run, so that a node doesn't carry the
+operators' commands in memory.
+"""
+
+import importlib
+
+import click
+
+import bergamotdeal
+
+
+class LazyGroup(click.Group):
+    """A group whose commands are imported on use.
+
+    Args:
+      places_by_command: Module and attribute of each command.
+      **attributes: As for ``click.Group``.
+    """
+
+    def __init__(
+        self, *, places_by_command: dict[str, tuple[str, str]], **attributes
+    ):
+        super().__init__(**attributes)
+        self._places_by_command = places_by_command
+
+    def list_commands(self, ctx: click.Context) -> list[str]:  # noqa: ARG002
+        """Returns the names of all commands."""
+        return sorted(self._places_by_command)
+
+    def get_command(
+        self,
+        ctx: click.Context,  # noqa: ARG002
+        cmd_name: str,
+    ) -> click.Command | None:
+        """Imports a command.
+
+        Args:
+          ctx: Context of the group.
+          cmd_name: Name of the command.
+
+        Returns:
+          The command, or None when there is none of this name.
+        """
+        place = self._places_by_command.get(cmd_name)
+        if place is None:
+            return None
+        module = importlib.import_module(place[0])
+        return getattr(module, place[1])
+
+    def format_commands(
+        self, ctx: click.Context, formatter: click.HelpFormatter
+    ) -> None:
+        """Writes the list of commands."""
+        rows = []
+        for name in self.list_commands(ctx):
+            command = self.get_command(ctx, name)
+            rows.append((name, command.get_short_help_str()))
+        with formatter.section("Commands"):
+            formatter.write_dl(rows)
+
+
+main = LazyGroup(
+    name="bergamotdeal",
+    help="Overload control layer for service call graphs.",
+    params=[],
+    places_by_command={
+        "node": ("bergamotdeal.cli.node", "node"),
+        "settings": ("bergamotdeal.cli.settings", "settings"),
+    },
+)
+main = click.version_option(bergamotdeal.__version__)(main)
--- a/bergamotdeal/settings/__init__.py
+++ b/bergamotdeal/settings/__init__.py
@@ -1,3 +1,3 @@
 """Settings of a node, read from an INI file."""
 
-__all__ = ["model"]
+__all__ = ["model", "parser"]
--- /dev/null
+++ b/bergamotdeal/settings/parser.py
@@ -0,0 +1,177 @@
+"""Reads a node's settings from INI text, strictly."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import ipaddress
+import typing
+
+import result
+
+from bergamotdeal.settings import model
+from bergamotdeal.utils import ini
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+_SECRET_KEYS = frozenset(("key", "token"))
+_CLASSES_BY_SECTION = typing.get_type_hints(model.Settings)
+
+
+def parse(text: str) -> result.Result[model.Settings, list[ini.Problem]]:
+    """Reads settings.
+
+    Args:
+      text: Content of the INI file.
+
+    Returns:
+      The settings, or every problem found.
+    """
+    match ini.read(text):
+        case result.Err(problems):
+            return result.Err(problems)
+        case result.Ok(values_by_section):
+            pass
+    problems = _missing_sections(values_by_section)
+    sections_by_name = {}
+    for name, values in values_by_section.items():
+        match _parse_section(name, values):
+            case result.Ok(section):
+                sections_by_name[name] = section
+            case result.Err(found):
+                problems += found
+    if problems:
+        return result.Err(problems)
+    return result.Ok(model.Settings(**sections_by_name))
+
+
+def parse_endpoint(text: str) -> result.Result[model.Endpoint, str]:
+    """Reads ``address:port``; an IPv6 address stands in brackets.
+
+    Args:
+      text: The endpoint's text.
+
+    Returns:
+      The endpoint, or why the text is none.
+    """
+    address, colon, port = text.rpartition(":")
+    if address.startswith("[") and address.endswith("]"):
+        address = address[1:-1]
+    if not colon or not port.isascii() or not port.isdigit():
+        return result.Err(f"{text!r}: expected address:port")
+    if not _is_address(address):
+        return result.Err(f"{text!r}: expected an IP address before the port")
+    if not 1 <= int(port) <= 65_535:
+        return result.Err(f"{text!r}: expected a port from 1 to 65535")
+    return result.Ok(model.Endpoint(address=address, port=int(port)))
+
+
+def is_loopback(address: str) -> bool:
+    """Returns whether an IP address reaches this host only.
+
+    Args:
+      address: A valid IP address.
+    """
+    return ipaddress.ip_address(address).is_loopback
+
+
+def _is_address(address: str) -> bool:
+    try:
+        ipaddress.ip_address(address)
+    except ValueError:
+        return False
+    return True
+
+
+def _missing_sections(names: Iterable[str]) -> list[ini.Problem]:
+    return [
+        ini.Problem(
+            section=field.name, key="", message="the section is missing"
+        )
+        for field in dataclasses.fields(model.Settings)
+        if field.default_factory is dataclasses.MISSING
+        and field.name not in names
+    ]
+
+
+def _parse_section(
+    name: str, values: Mapping[str, str]
+) -> result.Result[object, list[ini.Problem]]:
+    if name not in _CLASSES_BY_SECTION:
+        advice = ini.nearest(name, _CLASSES_BY_SECTION)
+        message = f"unknown section; {advice}"
+        return result.Err([ini.Problem(section=name, key="", message=message)])
+    converted = ini.convert(
+        _CLASSES_BY_SECTION[name], name, values, secret_keys=_SECRET_KEYS
+    )
+    match converted:
+        case result.Ok(section):
+            problems = _check_section(name, section)
+            return result.Err(problems) if problems else converted
+    return converted
+
+
+def _check_section(name: str, section: object) -> list[ini.Problem]:
+    """Returns the problems that no annotation can express."""
+    faults = _address_faults(section) or _section_faults(section)
+    return [
+        ini.Problem(section=name, key=key, message=message)
+        for key, message in faults
+    ]
+
+
+def _address_faults(section: object) -> list[tuple[str, str]]:
+    address = getattr(section, "address", None)
+    if address is None or _is_address(address):
+        return []
+    if address == "" and isinstance(
+        section, (model.StoreSection, model.StatsdSection)
+    ):
+        return []
+    return [("address", f"{address!r}: expected an IP address")]
+
+
+def _section_faults(section: object) -> list[tuple[str, str]]:
+    match section:
+        case model.EgressSection(address=address):
+            if not is_loopback(address):
+                return [
+                    ("address", f"{address!r}: expected a loopback address")
+                ]
+        case model.PeerSection():
+            return _peer_faults(section)
+        case model.AdminSection(address=address, token=""):
+            if not is_loopback(address):
+                return [
+                    (
+                        "token",
+                        "missing: required unless the address is a loopback "
+                        "one",
+                    )
+                ]
+        case model.StoreSection(address=address, port=0):
+            if address:
+                return [
+                    ("port", "missing: expected an integer from 1 to 65535")
+                ]
+        case model.TelemetrySection(log_level=level):
+            if level not in LOG_LEVELS:
+                accepted = ", ".join(LOG_LEVELS)
+                return [("log_level", f"{level!r}: expected one of {accepted}")]
+    return []
+
+
+def _peer_faults(section: model.PeerSection) -> list[tuple[str, str]]:
+    faults = []
+    if ipaddress.ip_address(section.address).is_unspecified:
+        faults.append(
+            (
+                "address",
+                f"{section.address!r}: expected the address that other nodes "
+                "connect to",
+            )
+        )
+    for seed in section.seeds:
+        match parse_endpoint(seed):
+            case result.Err(message):
+                faults.append(("seeds", message))
+    return faults
--- /dev/null
+++ b/bergamotdeal/settings/tests/test_parser.py
@@ -0,0 +1,170 @@
+import hypothesis
+from hypothesis import strategies
+import pytest
+import result
+
+from bergamotdeal.settings import model
+from bergamotdeal.settings import parser
+
+MINIMAL = """
+[node]
+host_id = kitview-1
+data_centre = prai
+
+[peer]
+key = 0123456789abcdef
+"""
+
+
+def _problems(text):
+    read = parser.parse(text)
+    assert isinstance(read, result.Err), read
+    return [str(problem) for problem in read.err_value]
+
+
+def test_minimal_settings_take_the_defaults():
+    settings = parser.parse(MINIMAL).unwrap()
+    assert settings == model.Settings(
+        node=model.NodeSection(host_id="kitview-1", data_centre="prai"),
+        peer=model.PeerSection(key="0123456789abcdef"),
+    )
+
+
+def test_values_are_converted():
+    text = MINIMAL + (
+        "address = 10.0.0.4\n"
+        "port = 7402\n"
+        "seeds = 10.0.0.5:7402, [fd00::1]:7402\n"
+        "[telemetry]\nlog_level = debug\nring_events = 500\n"
+    )
+    settings = parser.parse(text).unwrap()
+    assert settings.peer.port == 7402
+    assert settings.peer.seeds == ("10.0.0.5:7402", "[fd00::1]:7402")
+    assert settings.telemetry.ring_events == 500
+
+
+@pytest.mark.parametrize(
+    ("extra", "expected"),
+    [
+        (
+            "prot = 1\n",
+            "[peer] prot: unknown key; did you mean port?",
+        ),
+        (
+            "port = 70000\n",
+            "[peer] port: '70000' is not an integer from 0 to 65535",
+        ),
+        (
+            "port = many\n",
+            "[peer] port: 'many' is not an integer from 0 to 65535",
+        ),
+        (
+            "address = bayan-lepas\n",
+            "[peer] address: 'bayan-lepas': expected an IP address",
+        ),
+        (
+            "address = 0.0.0.0\n",
+            "[peer] address: '0.0.0.0': expected the address that "
+            "other nodes connect to",
+        ),
+        (
+            "seeds = 10.0.0.5\n",
+            "[peer] seeds: '10.0.0.5': expected address:port",
+        ),
+        (
+            "seeds = 10.0.0.5:0\n",
+            "[peer] seeds: '10.0.0.5:0': expected a port from 1 to 65535",
+        ),
+        (
+            "seeds = ten:5\n",
+            "[peer] seeds: 'ten:5': expected an IP address before the port",
+        ),
+        (
+            "[entri]\n",
+            "[entri] unknown section; did you mean entry?",
+        ),
+        (
+            "[admin]\naddress = 10.0.0.4\n",
+            "[admin] token: missing: required unless the address "
+            "is a loopback one",
+        ),
+        (
+            "[egress]\naddress = 10.0.0.4\n",
+            "[egress] address: '10.0.0.4': expected a loopback address",
+        ),
+        (
+            "[store]\naddress = 10.0.0.9\n",
+            "[store] port: missing: expected an integer from 1 to 65535",
+        ),
+        (
+            "[telemetry]\nlog_level = loud\n",
+            "[telemetry] log_level: 'loud': expected one of "
+            "debug, info, warning, error",
+        ),
+        (
+            "[peer]\n",
+            "[peer] given twice; again on line 8",
+        ),
+        (
+            "port = 1\nport = 2\n",
+            "[peer] port: given twice; again on line 9",
+        ),
+        ("port\n", "line 8 is neither a section nor a key"),
+    ],
+)
+def test_a_fault_is_named_with_its_place_and_the_accepted_range(
+    extra, expected
+):
+    assert _problems(MINIMAL + extra) == [expected]
+
+
+def test_every_fault_is_reported_in_one_pass():
+    assert _problems("[node]\nhost_id = Über\n[peer]\nkey = short\n") == [
+        "[node] host_id: 'Über' is not text that matches "
+        "^[a-z0-9][a-z0-9._/-]{0,63}$",
+        "[node] data_centre: missing; accepted is text that matches "
+        "^[a-z0-9][a-z0-9._/-]{0,63}$",
+        "[peer] key: the value is not text of at least 16 characters",
+    ]
+
+
+def test_missing_sections_are_named():
+    assert _problems("") == [
+        "[node] the section is missing",
+        "[peer] the section is missing",
+    ]
+
+
+def test_a_key_before_any_section_is_named():
+    assert _problems("port = 1\n") == ["line 1 stands before any section"]
+
+
+def test_there_is_no_default_section():
+    assert (
+        "[DEFAULT] unknown section"
+        in _problems("[DEFAULT]\nport = 1\n" + MINIMAL)[0]
+    )
+
+
+def test_secrets_are_not_shown():
+    problems = _problems("[node]\nhost_id=a\ndata_centre=b\n[peer]\nkey=sec\n")
+    assert "sec" not in problems[0].replace("expected", "")
+
+
+@hypothesis.given(strategies.text(max_size=200))
+def test_any_text_gives_settings_or_problems(text):
+    read = parser.parse(text)
+    assert isinstance(read, result.Ok | result.Err)
+
+
+@hypothesis.given(
+    strategies.sampled_from(
+        ["address", "port", "seeds", "key", "host_id", "nothing"]
+    ),
+    strategies.text(
+        strategies.characters(exclude_characters="\r\n\x00"), max_size=30
+    ),
+)
+def test_any_value_gives_settings_or_problems(key, value):
+    read = parser.parse(MINIMAL + f"{key} = {value}\n")
+    assert isinstance(read, result.Ok | result.Err)
--- a/bergamotdeal/telemetry/__init__.py
+++ b/bergamotdeal/telemetry/__init__.py
@@ -1,3 +1,3 @@
 """Time line, structured logs and metrics."""
 
-__all__ = ["catalogue"]
+__all__ = ["catalogue", "clock", "log", "metrics", "recorder", "ring"]
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -4,6 +4,7 @@
 reused; the message's fields are filled from the event.
 """
 
+from collections.abc import Mapping
 import enum
 
 
@@ -101,3 +102,25 @@
     EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
     EventCode.FRAME_MALFORMED: "malformed frame from {address}",
 }
+
+
+def describe(code: EventCode, fields_by_name: Mapping[str, object]) -> str:
+    """Words an event.
+
+    Args:
+      code: The event's number.
+      fields_by_name: Values for the fields of its message.
+
+    Returns:
+      The catalogue's message with its fields filled; a field without a value
+      shows as a question mark.
+    """
+    fields = _Filled(fields_by_name)
+    return MESSAGES_BY_CODE[code].format_map(fields)
+
+
+class _Filled(dict):
+    """Stands a question mark in for each missing field."""
+
+    def __missing__(self, name: str) -> str:
+        return "?"
--- /dev/null
+++ b/bergamotdeal/telemetry/log.py
@@ -0,0 +1,125 @@
+"""Structured logs of the numbered events."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import TextIO
+
+import msgspec
+import structlog
+
+from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import ring
+
+LINES_PER_CODE_AND_SECOND = 20
+
+DEBUG, INFO, WARNING, ERROR = 10, 20, 30, 40
+
+LEVELS_BY_NAME = {
+    "debug": DEBUG,
+    "info": INFO,
+    "warning": WARNING,
+    "error": ERROR,
+}
+
+_LEVELS_BY_CODE = {
+    catalogue.EventCode.CALL_FAILED_INTERNALLY: ERROR,
+    catalogue.EventCode.REQUEST_QUARANTINED: WARNING,
+    catalogue.EventCode.PRESET_REJECTED: WARNING,
+    catalogue.EventCode.STORE_UNAVAILABLE: WARNING,
+    catalogue.EventCode.SERVER_STOPPED: WARNING,
+    catalogue.EventCode.PEER_REJECTED: WARNING,
+    catalogue.EventCode.FRAME_MALFORMED: WARNING,
+}
+
+
+def level_of(event: ring.Event) -> int:
+    """Returns the level at which an event is logged.
+
+    Args:
+      event: The event; without a level of its own it is logged at debug
+        when it belongs to a request, else at info.
+    """
+    level = _LEVELS_BY_CODE.get(event.code)
+    if level is not None:
+        return level
+    return DEBUG if event.user_request_id else INFO
+
+
+class EventLog:
+    """Writes events as JSON lines.
+
+    Each code has a bound of lines a second; the next line of the code tells
+    how many were left out.
+
+    Args:
+      level: ``debug``, ``info``, ``warning`` or ``error``.
+      stream: Where the lines go.
+      host_id: Host named on each line.
+      monotonic: Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        level: str,
+        stream: TextIO,
+        host_id: str,
+        monotonic: Callable[[], float],
+    ):
+        self._level = LEVELS_BY_NAME[level]
+        self._monotonic = monotonic
+        self._second = 0
+        self._lines_by_code: dict[int, int] = {}
+        self._left_out_by_code: dict[int, int] = {}
+        self._logger = structlog.wrap_logger(
+            structlog.WriteLogger(stream),
+            processors=[
+                structlog.processors.add_log_level,
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.JSONRenderer(serializer=_to_json),
+            ],
+            wrapper_class=structlog.make_filtering_bound_logger(self._level),
+            context_class=dict,
+            host=host_id,
+        )
+
+    def write(self, event: ring.Event) -> None:
+        """Writes an event if its level is in force.
+
+        Args:
+          event: The event.
+        """
+        level = level_of(event)
+        if level < self._level or not self._admit(event.code):
+            return
+        context: dict[str, Any] = {"number": int(event.code)}
+        if event.user_request_id:
+            context["request"] = event.user_request_id
+        left_out = self._left_out_by_code.pop(event.code, 0)
+        if left_out:
+            context["left_out"] = left_out
+        self._logger.log(
+            level,
+            catalogue.describe(event.code, event.fields_by_name),
+            name=event.code.name,
+            stamp=event.stamp,
+            fields=event.fields_by_name,
+            **context,
+        )
+
+    def _admit(self, code: int) -> bool:
+        second = int(self._monotonic())
+        if second != self._second:
+            self._second = second
+            self._lines_by_code.clear()
+        lines = self._lines_by_code.get(code, 0) + 1
+        self._lines_by_code[code] = lines
+        if lines <= LINES_PER_CODE_AND_SECOND:
+            return True
+        left_out = self._left_out_by_code.get(code, 0)
+        self._left_out_by_code[code] = left_out + 1
+        return False
+
+
+def _to_json(value: object, **_options: object) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/bergamotdeal/telemetry/metrics.py
@@ -0,0 +1,225 @@
+"""Counters, gauges and timings, sent to statsd once a second.
+
+Nothing is sent while a call is served: values are added up in memory, and one
+flush a second sends them in a few datagrams.
+"""
+
+import enum
+import random
+
+import statsd
+
+from bergamotdeal.telemetry import catalogue
+
+FLUSH_INTERVAL_S = 1.0
+SAMPLES_PER_FLUSH = 32
+
+
+class Counter(enum.Enum):
+    """Every counter."""
+
+    CALLS_ENTRY = "calls.entry"
+    CALLS_EGRESS = "calls.egress"
+    CALLS_PEER = "calls.peer"
+    CALLS_DISPATCHED = "calls.dispatched"
+    CALLS_RETRIED = "calls.retried"
+    CALLS_CANCELLED = "calls.cancelled"
+    CALLS_LATE_ANSWERS = "calls.late_answers"
+    CALLS_INTERNAL_FAILURES = "calls.internal_failures"
+    CALLS_DISPATCH_FAILURES = "calls.dispatch_failures"
+    OUTCOME_COMPLETED = "outcome.completed"
+    OUTCOME_NOT_RUN = "outcome.not_run"
+    OUTCOME_UNKNOWN = "outcome.unknown"
+    RUNS_STARTED = "runs.started"
+    RUNS_ENDED = "runs.ended"
+    TICKETS_ISSUED = "tickets.issued"
+    TICKETS_USED = "tickets.used"
+    TICKETS_REFUSED = "tickets.refused"
+    ADMISSION_QUEUED = "admission.queued"
+    ADMISSION_SHED = "admission.shed"
+    ADMISSION_THRESHOLD_CHANGES = "admission.threshold_changes"
+    ADMISSION_LIMIT_CHANGES = "admission.limit_changes"
+    ROUTING_OUTLIERS = "routing.outliers"
+    QUARANTINE_REQUESTS = "quarantine.requests"
+    MEMBERSHIP_JOINS = "membership.joins"
+    MEMBERSHIP_STATE_CHANGES = "membership.state_changes"
+    PRESETS_SWITCHES = "presets.switches"
+    PRESETS_REJECTED = "presets.rejected"
+    STORE_CALLS = "store.calls"
+    STORE_OUTAGES = "store.outages"
+    PEER_LINKS_OPENED = "peer.links_opened"
+    PEER_LINKS_CLOSED = "peer.links_closed"
+    PEER_REJECTED = "peer.rejected"
+    PEER_MALFORMED = "peer.malformed"
+    PEER_BYTES_SENT = "peer.bytes_sent"
+    GOSSIP_BYTES_SENT = "gossip.bytes_sent"
+    GOSSIP_DATAGRAMS_SENT = "gossip.datagrams_sent"
+    GOSSIP_DATAGRAMS_DROPPED = "gossip.datagrams_dropped"
+    SERVER_STOPS = "server.stops"
+
+
+class Gauge(enum.Enum):
+    """Every gauge."""
+
+    RUNNING = "server.running"
+    QUEUED = "server.queued"
+    LIMIT = "server.limit"
+    THRESHOLD = "admission.threshold"
+    EPOCH = "presets.epoch"
+    MEMBERS_ALIVE = "membership.alive"
+    MEMBERS_SUSPECT = "membership.suspect"
+    MEMBERS_DEAD = "membership.dead"
+    TICKETS_KEPT = "tickets.kept"
+    RESIDENT_BYTES = "process.resident_bytes"
+
+
+class Timing(enum.Enum):
+    """Every timing, in milliseconds."""
+
+    CALL_MS = "calls.time"
+    RUN_MS = "runs.time"
+    QUEUE_MS = "admission.queue_time"
+    STORE_MS = "store.time"
+    LOOP_LAG_MS = "process.loop_lag"
+
+
+COUNTERS_BY_CODE: dict[catalogue.EventCode, Counter] = {
+    catalogue.EventCode.CALL_DISPATCHED: Counter.CALLS_DISPATCHED,
+    catalogue.EventCode.CALL_QUEUED: Counter.ADMISSION_QUEUED,
+    catalogue.EventCode.RUN_STARTED: Counter.RUNS_STARTED,
+    catalogue.EventCode.RUN_ENDED: Counter.RUNS_ENDED,
+    catalogue.EventCode.CALL_RETRIED: Counter.CALLS_RETRIED,
+    catalogue.EventCode.CALL_CANCELLED: Counter.CALLS_CANCELLED,
+    catalogue.EventCode.LATE_ANSWER_DROPPED: Counter.CALLS_LATE_ANSWERS,
+    catalogue.EventCode.CALL_FAILED_INTERNALLY: (
+        Counter.CALLS_INTERNAL_FAILURES
+    ),
+    catalogue.EventCode.DISPATCH_FAILED: Counter.CALLS_DISPATCH_FAILURES,
+    catalogue.EventCode.TICKET_ISSUED: Counter.TICKETS_ISSUED,
+    catalogue.EventCode.TICKET_USED: Counter.TICKETS_USED,
+    catalogue.EventCode.TICKET_REFUSED: Counter.TICKETS_REFUSED,
+    catalogue.EventCode.CALL_SHED: Counter.ADMISSION_SHED,
+    catalogue.EventCode.THRESHOLD_CHANGED: (
+        Counter.ADMISSION_THRESHOLD_CHANGES
+    ),
+    catalogue.EventCode.LIMIT_CHANGED: Counter.ADMISSION_LIMIT_CHANGES,
+    catalogue.EventCode.OUTLIER_FOUND: Counter.ROUTING_OUTLIERS,
+    catalogue.EventCode.REQUEST_QUARANTINED: Counter.QUARANTINE_REQUESTS,
+    catalogue.EventCode.MEMBER_JOINED: Counter.MEMBERSHIP_JOINS,
+    catalogue.EventCode.MEMBER_STATE_CHANGED: (
+        Counter.MEMBERSHIP_STATE_CHANGES
+    ),
+    catalogue.EventCode.PRESET_IN_FORCE: Counter.PRESETS_SWITCHES,
+    catalogue.EventCode.PRESET_REJECTED: Counter.PRESETS_REJECTED,
+    catalogue.EventCode.STORE_UNAVAILABLE: Counter.STORE_OUTAGES,
+    catalogue.EventCode.SERVER_STOPPED: Counter.SERVER_STOPS,
+    catalogue.EventCode.PEER_LINK_OPENED: Counter.PEER_LINKS_OPENED,
+    catalogue.EventCode.PEER_LINK_CLOSED: Counter.PEER_LINKS_CLOSED,
+    catalogue.EventCode.PEER_REJECTED: Counter.PEER_REJECTED,
+    catalogue.EventCode.FRAME_MALFORMED: Counter.PEER_MALFORMED,
+}
+
+
+class Samples:
+    """A uniform sample of the timings since the last flush.
+
+    Source: algorithm R of Vitter, "Random Sampling with a Reservoir", 1985.
+    """
+
+    __slots__ = ("_rng", "count", "values")
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self.count = 0
+        self.values: list[float] = []
+
+    def add(self, value: float) -> None:
+        """Offers a value to the sample."""
+        self.count += 1
+        if len(self.values) < SAMPLES_PER_FLUSH:
+            self.values.append(value)
+            return
+        index = int(self._rng.random() * self.count)
+        if index < SAMPLES_PER_FLUSH:
+            self.values[index] = value
+
+
+class Metrics:
+    """Adds up values until they are flushed.
+
+    Args:
+      rng: Source of the timings' sampling.
+    """
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self._counts_by_counter: dict[Counter, int] = dict.fromkeys(Counter, 0)
+        self._totals_by_counter: dict[Counter, int] = dict.fromkeys(Counter, 0)
+        self._values_by_gauge: dict[Gauge, float] = {}
+        self._samples_by_timing = {t: Samples(rng=rng) for t in Timing}
+
+    def count(self, counter: Counter, amount: int = 1) -> None:
+        """Raises a counter."""
+        self._counts_by_counter[counter] += amount
+
+    def gauge(self, gauge: Gauge, value: float) -> None:
+        """Sets a gauge."""
+        self._values_by_gauge[gauge] = value
+
+    def time(self, timing: Timing, milliseconds: float) -> None:
+        """Adds a timing."""
+        self._samples_by_timing[timing].add(milliseconds)
+
+    def totals(self) -> dict[str, int]:
+        """Returns the counters since the process started, by name."""
+        return {
+            counter.value: total + self._counts_by_counter[counter]
+            for counter, total in self._totals_by_counter.items()
+        }
+
+    def flush(self, client: statsd.StatsClient | None) -> None:
+        """Sends what was added since the last flush.
+
+        Args:
+          client: Where to send to; None drops the values.
+        """
+        if client is not None:
+            with client.pipeline() as pipeline:
+                self._send(pipeline)
+        for counter, count in self._counts_by_counter.items():
+            if count:
+                self._totals_by_counter[counter] += count
+                self._counts_by_counter[counter] = 0
+        self._samples_by_timing = {t: Samples(rng=self._rng) for t in Timing}
+
+    def _send(self, pipeline: statsd.client.base.StatsClientBase) -> None:
+        for counter, count in self._counts_by_counter.items():
+            if count:
+                pipeline.incr(counter.value, count)
+        for gauge, value in self._values_by_gauge.items():
+            pipeline.gauge(gauge.value, value)
+        for timing, samples in self._samples_by_timing.items():
+            if samples.count:
+                pipeline.incr(f"{timing.value}.count", samples.count)
+            for value in samples.values:
+                pipeline.timing(timing.value, value)
+
+
+def connect(
+    *, address: str, port: int, prefix: str
+) -> statsd.StatsClient | None:
+    """Opens the way to statsd.
+
+    Args:
+      address: IP address of statsd; empty when no metrics are wanted.
+      port: Its UDP port.
+      prefix: First part of each metric's name.
+
+    Returns:
+      The client, or None when no metrics are wanted.
+    """
+    if not address:
+        return None
+    return statsd.StatsClient(
+        host=address, port=port, prefix=prefix, ipv6=":" in address
+    )
--- /dev/null
+++ b/bergamotdeal/telemetry/ring.py
@@ -0,0 +1,103 @@
+"""The bounded memory of a node's recent events."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+
+from bergamotdeal.telemetry import catalogue
+
+Value = str | int | float | bool
+
+FLEET_SHARE = 4
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Event:
+    """One event of the time line.
+
+    Attributes:
+      code: Number in the catalogue.
+      stamp: Stamp of the hybrid logical clock.
+      user_request_id: The request that it belongs to, or empty.
+      fields_by_name: Values for the event's message.
+    """
+
+    code: catalogue.EventCode
+    stamp: int
+    user_request_id: str
+    fields_by_name: dict[str, Value]
+
+
+class Ring:
+    """Keeps the newest events; the oldest give way.
+
+    Events of requests and events of the node itself have separate room, so
+    that heavy traffic doesn't push out a preset switch.
+
+    Args:
+      capacity: Events of requests kept; a quarter as many of the node itself.
+    """
+
+    __slots__ = ("_node_events", "_request_events")
+
+    def __init__(self, *, capacity: int):
+        self._request_events: collections.deque[Event] = collections.deque(
+            maxlen=capacity
+        )
+        self._node_events: collections.deque[Event] = collections.deque(
+            maxlen=max(1, capacity // FLEET_SHARE)
+        )
+
+    def add(self, event: Event) -> None:
+        """Keeps an event.
+
+        Args:
+          event: The newest event; its stamp is above all before.
+        """
+        if event.user_request_id:
+            self._request_events.append(event)
+        else:
+            self._node_events.append(event)
+
+    def __len__(self) -> int:
+        """Returns the number of events kept."""
+        return len(self._request_events) + len(self._node_events)
+
+    def select(
+        self,
+        *,
+        user_request_id: str = "",
+        code: catalogue.EventCode | None = None,
+        since: int = 0,
+        limit: int = 10_000,
+    ) -> list[Event]:
+        """Finds events.
+
+        Args:
+          user_request_id: Only events of this request, if given.
+          code: Only events of this code, if given.
+          since: Only events with this stamp or a later one.
+          limit: Number of events at most; the newest are returned.
+
+        Returns:
+          The events in the order of their stamps.
+        """
+        found = [
+            event
+            for event in self._all()
+            if event.stamp >= since
+            and (
+                not user_request_id or event.user_request_id == user_request_id
+            )
+            and (code is None or event.code == code)
+        ]
+        found.sort(key=_by_stamp)
+        return found[-limit:]
+
+    def _all(self) -> Iterator[Event]:
+        yield from self._request_events
+        yield from self._node_events
+
+
+def _by_stamp(event: Event) -> int:
+    return event.stamp
--- a/bergamotdeal/utils/__init__.py
+++ b/bergamotdeal/utils/__init__.py
@@ -1,1 +1,3 @@
 """Small helpers shared by the subpackages."""
+
+__all__ = ["ini"]
--- a/bergamotdeal/utils/ini.py
+++ b/bergamotdeal/utils/ini.py
@@ -123,6 +123,7 @@
     *,
     given: Mapping[str, object] | None = None,
     field_by_key: Mapping[str, str] | None = None,
+    secret_keys: frozenset[str] = frozenset(),
 ) -> result.Result[typing.Any, list[Problem]]:
     """Converts one section to a data class.
 
@@ -132,6 +133,7 @@
       values: Values by key as they stand in the file.
       given: Field values that do not come from the section's keys.
       field_by_key: Field names of the keys that are named otherwise.
+      secret_keys: Keys whose values are not to be quoted in a problem.
 
     Returns:
       An instance, or every problem of the section.
@@ -157,6 +159,8 @@
             case result.Ok(value):
                 arguments[name] = value
             case result.Err(message):
+                if key in secret_keys:
+                    message = f"the value is not {accepted(hints[name])}"
                 problems.append(
                     Problem(section=section, key=key, message=message)
                 )
--- a/bergamotdeal/wire/codec.py
+++ b/bergamotdeal/wire/codec.py
@@ -136,6 +136,7 @@
     builder.className = call.class_name
     builder.depth = call.depth
     builder.epoch = call.epoch
+    builder.stamp = call.stamp
 
 
 def _read_call(reader) -> calls.Call:
@@ -158,6 +159,7 @@
         class_name=reader.className,
         depth=reader.depth,
         epoch=reader.epoch,
+        stamp=reader.stamp,
     )
 
 
@@ -183,6 +185,7 @@
         load.queued = answer.load.queued
         load.limit = answer.load.limit
     builder.epoch = answer.epoch
+    builder.stamp = answer.stamp
 
 
 def _read_answer(reader) -> messages.AnswerFrame:
@@ -207,6 +210,7 @@
         threshold=reader.threshold,
         load=load,
         epoch=reader.epoch,
+        stamp=reader.stamp,
     )
     return messages.AnswerFrame(
         number=reader.number,
--- a/bergamotdeal/wire/frame.capnp
+++ b/bergamotdeal/wire/frame.capnp
@@ -42,6 +42,7 @@
   className @13 :Text;
   depth @14 :UInt16;
   epoch @15 :UInt64;
+  stamp @16 :UInt64;
 }
 
 struct Answer {
@@ -59,6 +60,7 @@
   threshold @11 :Float32 = 1.0;
   load @12 :Load;
   epoch @13 :UInt64;
+  stamp @14 :UInt64;
 }
 
 struct Frame {
--- a/bergamotdeal/wire/tests/test_codec.py
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -29,6 +29,7 @@
         class_name="browse",
         depth=3,
         epoch=9,
+        stamp=1 << 58,
     )
 )
 ANSWER = messages.AnswerFrame(
@@ -46,6 +47,7 @@
         threshold=0.5,
         load=calls.Load(running=1, queued=2, limit=3),
         epoch=4,
+        stamp=7,
     ),
 )
 FRAMES = [
