Write at once and reuse server connections

Cause: a profile of the entry node showed a new server connection per run and three extra system calls per message. httptools forgets whether a connection stays open once the message is complete, so each one was closed. Change: keep_alive is read in on_message_complete; transport.write_now sends without a turn of the reactor.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -1,10 +1,8 @@
 """Assembles the node from its tasks and runs it."""
 
 import itertools
-import os
 import random
 import secrets
-import signal
 
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
@@ -13,6 +11,7 @@
 from bergamotdeal.node import drain
 from bergamotdeal.node import faces
 from bergamotdeal.node import hub
+from bergamotdeal.node import observation
 from bergamotdeal.node import peer
 from bergamotdeal.node import server_link
 from bergamotdeal.presets import model as preset_model
@@ -33,15 +32,18 @@
       reactor: The reactor.
     """
 
-    def __init__(
-        self, *, settings: settings_model.Settings, reactor
-    ) -> None:
+    def __init__(self, *, settings: settings_model.Settings, reactor) -> None:
         self._settings = settings
         self._reactor = reactor
         self._rng = random.SystemRandom()
+        self._observation = observation.Observation(
+            settings=settings, reactor=reactor
+        )
+        self._record = self._observation.recorder.record
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.epoch = NO_EPOCH
         self.preset = preset_model.Preset(name="none")
+        self._held_announcement: messages.ServerAnnounced | None = None
         self._identity = membership.Member(
             host_id=settings.node.host_id,
             incarnation=self.incarnation,
@@ -98,9 +100,17 @@
     def start(self) -> None:
         """Opens the faces."""
         settings = self._settings
-        self._peer.start(
-            address=settings.peer.address, port=settings.peer.port
+        self._observation.start()
+        self._record(
+            messages.Record(
+                code=catalogue.EventCode.NODE_STARTED,
+                fields={
+                    "host": settings.node.host_id,
+                    "incarnation": self.incarnation,
+                },
+            )
         )
+        self._peer.start(address=settings.peer.address, port=settings.peer.port)
         self._server.start()
         for face, section in (
             (self._egress, settings.egress),
@@ -139,16 +149,12 @@
         return entry, egress
 
     def _drain_started(self) -> None:
-        self._record(
-            messages.Record(code=catalogue.EventCode.DRAIN_STARTED)
-        )
+        self._record(messages.Record(code=catalogue.EventCode.DRAIN_STARTED))
         self.hub.post(messages.DrainStarted())
         self._entry.start_closing()
 
     def _drain_finished(self) -> None:
-        self._record(
-            messages.Record(code=catalogue.EventCode.DRAIN_FINISHED)
-        )
+        self._record(messages.Record(code=catalogue.EventCode.DRAIN_FINISHED))
         self._entry.stop()
         self._egress.stop()
         self._egress.start_closing()
@@ -161,6 +167,38 @@
         if flushed or self._reactor.seconds() >= deadline:
             self._reactor.stop()
             return
-        self._reactor.callLater(
-            FLUSH_POLL_S, self._stop_when_flushed, deadline
+        self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
+
+    def _put_in_force(self, event: messages.PresetInForce) -> None:
+        if event.epoch <= self.epoch:
+            return
+        was_ready = self.is_ready
+        self.epoch = event.epoch
+        self.preset = event.preset
+        self.hub.post(event)
+        self._record(
+            messages.Record(
+                code=catalogue.EventCode.PRESET_IN_FORCE,
+                fields={"name": event.preset.name, "epoch": event.epoch},
+            )
         )
+        if not was_ready:
+            self._became_ready()
+
+    def _became_ready(self) -> None:
+        self._record(messages.Record(code=catalogue.EventCode.NODE_READY))
+        if self._held_announcement is not None:
+            self._server_announced(self._held_announcement)
+
+    def _post_from_server(self, event: messages.Event) -> None:
+        match event:
+            case messages.ServerAnnounced() if not self.is_ready:
+                # Without a preset no call can be judged, so none may come.
+                self._held_announcement = event
+            case messages.ServerAnnounced():
+                self._server_announced(event)
+            case messages.ServerStopped() | messages.ServerSilent():
+                self._held_announcement = None
+                self._server_gone(event)
+            case _:
+                self.hub.post(event)
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -16,6 +16,7 @@
 
 from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import transport
 from bergamotdeal.utils import headers as header_names
 
 IDLE_TIMEOUT_S = 60
@@ -145,14 +146,13 @@
         self._responded = True
         if self.channel.factory.closing:
             self.channel.persistent = False
-        self.channel.transport.write(
-            render(
-                answer,
-                headers,
-                close=not self.channel.persistent,
-                is_head=self._method == b"HEAD",
-            )
+        data = render(
+            answer,
+            headers,
+            close=not self.channel.persistent,
+            is_head=self._method == b"HEAD",
         )
+        transport.write_now(self.channel.transport, data)
         self.channel.requestDone(self)
 
 
--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -10,6 +10,7 @@
 from twisted.python import failure as twisted_failure
 
 from bergamotdeal.node import handshake
+from bergamotdeal.node import transport
 from bergamotdeal.wire import codec
 from bergamotdeal.wire import messages
 
@@ -95,7 +96,9 @@
         Args:
           frame: The frame.
         """
-        self.sendString(codec.encode(frame))
+        data = codec.encode(frame)
+        prefix = len(data).to_bytes(self.prefixLength, "big")
+        transport.write_now(self.transport, prefix + data)
 
     def close(self, reason: str, *, flush: bool = False) -> None:
         """Closes the link.
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -12,6 +12,7 @@
 
 from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
+from bergamotdeal.node import transport
 from bergamotdeal.utils import headers as header_names
 
 _MAX_ANSWER_HEADERS = 500
@@ -82,7 +83,7 @@
         self._answer_complete = False
         self._reusable = True
         self._failure = messages.RunFailure.LOST
-        self.transport.write(render_request(run))
+        transport.write_now(self.transport, render_request(run))
 
     def abort(self) -> None:
         """Closes the connection; its run, if any, ends without an event."""
@@ -186,6 +187,9 @@
         """Notes that the answer is complete."""
         if self._headers_complete:
             self._answer_complete = True
+            # The parser forgets this once the message is complete.
+            keep_alive = self._parser.should_keep_alive()
+            self._reusable = self._reusable and keep_alive
 
     def _parse_failure(self) -> messages.RunFailure:
         if self._failure is messages.RunFailure.TOO_LARGE:
@@ -197,14 +201,13 @@
         self.run = None
         self.runs_done += 1
         status = self._parser.get_status_code()
-        keep_alive = self._reusable and self._parser.should_keep_alive()
         answered = messages.RunAnswered(
             run_id=run.run_id,
             status=status,
             headers=header_names.end_to_end(self._headers),
             body=b"".join(self._chunks),
         )
-        if keep_alive:
+        if self._reusable:
             self._on_idle(self)
         else:
             self._close()
--- a/standins/http_client.py
+++ b/standins/http_client.py
@@ -69,6 +69,8 @@
 
     def on_message_complete(self) -> None:
         self._complete = True
+        # The parser forgets this once the message is complete.
+        self._keep_alive = self._parser.should_keep_alive()
 
     def _finish(self) -> None:
         done, self._done = self._done, None
@@ -77,7 +79,7 @@
             headers_by_name=self._headers_by_name,
             body=b"".join(self._chunks),
         )
-        if self._parser.should_keep_alive():
+        if self._keep_alive:
             self._pool.idle(self)
         else:
             self.transport.loseConnection()
