--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 import enum
 
+import result
+
 
 class EventCode(enum.IntEnum):
     """Number of each event."""
@@ -124,3 +126,25 @@
 
     def __missing__(self, name: str) -> str:
         return "?"
+
+
+def find(word: str) -> result.Result[EventCode | None, str]:
+    """Finds an event by its name or number.
+
+    Args:
+      word: Name in any case, with dashes or underscores, or a number; empty
+        for no event.
+
+    Returns:
+      The code, None for an empty word, or why there is no such event.
+    """
+    if not word:
+        return result.Ok(None)
+    name = word.upper().replace("-", "_")
+    if name in EventCode.__members__:
+        return result.Ok(EventCode[name])
+    if word.isascii() and word.isdigit() and len(word) < 6:
+        number = int(word)
+        if number in MESSAGES_BY_CODE:
+            return result.Ok(EventCode(number))
+    return result.Err(f"no event is called {word!r}")
--- a/bergamotdeal/telemetry/ring.py
+++ b/bergamotdeal/telemetry/ring.py
@@ -69,7 +69,6 @@
         user_request_id: str = "",
         code: catalogue.EventCode | None = None,
         since: int = 0,
-        limit: int = 10_000,
     ) -> list[Event]:
         """Finds events.
 
@@ -77,7 +76,6 @@
           user_request_id: Only events of this request, if given.
           code: Only events of this code, if given.
           since: Only events with this stamp or a later one.
-          limit: Number of events at most; the newest are returned.
 
         Returns:
           The events in the order of their stamps.
@@ -92,7 +90,7 @@
             and (code is None or event.code == code)
         ]
         found.sort(key=_by_stamp)
-        return found[-limit:]
+        return found
 
     def _all(self) -> Iterator[Event]:
         yield from self._request_events
