Refuse lone surrogates in INI values

Cause: the property test of the settings parser found that a value with a lone surrogate raised UnicodeEncodeError out of utils.ini.convert_value. Change: it is a problem like any other value out of range; a case of its own in the table of faults. Conclusion: any text gives settings or problems.

--- a/bergamotdeal/settings/tests/test_parser.py
+++ b/bergamotdeal/settings/tests/test_parser.py
@@ -109,6 +109,10 @@
             "port = 1\nport = 2\n",
             "[peer] port: given twice; again on line 9",
         ),
+        (
+            "port = \ud800\n",
+            "[peer] port: '\\ud800' is not an integer from 0 to 65535",
+        ),
         ("port\n", "line 8 is neither a section nor a key"),
     ],
 )
--- a/bergamotdeal/utils/ini.py
+++ b/bergamotdeal/utils/ini.py
@@ -195,7 +195,7 @@
         return result.Ok(
             msgspec.convert(prepare(text.strip()), type=hint, strict=False)
         )
-    except (msgspec.ValidationError, KeyError):
+    except (msgspec.ValidationError, UnicodeError, KeyError):
         return result.Err(f"{text!r} is not {accepted(hint)}")
 
 
