--- a/bergamotdeal/cli/files.py
+++ b/bergamotdeal/cli/files.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import sys
-from typing import NoReturn
 
 import click
 import result
@@ -13,8 +12,8 @@
 from bergamotdeal.utils import ini
 
 
-def fail(code: exit_codes.ExitCode, *lines: str) -> NoReturn:
-    """Ends the command.
+def failure(code: exit_codes.ExitCode, *lines: str) -> SystemExit:
+    """Reports a failure and returns the exception that ends the command.
 
     Args:
       code: Exit code.
@@ -22,7 +21,7 @@
     """
     for line in lines:
         click.echo(line, err=True)
-    sys.exit(code)
+    return SystemExit(int(code))
 
 
 def read_text(path: str) -> str:
@@ -36,7 +35,9 @@
             return sys.stdin.read()
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        fail(exit_codes.ExitCode.INVALID, f"{path}: can't be read: {error}")
+        raise failure(
+            exit_codes.ExitCode.INVALID, f"{path}: can't be read: {error}"
+        ) from error
 
 
 def read_settings(path: str) -> model.Settings:
@@ -47,16 +48,16 @@
     """
     read = parser.parse(read_text(path))
     if isinstance(read, result.Err):
-        report_problems(path, read.err_value)
+        raise problems_failure(path, read.err_value)
     return read.ok_value
 
 
-def report_problems(path: str, problems: list[ini.Problem]) -> NoReturn:
-    """Ends the command over the problems of a file.
+def problems_failure(path: str, problems: list[ini.Problem]) -> SystemExit:
+    """Reports the problems of a file and returns the exception to raise.
 
     Args:
       path: Path of the file.
       problems: What is wrong in it.
     """
     lines = [f"{path}: {problem}" for problem in problems]
-    fail(exit_codes.ExitCode.INVALID, *lines)
+    return failure(exit_codes.ExitCode.INVALID, *lines)
--- a/bergamotdeal/cli/main.py
+++ b/bergamotdeal/cli/main.py
@@ -66,8 +66,12 @@
     help="Overload control layer for service call graphs.",
     params=[],
     places_by_command={
+        "completion": ("bergamotdeal.cli.completion", "completion"),
+        "drain": ("bergamotdeal.cli.drain", "drain"),
         "node": ("bergamotdeal.cli.node", "node"),
         "settings": ("bergamotdeal.cli.settings", "settings"),
+        "status": ("bergamotdeal.cli.status", "status"),
+        "timeline": ("bergamotdeal.cli.timeline", "timeline"),
     },
 )
 main = click.version_option(bergamotdeal.__version__)(main)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -1,10 +1,8 @@
 """Assembles the node from its tasks and runs it."""
 
 import itertools
-import os
 import random
 import secrets
-import signal
 
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
