Find, probe and evict nodes by gossip over UDP

Nodes had no way to learn of each other. membership/gossip.py is the core without I/O: probes, indirect probes, suspicion refuted by state number, rumours in quick rounds within a byte rate, anti-entropy by bucket digests; wire/gossip.py encodes and authenticates its messages; node/membership.py owns the UDP socket.

--- /dev/null
+++ b/bergamotdeal/membership/tests/fleet.py
@@ -0,0 +1,201 @@
+"""A fleet of gossip cores under one injected clock, for tests."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+from bergamotdeal.membership import core
+from bergamotdeal.membership import gossip
+from bergamotdeal.membership import messages
+from bergamotdeal.membership import rumours
+
+LATENCY_S = 0.001
+
+
+class Fleet:
+    """Cores that exchange messages in memory.
+
+    Args:
+      seed: Seed of every random source.
+      size: Number of nodes.
+      timing: Timing of each core.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        size: int,
+        timing: gossip.Timing = gossip.DEFAULT_TIMING,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1000.0
+        self.timing = timing
+        self.cores_by_id: dict[str, gossip.Gossip] = {}
+        self.stopped: set[str] = set()
+        self.paused: set[str] = set()
+        self.bytes_by_id: dict[str, int] = {}
+        self.syncs_by_id: dict[str, int] = {}
+        self.heard_by_id: dict[str, list[messages.Effect]] = {}
+        self.passes: Callable[[str, str], bool] = lambda source, target: True
+        self._held_by_id: dict[str, list] = {}
+        self._queue: list = []
+        self._order = itertools.count()
+        for index in range(size):
+            self.add(f"host-{index}")
+
+    def add(
+        self,
+        host_id: str,
+        *,
+        incarnation: str = "a",
+        state_number: int = 1,
+        seeds: tuple[str, ...] = ("host-0",),
+    ) -> gossip.Gossip:
+        own = core.Member(
+            host_id=host_id,
+            incarnation=f"{host_id}-{incarnation}",
+            state_number=state_number,
+            data_centre="odori",
+            region="north",
+            address=host_id,
+            peer_port=1,
+        )
+        node = gossip.Gossip(
+            own=own,
+            rng=random.Random(self.rng.random()),
+            now=self.now,
+            timing=self.timing,
+        )
+        self.cores_by_id[host_id] = node
+        self.stopped.discard(host_id)
+        self.bytes_by_id.setdefault(host_id, 0)
+        self.syncs_by_id.setdefault(host_id, 0)
+        self.heard_by_id.setdefault(host_id, [])
+        endpoints = tuple(
+            messages.Endpoint(address=seed, port=1) for seed in seeds
+        )
+        self.tell(host_id, messages.SeedsFound(seeds=endpoints))
+        return node
+
+    def tell(self, host_id: str, event: messages.Event) -> None:
+        if host_id in self.paused:
+            self._held_by_id.setdefault(host_id, []).append(event)
+            return
+        if host_id in self.stopped:
+            return
+        node = self.cores_by_id[host_id]
+        self._carry_out(host_id, node.handle(event, self.now))
+
+    def pause(self, host_id: str) -> None:
+        self.paused.add(host_id)
+
+    def resume(self, host_id: str) -> None:
+        self.paused.discard(host_id)
+        for event in self._held_by_id.pop(host_id, []):
+            self.tell(host_id, event)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._step(end):
+            pass
+        self.now = end
+
+    def run_until(
+        self, condition: Callable[[], bool], *, within_s: float
+    ) -> float:
+        """Runs until a condition holds, and returns the seconds it took."""
+        start = self.now
+        while not condition():
+            assert self.now - start < within_s, "condition not met in time"
+            self.run(0.05)
+        return self.now - start
+
+    def _step(self, end: float) -> bool:
+        running = [
+            (node.next_wakeup(), host_id)
+            for host_id, node in self.cores_by_id.items()
+            if host_id not in self.stopped and host_id not in self.paused
+        ]
+        wake_at, host_id = min(running)
+        if self._queue and self._queue[0][0] <= min(wake_at, end):
+            self.now, _, target, event = heapq.heappop(self._queue)
+            if callable(event):
+                event()
+            else:
+                self.tell(target, event)
+            return True
+        if wake_at > end:
+            return False
+        self.now = max(self.now, wake_at)
+        self.tell(host_id, messages.TimePassed())
+        return True
+
+    def _later(self, target: str, event) -> None:
+        at = self.now + LATENCY_S
+        heapq.heappush(self._queue, (at, next(self._order), target, event))
+
+    def _carry_out(self, host_id: str, effects: list[messages.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case messages.SendDatagram():
+                    size = rumours.datagram_bytes(effect.datagram)
+                    assert size <= rumours.MAX_DATAGRAM_BYTES
+                    self.bytes_by_id[host_id] += size
+                    target = effect.endpoint.address
+                    if target in self.cores_by_id and self.passes(
+                        host_id, target
+                    ):
+                        source = messages.Endpoint(address=host_id, port=1)
+                        event = messages.DatagramArrived(
+                            datagram=effect.datagram, source=source
+                        )
+                        self._later(target, event)
+                case messages.SendBulk():
+                    self._exchange(host_id, effect)
+                case _:
+                    self.heard_by_id[host_id].append(effect)
+
+    def _exchange(self, host_id: str, effect: messages.SendBulk) -> None:
+        target = effect.endpoint.address
+        self.syncs_by_id[host_id] += 1
+
+        def serve() -> None:
+            gone = target in self.stopped | self.paused
+            cut = not self.passes(host_id, target)
+            cut = cut or not self.passes(target, host_id)
+            if target not in self.cores_by_id or gone or cut:
+                event = messages.SyncFailed(endpoint=effect.endpoint)
+            else:
+                node = self.cores_by_id[target]
+                answer, effects = node.serve(effect.bulk, self.now)
+                self._carry_out(target, effects)
+                event = messages.SyncAnswered(
+                    endpoint=effect.endpoint, answer=answer
+                )
+            self._later(host_id, event)
+
+        self._later(target, serve)
+
+    # --- Views -------------------------------------------------------------
+
+    def state(self, viewer: str, host_id: str) -> core.MemberState | None:
+        member = self.cores_by_id[viewer].members_by_id().get(host_id)
+        return None if member is None else member.state
+
+    def running(self) -> list[str]:
+        return [h for h in self.cores_by_id if h not in self.stopped]
+
+    def agree(self, host_id: str, state: core.MemberState | None) -> bool:
+        return all(
+            self.state(viewer, host_id) is state
+            for viewer in self.running()
+            if viewer != host_id
+        )
+
+    def complete(self) -> bool:
+        return all(
+            self.agree(host_id, core.MemberState.ALIVE)
+            for host_id in self.running()
+        )
--- /dev/null
+++ b/bergamotdeal/wire/gossip.capnp
@@ -0,0 +1,103 @@
+@0xe3b7c2915d0f4a68;
+# Messages of membership and presets. A datagram carries one Datagram behind
+# a keyed digest; a bulk frame on a TCP link carries one Bulk.
+
+struct Server {
+  service @0 :Text;
+  slots @1 :UInt32;
+  connections @2 :UInt32;
+}
+
+enum MemberState {
+  alive @0;
+  draining @1;
+  dead @2;
+}
+
+struct Member {
+  hostId @0 :Text;
+  incarnation @1 :Text;
+  dataCentre @2 :Text;
+  region @3 :Text;
+  address @4 :Text;
+  server @5 :Server;
+  stateNumber @6 :UInt64;
+  peerPort @7 :UInt16;
+  adminPort @8 :UInt16;
+  state @9 :MemberState;
+}
+
+struct Verdict {
+  hostId @0 :Text;
+  incarnation @1 :Text;
+  stateNumber @2 :UInt64;
+  health @3 :UInt8;
+}
+
+struct CrashReport {
+  fingerprint @0 :Text;
+  hostId @1 :Text;
+  deathId @2 :Text;
+}
+
+struct Rumour {
+  union {
+    member @0 :Member;
+    verdict @1 :Verdict;
+    crash @2 :CrashReport;
+  }
+}
+
+struct Datagram {
+  sender @0 :Member;
+  epoch @1 :UInt64;
+  rumours @2 :List(Rumour);
+  number @3 :UInt64;
+  hostId @4 :Text;
+  union {
+    ping @5 :Void;
+    pingRequest @6 :Void;
+    ack @7 :Void;
+    spread @8 :Void;
+  }
+}
+
+struct KnownMember {
+  member @0 :Member;
+  health @1 :UInt8;
+}
+
+struct SyncRequest {
+  sender @0 :Member;
+  epoch @1 :UInt64;
+  digests @2 :List(UInt64);
+}
+
+struct SyncResponse {
+  buckets @0 :List(UInt16);
+  entries @1 :List(KnownMember);
+}
+
+struct Section {
+  name @0 :Text;
+  digest @1 :Data;
+  content @2 :Data;
+  # Absent when the asker has it already.
+}
+
+struct PresetResponse {
+  epoch @0 :UInt64;
+  operationId @1 :Text;
+  sections @2 :List(Section);
+}
+
+struct Bulk {
+  union {
+    syncRequest @0 :SyncRequest;
+    syncResponse @1 :SyncResponse;
+    syncPush @2 :List(KnownMember);
+    syncDone @3 :Void;
+    presetRequest @4 :List(Data);
+    presetResponse @5 :PresetResponse;
+  }
+}
--- /dev/null
+++ b/bergamotdeal/wire/gossip.py
@@ -0,0 +1,345 @@
+"""Encoding of datagrams and bulk messages with Cap'n Proto.
+
+A datagram starts with a keyed digest of the rest (HMAC-SHA256, cut to 16
+bytes). Replaying one is harmless: state numbers, ping numbers and epochs make
+what it says a repetition.
+"""
+
+import hashlib
+import hmac
+import pathlib
+
+import capnp
+import result
+
+from bergamotdeal.membership import core as membership
+from bergamotdeal.membership import messages
+from bergamotdeal.membership import rumours
+
+MAC_BYTES = 16
+MAX_TEXT_BYTES = messages.MAX_NAME_BYTES
+MAX_SYNC_ENTRIES = 10_000
+MAX_STATE_NUMBER = 2**62
+
+_WORD_BYTES = 8
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("gossip.capnp")))
+
+_STATE_NAMES = {
+    membership.MemberState.ALIVE: "alive",
+    membership.MemberState.DRAINING: "draining",
+    membership.MemberState.DEAD: "dead",
+}
+_STATES_BY_NAME = {name: state for state, name in _STATE_NAMES.items()}
+
+
+# --- Datagrams ------------------------------------------------------------
+
+
+def encode_datagram(datagram: messages.Datagram, key: bytes) -> bytes:
+    """Encodes and authenticates a datagram.
+
+    Args:
+      datagram: The datagram.
+      key: Key that all nodes share.
+    """
+    builder = _SCHEMA.Datagram.new_message()
+    _build_member(builder.init("sender"), datagram.sender)
+    builder.epoch = datagram.epoch
+    match datagram.body:
+        case messages.Ping(number=number, host_id=host_id):
+            builder.ping = None
+            builder.number = number
+            builder.hostId = host_id
+        case messages.PingRequest(number=number, host_id=host_id):
+            builder.pingRequest = None
+            builder.number = number
+            builder.hostId = host_id
+        case messages.Ack(number=number):
+            builder.ack = None
+            builder.number = number
+        case messages.Spread():
+            builder.spread = None
+    items = builder.init("rumours", len(datagram.rumours))
+    for item, rumour in zip(items, datagram.rumours, strict=True):
+        _build_rumour(item, rumour)
+    content = builder.to_bytes()
+    return _mac(content, key) + content
+
+
+def decode_datagram(
+    data: bytes, key: bytes
+) -> result.Result[messages.Datagram, str]:
+    """Checks and decodes a datagram.
+
+    Args:
+      data: What arrived.
+      key: Key that all nodes share.
+
+    Returns:
+      The datagram, or the reason for which it is dropped.
+    """
+    if len(data) > rumours.MAX_DATAGRAM_BYTES:
+        return result.Err("too long")
+    mac, content = data[:MAC_BYTES], data[MAC_BYTES:]
+    if not hmac.compare_digest(mac, _mac(content, key)):
+        return result.Err("not authentic")
+    if len(content) % _WORD_BYTES:
+        return result.Err("length is not a whole number of words")
+    try:
+        with _SCHEMA.Datagram.from_bytes(content) as reader:
+            return result.Ok(_read_datagram(reader))
+    except (capnp.KjException, RuntimeError, KeyError, ValueError) as error:
+        return result.Err(str(error).partition("\n")[0])
+
+
+def _mac(content: bytes, key: bytes) -> bytes:
+    return hmac.digest(key, content, hashlib.sha256)[:MAC_BYTES]
+
+
+def _read_datagram(reader) -> messages.Datagram:
+    number = reader.number
+    host_id = _text(reader.hostId)
+    match str(reader.which()):
+        case "ping":
+            body = messages.Ping(number=number, host_id=host_id)
+        case "pingRequest":
+            body = messages.PingRequest(number=number, host_id=host_id)
+        case "ack":
+            body = messages.Ack(number=number)
+        case "spread":
+            body = messages.Spread()
+        case other:
+            raise ValueError(f"unknown body {other}")
+    return messages.Datagram(
+        sender=_read_member(reader.sender),
+        epoch=reader.epoch,
+        body=body,
+        rumours=tuple(_read_rumour(item) for item in reader.rumours),
+    )
+
+
+def _build_rumour(builder, rumour: messages.Rumour) -> None:
+    match rumour:
+        case messages.RecordRumour(member=member):
+            _build_member(builder.init("member"), member)
+        case messages.VerdictRumour():
+            verdict = builder.init("verdict")
+            verdict.hostId = rumour.host_id
+            verdict.incarnation = rumour.incarnation
+            verdict.stateNumber = rumour.state_number
+            verdict.health = int(rumour.health)
+        case messages.CrashRumour(report=report):
+            crash = builder.init("crash")
+            crash.fingerprint = report.fingerprint
+            crash.hostId = report.host_id
+            crash.deathId = report.death_id
+
+
+def _read_rumour(reader) -> messages.Rumour:
+    match str(reader.which()):
+        case "member":
+            return messages.RecordRumour(member=_read_member(reader.member))
+        case "verdict":
+            verdict = reader.verdict
+            return messages.VerdictRumour(
+                host_id=_name(verdict.hostId),
+                incarnation=_name(verdict.incarnation),
+                state_number=_state_number(verdict.stateNumber),
+                health=messages.Health(verdict.health),
+            )
+        case "crash":
+            report = membership.CrashReport(
+                fingerprint=_name(reader.crash.fingerprint),
+                host_id=_name(reader.crash.hostId),
+                death_id=_name(reader.crash.deathId),
+            )
+            return messages.CrashRumour(report=report)
+        case other:
+            raise ValueError(f"unknown rumour {other}")
+
+
+# --- Members --------------------------------------------------------------
+
+
+def _build_member(builder, member: membership.Member) -> None:
+    builder.hostId = member.host_id
+    builder.incarnation = member.incarnation
+    builder.dataCentre = member.data_centre
+    builder.region = member.region
+    builder.address = member.address
+    builder.stateNumber = member.state_number
+    builder.peerPort = member.peer_port
+    builder.adminPort = member.admin_port
+    builder.state = _STATE_NAMES[member.state]
+    if member.server is not None:
+        server = builder.init("server")
+        server.service = member.server.service
+        server.slots = member.server.slots
+        server.connections = member.server.connections
+
+
+def _read_member(reader) -> membership.Member:
+    server = None
+    if reader._has("server"):
+        server = membership.Server(
+            service=_name(reader.server.service),
+            slots=reader.server.slots,
+            connections=reader.server.connections,
+        )
+    return membership.Member(
+        host_id=_name(reader.hostId),
+        incarnation=_name(reader.incarnation),
+        data_centre=_name(reader.dataCentre),
+        region=_name(reader.region),
+        address=_name(reader.address),
+        state_number=_state_number(reader.stateNumber),
+        peer_port=reader.peerPort,
+        admin_port=reader.adminPort,
+        state=_STATES_BY_NAME[str(reader.state)],
+        server=server,
+    )
+
+
+def _state_number(number: int) -> int:
+    if number > MAX_STATE_NUMBER:
+        raise ValueError("state number is out of range")
+    return number
+
+
+def _text(text: str) -> str:
+    if len(text.encode()) > MAX_TEXT_BYTES:
+        raise ValueError("text is too long")
+    return text
+
+
+def _name(text: str) -> str:
+    if not text:
+        raise ValueError("a name is missing")
+    return _text(text)
+
+
+# --- Bulk -----------------------------------------------------------------
+
+
+def encode_bulk(bulk: messages.Bulk) -> bytes:
+    """Encodes a bulk message; the TCP link authenticates it.
+
+    Args:
+      bulk: The message.
+    """
+    builder = _SCHEMA.Bulk.new_message()
+    match bulk:
+        case messages.SyncRequest():
+            request = builder.init("syncRequest")
+            _build_member(request.init("sender"), bulk.sender)
+            request.epoch = bulk.epoch
+            request.digests = list(bulk.digests)
+        case messages.SyncResponse():
+            response = builder.init("syncResponse")
+            response.buckets = list(bulk.buckets)
+            _build_entries(
+                response.init("entries", len(bulk.entries)), bulk.entries
+            )
+        case messages.SyncPush(entries=entries):
+            _build_entries(builder.init("syncPush", len(entries)), entries)
+        case messages.SyncDone():
+            builder.syncDone = None
+        case messages.PresetRequest(known_digests=digests):
+            builder.presetRequest = list(digests)
+        case messages.PresetResponse():
+            _build_preset_response(builder.init("presetResponse"), bulk)
+    return builder.to_bytes()
+
+
+def decode_bulk(data: bytes) -> result.Result[messages.Bulk, str]:
+    """Decodes a bulk message.
+
+    Args:
+      data: The payload of a bulk frame.
+
+    Returns:
+      The message, or the reason for which it is malformed.
+    """
+    if len(data) % _WORD_BYTES:
+        return result.Err("length is not a whole number of words")
+    try:
+        with _SCHEMA.Bulk.from_bytes(
+            data, traversal_limit_in_words=len(data)
+        ) as reader:
+            return result.Ok(_read_bulk(reader))
+    except (capnp.KjException, RuntimeError, KeyError, ValueError) as error:
+        return result.Err(str(error).partition("\n")[0])
+
+
+def _read_bulk(reader) -> messages.Bulk:
+    match str(reader.which()):
+        case "syncRequest":
+            request = reader.syncRequest
+            return messages.SyncRequest(
+                sender=_read_member(request.sender),
+                epoch=request.epoch,
+                digests=tuple(request.digests),
+            )
+        case "syncResponse":
+            response = reader.syncResponse
+            return messages.SyncResponse(
+                buckets=tuple(response.buckets),
+                entries=_read_entries(response.entries),
+            )
+        case "syncPush":
+            return messages.SyncPush(entries=_read_entries(reader.syncPush))
+        case "syncDone":
+            return messages.SyncDone()
+        case "presetRequest":
+            digests = tuple(bytes(item) for item in reader.presetRequest)
+            return messages.PresetRequest(known_digests=digests)
+        case "presetResponse":
+            return _read_preset_response(reader.presetResponse)
+        case other:
+            raise ValueError(f"unknown bulk message {other}")
+
+
+def _build_entries(builder, entries: tuple[messages.KnownMember, ...]) -> None:
+    for item, entry in zip(builder, entries, strict=True):
+        _build_member(item.init("member"), entry.member)
+        item.health = int(entry.health)
+
+
+def _read_entries(reader) -> tuple[messages.KnownMember, ...]:
+    if len(reader) > MAX_SYNC_ENTRIES:
+        raise ValueError("too many entries")
+    return tuple(
+        messages.KnownMember(
+            member=_read_member(item.member),
+            health=messages.Health(item.health),
+        )
+        for item in reader
+    )
+
+
+def _build_preset_response(builder, bulk: messages.PresetResponse) -> None:
+    builder.epoch = bulk.epoch
+    builder.operationId = bulk.operation_id
+    items = builder.init("sections", len(bulk.sections))
+    for item, section in zip(items, bulk.sections, strict=True):
+        item.name = section.name
+        item.digest = section.digest
+        if section.content is not None:
+            item.content = section.content
+
+
+def _read_preset_response(reader) -> messages.PresetResponse:
+    return messages.PresetResponse(
+        epoch=reader.epoch,
+        operation_id=reader.operationId,
+        sections=tuple(_read_section(item) for item in reader.sections),
+    )
+
+
+def _read_section(reader) -> messages.Section:
+    content = bytes(reader.content) if reader._has("content") else None
+    return messages.Section(
+        name=reader.name, digest=bytes(reader.digest), content=content
+    )
--- /dev/null
+++ b/bergamotdeal/wire/tests/test_gossip.py
@@ -0,0 +1,158 @@
+"""Datagrams and bulk messages: round trips, bounds and malformed input."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from bergamotdeal.membership import core
+from bergamotdeal.membership import messages
+from bergamotdeal.membership import rumours
+from bergamotdeal.wire import gossip
+
+KEY = b"k" * 16
+NAMES = st.text(
+    st.characters(min_codepoint=33, max_codepoint=126), min_size=1, max_size=64
+)
+NUMBERS = st.integers(0, 2**62)
+PORTS = st.integers(0, 65_535)
+SERVERS = st.builds(
+    core.Server,
+    service=NAMES,
+    slots=st.integers(0, 2**32 - 1),
+    connections=st.integers(0, 2**32 - 1),
+)
+STATES = st.sampled_from(
+    [core.MemberState.ALIVE, core.MemberState.DRAINING, core.MemberState.DEAD]
+)
+MEMBERS = st.builds(
+    core.Member,
+    host_id=NAMES,
+    incarnation=NAMES,
+    state=STATES,
+    state_number=NUMBERS,
+    data_centre=NAMES,
+    region=NAMES,
+    address=NAMES,
+    peer_port=PORTS,
+    admin_port=PORTS,
+    server=st.none() | SERVERS,
+)
+RUMOURS = st.one_of(
+    st.builds(messages.RecordRumour, member=MEMBERS),
+    st.builds(
+        messages.VerdictRumour,
+        host_id=NAMES,
+        incarnation=NAMES,
+        state_number=NUMBERS,
+        health=st.sampled_from(messages.Health),
+    ),
+    st.builds(
+        messages.CrashRumour,
+        report=st.builds(
+            core.CrashReport, fingerprint=NAMES, host_id=NAMES, death_id=NAMES
+        ),
+    ),
+)
+BODIES = st.one_of(
+    st.builds(messages.Ping, number=NUMBERS, host_id=st.just("") | NAMES),
+    st.builds(messages.PingRequest, number=NUMBERS, host_id=NAMES),
+    st.builds(messages.Ack, number=NUMBERS),
+    st.builds(messages.Spread),
+)
+
+
+@given(MEMBERS, NUMBERS, BODIES, st.lists(RUMOURS, max_size=12))
+def test_datagrams_fit_and_survive_a_round_trip(sender, epoch, body, queued):
+    queue = rumours.RumourQueue()
+    for rumour in queued:
+        queue.add(rumour)
+    room = rumours.room_for_rumours(sender, body)
+    chosen = queue.take(room=room, fleet_size=10)
+    datagram = messages.Datagram(
+        sender=sender, epoch=epoch, body=body, rumours=chosen
+    )
+    data = gossip.encode_datagram(datagram, KEY)
+    assert len(data) <= rumours.datagram_bytes(datagram)
+    assert len(data) <= rumours.MAX_DATAGRAM_BYTES
+    assert gossip.decode_datagram(data, KEY).unwrap() == datagram
+
+
+MEMBER = core.Member(
+    host_id="h",
+    incarnation="i",
+    data_centre="odori",
+    region="north",
+    address="127.0.0.1",
+    peer_port=7,
+    server=core.Server(service="dispatch", slots=3, connections=4),
+)
+KNOWN = messages.KnownMember(member=MEMBER, health=messages.Health.SUSPECT)
+BULKS = [
+    messages.SyncRequest(sender=MEMBER, epoch=3, digests=(1, 2**64 - 1)),
+    messages.SyncResponse(buckets=(1, 63), entries=(KNOWN,)),
+    messages.SyncPush(entries=(KNOWN, KNOWN)),
+    messages.SyncDone(),
+    messages.PresetRequest(known_digests=(b"a" * 16, b"b" * 16)),
+    messages.PresetResponse(
+        epoch=4,
+        operation_id="4-x",
+        sections=(
+            messages.Section(name="retries", digest=b"d", content=b"{}"),
+            messages.Section(name="routing", digest=b"e", content=None),
+        ),
+    ),
+]
+DATAGRAM = messages.Datagram(
+    sender=MEMBER,
+    epoch=9,
+    body=messages.Ping(number=5, host_id="h"),
+    rumours=(messages.RecordRumour(member=MEMBER),),
+)
+
+
+@pytest.mark.parametrize("bulk", BULKS, ids=lambda b: type(b).__name__)
+def test_bulk_round_trip(bulk):
+    assert gossip.decode_bulk(gossip.encode_bulk(bulk)).unwrap() == bulk
+
+
+@pytest.mark.parametrize("bulk", BULKS, ids=lambda b: type(b).__name__)
+def test_bulk_cut_or_flipped_never_raises(bulk):
+    rng = random.Random(3)
+    data = gossip.encode_bulk(bulk)
+    for length in range(len(data)):
+        assert gossip.decode_bulk(data[:length]).is_err()
+    for _ in range(1000):
+        flipped = bytearray(data)
+        flipped[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+        gossip.decode_bulk(bytes(flipped))
+
+
+def test_no_changed_bit_is_authentic():
+    data = gossip.encode_datagram(DATAGRAM, KEY)
+    for position in range(8 * len(data)):
+        flipped = bytearray(data)
+        flipped[position // 8] ^= 1 << position % 8
+        assert gossip.decode_datagram(bytes(flipped), KEY).is_err()
+
+
+def test_another_key_is_not_authentic():
+    data = gossip.encode_datagram(DATAGRAM, b"x" * 16)
+    assert gossip.decode_datagram(data, KEY).unwrap_err() == "not authentic"
+
+
+def test_authentic_nonsense_is_dropped():
+    rng = random.Random(4)
+    content = gossip.encode_datagram(DATAGRAM, KEY)[gossip.MAC_BYTES :]
+    for _ in range(2000):
+        flipped = bytearray(content)
+        for _ in range(rng.randrange(1, 6)):
+            flipped[rng.randrange(len(flipped))] ^= 1 << rng.randrange(8)
+        data = gossip._mac(bytes(flipped), KEY) + bytes(flipped)
+        gossip.decode_datagram(data, KEY)
+
+
+@pytest.mark.parametrize("length", [0, 1, 15, 16, 17, 24, 1200, 1201, 4000])
+def test_short_and_long_datagrams_are_dropped(length):
+    assert gossip.decode_datagram(b"\0" * length, KEY).is_err()
