Add an in-memory fleet of call engines for failure tests

Cause: truth, tickets and retries need tests over several nodes with faults at chosen moments. Change: standins.fleet joins engines under an injected clock; fleet_link drops, delays, duplicates and reorders frames and cuts links; fleet_servers plays backend servers as programs; nodes and servers can be killed, paused and restarted.

--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,361 @@
+"""Several call engines on an in-memory network under an injected clock.
+
+Callers, backend servers and links are played here; every frame between nodes
+passes a delivery rule that can drop, delay, duplicate or reorder it. Time
+advances from one scheduled action to the next, so that a run depends on its
+seed alone.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import engine
+from bergamotdeal.calls import messages
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+from standins import fleet_link
+from standins import fleet_model
+from standins import fleet_servers
+
+LATENCY_S = 0.0005
+
+
+class Fleet:
+    """Nodes, their servers, the links between them and the callers.
+
+    Args:
+      preset: Preset in force on each node at the start.
+      seed: Seed of every random choice.
+      deliver: Delivery rule for frames; the default delivers all.
+    """
+
+    def __init__(
+        self,
+        *,
+        preset: model.Preset,
+        seed: int = 1,
+        deliver: fleet_link.DeliveryRule = fleet_link.deliver_all,
+    ):
+        self.preset = preset
+        self.epoch = 1
+        self.rng = random.Random(seed)
+        self.now = 1000.0
+        self.nodes_by_id: dict[str, fleet_model.Node] = {}
+        self.links = fleet_link.Links(fleet=self, deliver=deliver)
+        self.servers = fleet_servers.Servers(fleet=self)
+        self.records: list[tuple[float, str, messages.Record]] = []
+        self.calls_sent: list[tuple[str, str, core.Call]] = []
+        self._replies: dict[tuple[str, int], fleet_model.Reply] = {}
+        self._actions: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._origin_ids = itertools.count(1)
+
+    # --- Building and breaking ---------------------------------------------
+
+    def add_node(
+        self,
+        host_id: str,
+        *,
+        service: str = "",
+        slots: int = 10,
+        program: fleet_model.Program | None = fleet_model.answer_at_once,
+        data_centre: str = "prai",
+        region: str = "default",
+    ) -> fleet_model.Node:
+        """Adds a host; ``publish`` makes it known to the others."""
+        server = None
+        if service:
+            server = membership.Server(
+                service=service, slots=slots, connections=10 * slots
+            )
+        member = membership.Member(
+            host_id=host_id,
+            incarnation="",
+            data_centre=data_centre,
+            region=region,
+            address="127.0.0.1",
+            peer_port=1,
+            server=server,
+        )
+        node = fleet_model.Node(member=member, engine=None, program=program)
+        self.nodes_by_id[host_id] = node
+        self.start_node(host_id)
+        return node
+
+    def start_node(self, host_id: str) -> None:
+        """Starts a node under a new incarnation and publishes the view."""
+        node = self.nodes_by_id[host_id]
+        node.member = dataclasses.replace(
+            node.member,
+            incarnation=f"{self.rng.getrandbits(128):032x}",
+            state=membership.MemberState.ALIVE,
+        )
+        node.engine = engine.Engine(
+            identity=node.member,
+            preset=self.preset,
+            epoch=self.epoch,
+            rng=random.Random(self.rng.getrandbits(64)),
+        )
+        node.held = None
+        node.wakeup = None
+        self.publish()
+        self.servers.announce(node)
+
+    def kill_node(self, host_id: str, *, noticed: bool = True) -> None:
+        """Ends a node's process at once; its server goes on.
+
+        Args:
+          host_id: The host.
+          noticed: Whether the other nodes hear of it at once.
+        """
+        node = self.nodes_by_id[host_id]
+        node.engine = None
+        self.links.close_all(host_id)
+        for (entry_host, _), reply in list(self._replies.items()):
+            if entry_host == host_id:
+                self._lose(reply)
+        if noticed:
+            self.set_state(host_id, membership.MemberState.DEAD)
+
+    def kill_server(self, host_id: str) -> None:
+        """Ends a backend server; its open runs are lost."""
+        self.servers.stop(self.nodes_by_id[host_id])
+
+    def start_server(self, host_id: str) -> None:
+        """Starts a host's backend server again."""
+        node = self.nodes_by_id[host_id]
+        node.server_up = True
+        node.server_number += 1
+        self.servers.announce(node)
+
+    def pause_node(self, host_id: str) -> None:
+        """Stops a node's process; what arrives waits."""
+        self.nodes_by_id[host_id].held = []
+
+    def resume_node(self, host_id: str) -> None:
+        """Continues a paused node with all that has waited."""
+        node = self.nodes_by_id[host_id]
+        held, node.held = node.held, None
+        for event in held or ():
+            self.send_event(host_id, event)
+        self._schedule_wakeup(node)
+
+    def set_state(self, host_id: str, state: membership.MemberState) -> None:
+        """Changes a member's state in everyone's view."""
+        node = self.nodes_by_id[host_id]
+        node.member = dataclasses.replace(node.member, state=state)
+        self.publish()
+
+    def drain(self, host_id: str) -> None:
+        """Starts a node's drain and tells the others."""
+        self.send_event(host_id, messages.DrainStarted())
+        self.set_state(host_id, membership.MemberState.DRAINING)
+
+    def publish(self, *, to: list[str] | None = None) -> None:
+        """Gives the current view to all nodes or to some."""
+        members_by_id = {
+            host_id: node.member for host_id, node in self.nodes_by_id.items()
+        }
+        event = messages.MembersChanged(members_by_id=members_by_id)
+        for host_id in to or list(self.nodes_by_id):
+            self.send_event(host_id, event)
+
+    def switch_preset(
+        self, preset: model.Preset, *, to: list[str] | None = None
+    ) -> None:
+        """Puts a preset in force under the next epoch, on some nodes or all."""
+        self.epoch += 1
+        self.preset = preset
+        event = messages.PresetInForce(epoch=self.epoch, preset=preset)
+        for host_id in to or list(self.nodes_by_id):
+            self.send_event(host_id, event)
+
+    # --- Callers -----------------------------------------------------------
+
+    def call(
+        self,
+        host_id: str,
+        request: core.Request,
+        *,
+        user_request_id: str,
+        attempt: int = 0,
+        ticket: bytes = b"",
+        deadline_ms: int | None = None,
+        face: messages.Face = messages.Face.ENTRY,
+        context: str = "",
+        idempotency_key: str = "",
+        when_done: Callable[[fleet_model.Reply], None] | None = None,
+    ) -> fleet_model.Reply:
+        """Sends a request to a node's entry or egress face."""
+        reply = fleet_model.Reply(
+            host_id=host_id,
+            origin_id=next(self._origin_ids),
+            request=request,
+            when_done=when_done,
+        )
+        if self.nodes_by_id[host_id].engine is None:
+            self._lose(reply)
+            return reply
+        self._replies[host_id, reply.origin_id] = reply
+        event = messages.CallArrived(
+            origin_id=reply.origin_id,
+            face=face,
+            request=request,
+            user_request_id=user_request_id,
+            deadline_ms=deadline_ms,
+            attempt=attempt,
+            ticket=ticket,
+            context=context,
+            idempotency_key=idempotency_key,
+        )
+        self.send_event(host_id, event)
+        return reply
+
+    def hang_up(self, reply: fleet_model.Reply) -> None:
+        """Ends a caller's connection before its answer."""
+        if reply.done:
+            return
+        del self._replies[reply.host_id, reply.origin_id]
+        self._lose(reply)
+        self.send_event(
+            reply.host_id, messages.CallerGone(origin_id=reply.origin_id)
+        )
+
+    def runs_of(self, user_request_id: str) -> list[fleet_model.ServerRun]:
+        """Returns the runs that servers started for a user request."""
+        return [
+            run
+            for run in self.servers.runs
+            if run.start.user_request_id == user_request_id
+        ]
+
+    # --- Time --------------------------------------------------------------
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        entry = (self.now + delay_s, next(self._sequence), action)
+        heapq.heappush(self._actions, entry)
+
+    def run_for(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._actions and self._actions[0][0] <= end:
+            self._step()
+        self.now = end
+
+    def run_until(
+        self, condition: Callable[[], bool], *, limit_s: float = 60.0
+    ) -> None:
+        """Lets time pass until a condition holds.
+
+        Raises:
+          AssertionError: The condition did not hold within the limit.
+        """
+        end = self.now + limit_s
+        while not condition():
+            assert self._actions and self._actions[0][0] <= end, "not reached"
+            self._step()
+
+    def _step(self) -> None:
+        when, _, action = heapq.heappop(self._actions)
+        self.now = max(self.now, when)
+        action()
+
+    # --- Engines -----------------------------------------------------------
+
+    def incarnation_of(self, host_id: str) -> str:
+        """Returns the incarnation of a host's node."""
+        return self.nodes_by_id[host_id].member.incarnation
+
+    def send_event_after(
+        self, delay_s: float, host_id: str, event: messages.Event
+    ) -> None:
+        """Hands an event to a node later, unless it restarts before."""
+        incarnation = self.incarnation_of(host_id)
+
+        def deliver() -> None:
+            if self.incarnation_of(host_id) == incarnation:
+                self.send_event(host_id, event)
+
+        self.after(delay_s, deliver)
+
+    def send_event(self, host_id: str, event: messages.Event) -> None:
+        """Hands an event to a node and carries out the effects."""
+        node = self.nodes_by_id[host_id]
+        if node.engine is None:
+            return
+        if node.held is not None:
+            node.held.append(event)
+            return
+        effects = collections.deque(node.engine.handle(event, self.now))
+        while effects:
+            self._carry_out(node, effects.popleft())
+        self._schedule_wakeup(node)
+
+    def _schedule_wakeup(self, node: fleet_model.Node) -> None:
+        if node.engine is None or node.held is not None:
+            return
+        when = node.engine.next_wakeup()
+        if when is None or when == node.wakeup:
+            return
+        node.wakeup = when
+        incarnation = node.member.incarnation
+        self.after(
+            max(0.0, when - self.now), lambda: self._wake(node, incarnation)
+        )
+
+    def _wake(self, node: fleet_model.Node, incarnation: str) -> None:
+        if node.member.incarnation != incarnation:
+            return
+        node.wakeup = None
+        self.send_event(node.member.host_id, messages.TimePassed())
+
+    def _carry_out(
+        self, node: fleet_model.Node, effect: messages.Effect
+    ) -> None:
+        host_id = node.member.host_id
+        match effect:
+            case messages.SendCall():
+                self.calls_sent.append((host_id, effect.host_id, effect.call))
+                self.links.send_call(host_id, effect.host_id, effect.call)
+            case messages.SendCancel():
+                self.links.send_cancel(host_id, effect.host_id, effect.number)
+            case messages.SendAnswer():
+                self.links.send_answer(host_id, effect)
+            case messages.ReplyToCaller():
+                self._reply(host_id, effect)
+            case messages.StartRun():
+                self.servers.start_run(node, effect)
+            case messages.CancelRun():
+                self.servers.cancel_run(node, effect.run_id)
+            case messages.ShareCrashReports():
+                self._share(host_id, effect)
+            case messages.Record():
+                self.records.append((self.now, host_id, effect))
+
+    def _reply(self, host_id: str, effect: messages.ReplyToCaller) -> None:
+        reply = self._replies.pop((host_id, effect.origin_id), None)
+        if reply is None:
+            return
+        assert reply.answer is None, "two answers for one exchange"
+        reply.answer = effect.answer
+        reply.user_request_id = effect.user_request_id
+        if reply.when_done is not None:
+            reply.when_done(reply)
+
+    def _lose(self, reply: fleet_model.Reply) -> None:
+        self._replies.pop((reply.host_id, reply.origin_id), None)
+        reply.gone = True
+        if reply.when_done is not None:
+            reply.when_done(reply)
+
+    def _share(self, host_id: str, effect: messages.ShareCrashReports) -> None:
+        event = messages.QuarantineHeard(reports=effect.reports)
+        for other_id in self.nodes_by_id:
+            if other_id != host_id:
+                self.send_event_after(LATENCY_S, other_id, event)
--- /dev/null
+++ b/standins/fleet_link.py
@@ -0,0 +1,174 @@
+"""Links between the nodes of an in-memory fleet, with faults on demand."""
+
+from collections.abc import Callable
+import copy
+import dataclasses
+import itertools
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import messages
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Frame:
+    """A frame on its way.
+
+    Attributes:
+      source: Host that sent it.
+      target: Host that it goes to.
+      content: A call, a ``SendAnswer`` or the number of a cancelled call.
+    """
+
+    source: str
+    target: str
+    content: core.Call | messages.SendAnswer | int
+
+
+DeliveryRule = Callable[[Frame], list[float]]
+"""Maps a frame to the delays of its copies, in seconds; none drops it."""
+
+LATENCY_S = 0.0005
+
+
+def deliver_all(_frame: Frame) -> list[float]:
+    """Delivers each frame once after the usual latency."""
+    return [LATENCY_S]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Link:
+    """A connection that one node dialled to another.
+
+    Attributes:
+      link_id: Number of the link at its target.
+      origin: Host that dialled it.
+      target: Host that accepted it.
+      pending: Numbers of the calls that wait for their answers.
+      open: Whether frames still pass.
+    """
+
+    link_id: int
+    origin: str
+    target: str
+    pending: set[int] = dataclasses.field(default_factory=set)
+    open: bool = True
+
+
+class Links:
+    """All links of a fleet.
+
+    Args:
+      fleet: The fleet, which owns the clock and the nodes.
+      deliver: Delivery rule; replace the attribute to change it.
+    """
+
+    def __init__(self, *, fleet, deliver: DeliveryRule):
+        self.deliver = deliver
+        self._fleet = fleet
+        self._links: dict[tuple[str, str], Link] = {}
+        self._links_by_id: dict[int, Link] = {}
+        self._ids = itertools.count(1)
+        self._cut: set[frozenset[str]] = set()
+
+    def cut(self, one: str, other: str) -> None:
+        """Closes the links of two hosts and refuses new ones."""
+        self._cut.add(frozenset({one, other}))
+        self._close(one, other)
+        self._close(other, one)
+
+    def mend(self, one: str, other: str) -> None:
+        """Lets two hosts dial each other again."""
+        self._cut.discard(frozenset({one, other}))
+
+    def reset(self, origin: str, target: str) -> None:
+        """Closes one link; the next call dials a new one."""
+        self._close(origin, target)
+
+    def close_all(self, host_id: str) -> None:
+        """Closes every link of a host whose node has ended."""
+        for origin, target in list(self._links):
+            if host_id in (origin, target):
+                self._close(origin, target)
+
+    def send_call(self, origin: str, target: str, call: core.Call) -> None:
+        """Sends a call frame and dials a link if there is none."""
+        link = self._dial(origin, target)
+        if link is None:
+            event = messages.DispatchFailed(
+                number=call.number, handed_over=False
+            )
+            self._fleet.send_event_after(LATENCY_S, origin, event)
+            return
+        link.pending.add(call.number)
+        call = copy.deepcopy(call)
+        event = messages.PeerCalled(link_id=link.link_id, call=call)
+        frame = Frame(source=origin, target=target, content=call)
+        self._pass_on(link, frame, target, event)
+
+    def send_cancel(self, origin: str, target: str, number: int) -> None:
+        """Sends a cancel frame."""
+        link = self._links.get((origin, target))
+        if link is None:
+            return
+        link.pending.discard(number)
+        event = messages.PeerCancelled(link_id=link.link_id, number=number)
+        frame = Frame(source=origin, target=target, content=number)
+        self._pass_on(link, frame, target, event)
+
+    def send_answer(self, source: str, answer: messages.SendAnswer) -> None:
+        """Sends an answer frame on the link that its call came by."""
+        link = self._links_by_id.get(answer.link_id)
+        if link is None or not link.open:
+            return
+        frame = Frame(source=source, target=link.origin, content=answer)
+        event = messages.PeerAnswered(
+            host_id=source,
+            number=answer.number,
+            user_request_id=answer.user_request_id,
+            answer=copy.deepcopy(answer.answer),
+        )
+        self._pass_on(link, frame, link.origin, event)
+
+    def _pass_on(
+        self, link: Link, frame: Frame, receiver: str, event: messages.Event
+    ) -> None:
+        for delay_s in self.deliver(frame):
+            self._fleet.after(
+                delay_s, lambda: self._receive(link, receiver, event)
+            )
+
+    def _receive(
+        self, link: Link, receiver: str, event: messages.Event
+    ) -> None:
+        if not link.open:
+            return
+        if isinstance(event, messages.PeerAnswered):
+            link.pending.discard(event.number)
+        self._fleet.send_event(receiver, event)
+
+    def _dial(self, origin: str, target: str) -> Link | None:
+        link = self._links.get((origin, target))
+        if link is not None:
+            return link
+        node = self._fleet.nodes_by_id.get(target)
+        if node is None or node.engine is None:
+            return None
+        if frozenset({origin, target}) in self._cut:
+            return None
+        link = Link(link_id=next(self._ids), origin=origin, target=target)
+        self._links[origin, target] = link
+        self._links_by_id[link.link_id] = link
+        return link
+
+    def _close(self, origin: str, target: str) -> None:
+        """Closes a link; both ends notice."""
+        link = self._links.pop((origin, target), None)
+        if link is None:
+            return
+        link.open = False
+        del self._links_by_id[link.link_id]
+        for number in sorted(link.pending):
+            event = messages.DispatchFailed(number=number, handed_over=True)
+            self._fleet.send_event_after(LATENCY_S, origin, event)
+        closed = messages.PeerLinkClosed(link_id=link.link_id)
+        self._fleet.send_event_after(LATENCY_S, target, closed)
