--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for what surrounds a fleet, and the programs that drive them."""
+"""Stand-ins for the platform, backend servers and networks in tests."""
