--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -99,7 +99,7 @@
         if self._thresholds.is_due(now):
             self._thresholds.close_window(
                 now=now,
-                depth=len(self._waiting),
+                depth_by_rank=self._waiting.depth_by_rank(self._class_count),
                 target_depth=self._target_depth(),
             )
         return self._serve(now)
@@ -202,7 +202,7 @@
                 kind = errors.ErrorKind.DEADLINE_EXCEEDED
                 verdicts.append(core.Refuse(job_id=job.job_id, kind=kind))
                 continue
-            self._thresholds.count_wait(now - job.arrived)
+            self._thresholds.count_wait(self._rank(job), now - job.arrived)
             self._running_by_id[job.job_id] = job
             verdicts.append(core.Start(job_id=job.job_id))
         return verdicts
--- a/bergamotdeal/admission/waiting.py
+++ b/bergamotdeal/admission/waiting.py
@@ -57,6 +57,13 @@
         del self._keys[bisect.bisect_left(self._keys, key)]
         return self._jobs_by_id.pop(job_id)
 
+    def depth_by_rank(self, class_count: int) -> list[int]:
+        """Returns how many jobs of each rank wait."""
+        depths = [0] * class_count
+        for key in self._keys:
+            depths[min(key[0], class_count - 1)] += 1
+        return depths
+
     def jobs(self) -> list[core.Job]:
         """Returns the jobs in the order of service."""
         return [self._jobs_by_id[key[-1]] for key in self._keys]
--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -19,13 +19,13 @@
       started: Begin of the window, monotonic seconds.
       completed: Jobs that gave back their slot at the end of their work.
       admitted_by_rank: Arrivals under the threshold in force, by class rank.
-      longest_wait: Longest queue wait seen, seconds.
+      wait_by_rank: Longest queue wait seen by class rank, seconds.
     """
 
     started: float
     completed: int = 0
     admitted_by_rank: list[int]
-    longest_wait: float = 0.0
+    wait_by_rank: list[float]
 
 
 class RateThresholds:
@@ -35,7 +35,9 @@
     what it completed plus a share of the distance of the queue from its
     target depth. It is dealt out to the classes in order of importance, and
     each threshold moves halfway to the share of its class's offered work that
-    can be had. Without pressure the thresholds open.
+    can be had. Without pressure a threshold opens. A class is served before
+    less important ones, so only its own queue and those of more important
+    classes press on it.
     """
 
     def __init__(
@@ -73,10 +75,11 @@
         """Counts a job that gave back its slot."""
         self._counts.completed += 1
 
-    def count_wait(self, wait_s: float) -> None:
+    def count_wait(self, class_rank: int, wait_s: float) -> None:
         """Notes the queue wait of a job, in seconds."""
-        if wait_s > self._counts.longest_wait:
-            self._counts.longest_wait = wait_s
+        rank = min(class_rank, self._class_count - 1)
+        waits = self._counts.wait_by_rank
+        waits[rank] = max(waits[rank], wait_s)
 
     def window_end(self) -> float:
         """Returns the latest end of the open window, monotonic seconds."""
@@ -93,42 +96,53 @@
         return now >= self.window_end()
 
     def close_window(
-        self, *, now: float, depth: int, target_depth: float
+        self, *, now: float, depth_by_rank: list[int], target_depth: float
     ) -> None:
         """Sets the thresholds and opens the next window.
 
         Args:
           now: Monotonic seconds.
-          depth: Jobs that wait now.
+          depth_by_rank: Jobs of each class that wait now.
           target_depth: Jobs that may wait.
         """
         counts = self._counts
         self._counts = self._new_counts(now)
         target_wait = self._policy.target_delay_ms / _MS_PER_S
-        pressed = depth > target_depth or counts.longest_wait > target_wait
-        if not pressed:
-            self._open()
-            return
-        wanted = counts.completed + self._policy.gain * (target_depth - depth)
-        self._deal_out(wanted, counts.admitted_by_rank)
-
-    def _open(self) -> None:
+        longest_window = self._policy.window_max_ms / _MS_PER_S
+        windows = max(1, int((now - counts.started) / longest_window))
+        depth = 0
+        longest_wait = 0.0
+        taken = 0.0
         for rank, value in enumerate(self._values):
-            self._values[rank] = min(1.0, value * _OPEN_FACTOR + _OPEN_STEP)
-
-    def _deal_out(self, wanted: float, admitted_by_rank: list[int]) -> None:
-        left = max(0.0, wanted)
-        for rank, admitted in enumerate(admitted_by_rank):
-            if not admitted:
-                continue
-            value = self._values[rank]
-            offered = admitted / value
-            goal = min(1.0, left / offered)
-            moved = value + _MOVE_SHARE * (goal - value)
-            self._values[rank] = max(_FLOOR, moved)
-            left = max(0.0, left - offered * goal)
+            depth += depth_by_rank[rank]
+            longest_wait = max(longest_wait, counts.wait_by_rank[rank])
+            offered = counts.admitted_by_rank[rank] / value
+            if depth > target_depth or longest_wait > target_wait:
+                surplus = self._policy.gain * (target_depth - depth)
+                left = max(0.0, counts.completed + surplus - taken)
+                self._values[rank] = _moved(value, left, offered)
+            else:
+                self._values[rank] = _opened(value, windows)
+            taken += offered * self._values[rank]
 
     def _new_counts(self, now: float) -> WindowCounts:
         return WindowCounts(
-            started=now, admitted_by_rank=[0] * self._class_count
+            started=now,
+            admitted_by_rank=[0] * self._class_count,
+            wait_by_rank=[0.0] * self._class_count,
         )
+
+
+def _moved(value: float, left: float, offered: float) -> float:
+    if not offered:
+        return value
+    goal = min(1.0, left / offered)
+    return max(_FLOOR, value + _MOVE_SHARE * (goal - value))
+
+
+def _opened(value: float, windows: int) -> float:
+    for _ in range(windows):
+        value = min(1.0, value * _OPEN_FACTOR + _OPEN_STEP)
+        if value >= 1.0:
+            break
+    return value
