--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -246,7 +246,7 @@
         if self._out.closed:
             self._link.lost()
 
-    def connectionLost(self, reason):  # noqa: ARG002
+    def connectionLost(self, reason):
         self._link.lost()
 
 
@@ -303,7 +303,7 @@
             self._links.remove(link)
             self.stats.open -= 1
 
-    def _accept(self, address) -> protocol.Protocol:  # noqa: ARG002
+    def _accept(self, address) -> protocol.Protocol:
         self.stats.accepted += 1
         if any(isinstance(fault, Refuse) for fault in self.faults):
             return _Refused()
@@ -337,13 +337,13 @@
 class _Control(resource.Resource):
     """HTTP control of a proxy."""
 
-    isLeaf = True  # noqa: N815
+    isLeaf = True
 
     def __init__(self, *, proxy: FaultProxy):
         super().__init__()
         self._proxy = proxy
 
-    def render_GET(self, request):  # noqa: ARG002
+    def render_GET(self, request):
         return msgspec.json.encode(self._proxy.stats)
 
     def render_PUT(self, request):
