Add the judged fleet, its callers and its faults

Cause: the matrix needs faults that strike a chosen request at a chosen step. Change: servers and callers of the in-memory fleet write the ledger; hooks tell when a request is before admission, queued, handed over, running, answering or answered on the way. Twelve faults strike the target, its parent or the entry.

--- /dev/null
+++ b/standins/judged.py
@@ -0,0 +1,399 @@
+"""An in-memory fleet whose servers and callers write the ledger.
+
+A chain of services behind two entry hosts. Hooks tell when a chosen request
+reaches a chosen step at its last service, so that a fault can strike there.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import messages
+from bergamotdeal.errors import core as errors
+from bergamotdeal.presets import model
+from standins import fleet as fleets
+from standins import fleet_link
+from standins import fleet_model
+from standins import ledger
+
+ENTRIES = ("gate-0", "gate-1")
+DATA_CENTRES = ("odori", "kotoni")
+SERVICES = ("front", "middle", "deep")
+SLOTS = 4
+SERVICE_S = 0.02
+BODY_BYTES = 50
+_STRIKE_CHECK_S = 2 * fleet_link.LATENCY_S
+
+BROWSE_PATH = "/kits"
+BOOK_PATH = "/book"
+MIXED_PATH = "/mixed"
+
+
+class Step(enum.Enum):
+    """Where a call stands at its target when a fault strikes."""
+
+    BEFORE_ADMISSION = "before admission"
+    QUEUED = "queued"
+    HANDED_OVER = "handed over"
+    RUNNING = "running"
+    ANSWERING = "answering"
+    ANSWER_IN_FLIGHT = "answer in flight"
+
+
+class Place(enum.Enum):
+    """Which host on the way of a request a fault strikes."""
+
+    TARGET = "target"
+    PARENT = "parent"
+    ENTRY = "entry"
+
+
+Strike = Callable[[str], None]
+"""A fault; it is given the host at which the step was reached."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Hook:
+    step: Step
+    key: str
+    service: str
+    strike: Strike
+
+
+def make_preset(name: str = "ordinary", **options) -> model.Preset:
+    """Builds a preset for the chain.
+
+    Args:
+      name: Its name.
+      **options: Further fields of the preset.
+    """
+    routes = []
+    for service in SERVICES:
+        routes.append(
+            model.Route(
+                service=service,
+                method="GET",
+                prefix="/",
+                class_name=model.BROWSE,
+                repeatable=True,
+                deadline_ms=2000,
+            )
+        )
+        routes.append(
+            model.Route(
+                service=service, method="POST", prefix="/", deadline_ms=2000
+            )
+        )
+    return model.Preset(name=name, routes=tuple(routes), **options)
+
+
+class JudgedFleet:
+    """A fleet with a ledger, a chain of services and hooks at its steps.
+
+    Args:
+      seed: Seed of every random choice.
+      preset: Preset in force at the start.
+      services: Names of the services, each calling the next.
+      hosts_per_service: Hosts of each service.
+
+    Attributes:
+      entries: The ledger.
+      now: Time in monotonic seconds.
+      slow_by_service: Factor on the service time by service.
+      crashing: Effects that end each server which runs them.
+      silenced: Pairs of hosts whose open links swallow all frames.
+      struck: Steps at which a hook was called, with the host.
+      on_crash: Called when a request ends the server that runs it.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        preset: model.Preset | None = None,
+        services: tuple[str, ...] = SERVICES,
+        hosts_per_service: int = 2,
+    ):
+        self.entries: list[ledger.Entry] = []
+        self.slow_by_service: dict[str, float] = {}
+        self.crashing: set[str] = set()
+        self.silenced: set[frozenset[str]] = set()
+        self.struck: list[tuple[Step, str]] = []
+        self.on_crash: Strike = _ignore
+        self._services = services
+        self._hooks: list[_Hook] = []
+        self._queue_checks: set[str] = set()
+        self._started_keys: set[tuple[str, str]] = set()
+        self.fleet = fleets.Fleet(
+            preset=preset or make_preset(), seed=seed, deliver=self._deliver
+        )
+        self.rng = self.fleet.rng
+        for number, host_id in enumerate(ENTRIES):
+            self.fleet.add_node(host_id, data_centre=DATA_CENTRES[number])
+            self.note_up(host_id)
+        for service in services:
+            for number in range(hosts_per_service):
+                self.add_host(service, number)
+
+    @property
+    def now(self) -> float:
+        """Time in monotonic seconds."""
+        return self.fleet.now
+
+    def add_host(self, service: str, number: int) -> str:
+        """Adds a host with a server of a service; returns its name."""
+        host_id = f"{service}-{number}"
+        self.fleet.add_node(
+            host_id,
+            service=service,
+            slots=SLOTS,
+            program=lambda start: self._start(host_id, service, start),
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+        )
+        self.note_up(host_id)
+        return host_id
+
+    def service_of(self, host_id: str) -> str:
+        """Returns the service of a host's server, or empty."""
+        server = self.fleet.nodes_by_id[host_id].member.server
+        return server.service if server else ""
+
+    def host_at(self, place: Place, key: str, target: str) -> str:
+        """Returns the host of a place on the way of a user request.
+
+        Args:
+          place: The place.
+          key: Key of the user request.
+          target: Host that the request has reached.
+        """
+        match place:
+            case Place.TARGET:
+                return target
+            case Place.PARENT:
+                parent = self._services[-2]
+                return self._last_sender(key, self._services[-1], parent)
+            case Place.ENTRY:
+                return self._last_sender(key, self._services[0], "")
+
+    def _last_sender(self, key: str, service: str, own_service: str) -> str:
+        """Returns who sent a user request to a service last."""
+        for host_id, _, call in reversed(self.fleet.calls_sent):
+            if call.user_request_id != key:
+                continue
+            is_to = call.request.service == service
+            if is_to and self.service_of(host_id) == own_service:
+                return host_id
+        raise LookupError(f"{key} was not sent to {service}")
+
+    def is_up(self, host_id: str) -> bool:
+        """Whether a host's node runs."""
+        return self.fleet.nodes_by_id[host_id].engine is not None
+
+    def run_for(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.fleet.run_for(seconds)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        self.fleet.after(delay_s, action)
+
+    def note_up(self, host_id: str) -> None:
+        """Notes in the ledger that a host can act and be reached."""
+        self.entries.append(ledger.HostUp(at=self.now, host_id=host_id))
+
+    def note_down(self, host_id: str) -> None:
+        """Notes in the ledger that a fault keeps a host away."""
+        self.entries.append(ledger.HostDown(at=self.now, host_id=host_id))
+
+    # --- Hooks -------------------------------------------------------------
+
+    def on_step(
+        self, step: Step, key: str, strike: Strike, *, service: str = "deep"
+    ) -> None:
+        """Calls a fault once a user request reaches a step at a service."""
+        hook = _Hook(step=step, key=key, service=service, strike=strike)
+        self._hooks.append(hook)
+
+    def _reach(self, step: Step, key: str, service: str, host_id: str) -> None:
+        for hook in list(self._hooks):
+            if (hook.step, hook.key, hook.service) != (step, key, service):
+                continue
+            self._hooks.remove(hook)
+            self.struck.append((step, host_id))
+            self.after(0.0, lambda hook=hook: hook.strike(host_id))
+
+    def _deliver(self, frame: fleet_link.Frame) -> list[float]:
+        content = frame.content
+        match content:
+            case core.Call():
+                self._see_call(frame, content)
+            case messages.SendAnswer():
+                self._see_answer(frame, content)
+        if frozenset({frame.source, frame.target}) in self.silenced:
+            return []
+        return [fleet_link.LATENCY_S]
+
+    def _see_call(self, frame: fleet_link.Frame, call: core.Call) -> None:
+        self._see_epoch(frame.source, call.epoch)
+        key = call.user_request_id
+        service = call.request.service
+        self._reach(Step.BEFORE_ADMISSION, key, service, frame.target)
+        if any(hook.step is Step.QUEUED for hook in self._hooks):
+            self.after(
+                _STRIKE_CHECK_S,
+                lambda: self._check_queued(key, service, frame.target),
+            )
+
+    def _check_queued(self, key: str, service: str, host_id: str) -> None:
+        node = self.fleet.nodes_by_id[host_id]
+        if (key, host_id) in self._started_keys or node.engine is None:
+            return
+        if not node.engine.idle():
+            self._reach(Step.QUEUED, key, service, host_id)
+
+    def _see_answer(
+        self, frame: fleet_link.Frame, effect: messages.SendAnswer
+    ) -> None:
+        self._see_epoch(frame.source, effect.answer.epoch)
+        if effect.answer.outcome is errors.Outcome.COMPLETED:
+            self._reach(
+                Step.ANSWER_IN_FLIGHT,
+                effect.user_request_id,
+                self.service_of(frame.source),
+                frame.source,
+            )
+
+    def _see_epoch(self, host_id: str, epoch: int) -> None:
+        self.entries.append(
+            ledger.PresetSeen(
+                at=self.now,
+                host_id=host_id,
+                epoch=epoch,
+                preset_name=f"epoch-{epoch}",
+            )
+        )
+
+    # --- Servers -----------------------------------------------------------
+
+    def _start(self, host_id: str, service: str, start: messages.StartRun):
+        label = label_of(start.request)
+        key = label.root.partition("#")[0]
+        self._started_keys.add((key, host_id))
+        self._reach(Step.HANDED_OVER, key, service, host_id)
+        return self._program(host_id, service, start, label)
+
+    def _program(
+        self,
+        host_id: str,
+        service: str,
+        start: messages.StartRun,
+        label: ledger.Label,
+    ):
+        key = label.root.partition("#")[0]
+        run_id = self._note_run(host_id, start, label)
+        if label.effect in self.crashing or key in self.crashing:
+            self.after(0.001, lambda: self.on_crash(host_id))
+        work_s = SERVICE_S * self.slow_by_service.get(service, 1.0)
+        yield fleet_model.Work(seconds=work_s / 2)
+        self._reach(Step.RUNNING, key, service, host_id)
+        yield fleet_model.Work(seconds=work_s / 2)
+        status = 200
+        child_service = self._next_service(service)
+        if child_service:
+            status = yield from self._call_child(
+                start, label, run_id, child_service
+            )
+        self.entries.append(
+            ledger.RunEnded(at=self.now, run_id=run_id, completed=True)
+        )
+        self._reach(Step.ANSWERING, key, service, host_id)
+        return fleet_model.Response(
+            status=status, body=ledger.make_body(label.key, size=BODY_BYTES)
+        )
+
+    def _note_run(
+        self, host_id: str, start: messages.StartRun, label: ledger.Label
+    ) -> str:
+        node = self.fleet.nodes_by_id[host_id]
+        incarnation = node.member.incarnation[:4]
+        run_id = f"{host_id}.{incarnation}.{node.server_number}.{start.run_id}"
+        body_key = ledger.key_of_body(start.request.body)
+        self.entries.append(
+            ledger.RunStarted(
+                at=self.now,
+                label=label,
+                run_id=run_id,
+                host_id=host_id,
+                intact=body_key == label.key,
+            )
+        )
+        return run_id
+
+    def _next_service(self, service: str) -> str:
+        index = self._services.index(service) + 1
+        return self._services[index] if index < len(self._services) else ""
+
+    def _call_child(
+        self,
+        start: messages.StartRun,
+        label: ledger.Label,
+        run_id: str,
+        service: str,
+    ):
+        """Calls the next service; returns the run's own status."""
+        is_last = service == self._services[-1]
+        repeatable = label.repeatable and not (
+            is_last and start.request.path == MIXED_PATH
+        )
+        child = label.child(
+            run_id=run_id, index=0, service=service, repeatable=repeatable
+        )
+        self.entries.append(ledger.Sent(at=self.now, label=child))
+        replies = yield fleet_model.Invoke(
+            requests=[make_request(child, path=start.request.path)],
+            idempotency_keys=["child"],
+        )
+        answer = replies[0].answer
+        self.entries.append(entry_for(self.now, child, answer))
+        return 200 if answer is not None and answer.status == 200 else 502
+
+
+def make_request(label: ledger.Label, *, path: str) -> core.Request:
+    """Builds the request that carries a label."""
+    return core.Request(
+        service=label.service,
+        method="GET" if label.repeatable else "POST",
+        path=path,
+        headers=[(ledger.LABEL_HEADER, label.encode())],
+        body=ledger.make_body(label.key, size=BODY_BYTES),
+    )
+
+
+def label_of(request: core.Request) -> ledger.Label:
+    """Returns the label that a request carries."""
+    values_by_name = dict(request.headers)
+    return ledger.Label.decode(values_by_name[ledger.LABEL_HEADER])
+
+
+def entry_for(
+    now: float, label: ledger.Label, answer: core.Answer | None
+) -> ledger.Entry:
+    """Builds the ledger entry for what a caller received."""
+    if answer is None:
+        return ledger.GaveUp(at=now, label=label)
+    body_key = None
+    if answer.outcome is errors.Outcome.COMPLETED:
+        body_key = ledger.key_of_body(answer.body)
+    return ledger.Answered(
+        at=now,
+        label=label,
+        outcome=answer.outcome.value,
+        error=answer.error.value if answer.error else "",
+        status=answer.status,
+        body_key=body_key,
+    )
+
+
+def _ignore(_host_id: str) -> None:
+    """Does nothing."""
--- /dev/null
+++ b/standins/judged_faults.py
@@ -0,0 +1,277 @@
+"""Faults that strike an in-memory fleet, as the kernel would show them."""
+
+import enum
+
+from bergamotdeal.calls import messages
+from bergamotdeal.membership import core as membership
+from standins import judged as judged_fleet
+from standins import judged_callers
+from standins import ledger
+
+_DRAIN_POLL_S = 0.02
+_FLUSH_S = 0.005
+_HEARTBEAT_LOSS_S = 2.0
+_SUSPICION_S = 1.5
+_DEATH_SEEN_S = 1.0
+_SLOW_FACTOR = 60.0
+_SLOW_S = 3.0
+_SURGE_CALLERS = 60
+_SURGE_S = 0.05
+_HARD_RESENDS = 3
+
+
+class Fault(enum.Enum):
+    """What can strike; the names are those of the fault matrix."""
+
+    SLOW_SERVICE = "slow deep service"
+    SURGE = "surge"
+    HARD_RETRIES = "hard-retrying callers"
+    PAUSED_NODE = "paused process"
+    RACING_SWITCHES = "racing operators"
+    CRASHING_REQUEST = "crashing request"
+    SILENT_CONNECTION = "silent connection"
+    NODE_KILLED = "node killed"
+    SERVER_KILLED = "server killed"
+    CENTRE_CUT_OFF = "data centre cut off"
+    DRAIN = "drain"
+    JOIN = "join"
+
+
+class Faults:
+    """Strikes a fleet with faults.
+
+    Args:
+      judged: The fleet.
+    """
+
+    def __init__(self, *, judged: "judged_fleet.JudgedFleet"):
+        self._judged = judged
+        self._fleet = judged.fleet
+        self._extra_hosts = 10
+        self._extra_callers = 0
+        judged.on_crash = self.kill_server
+
+    def strike(
+        self,
+        fault: Fault,
+        host_id: str,
+        caller: "judged_callers.Caller",
+    ) -> None:
+        """Strikes once.
+
+        Args:
+          fault: What strikes.
+          host_id: Where.
+          caller: The caller whose request reached the step.
+        """
+        match fault:
+            case Fault.SLOW_SERVICE:
+                self.slow_down(self._judged.service_of(host_id))
+            case Fault.SURGE:
+                self.surge()
+            case Fault.HARD_RETRIES:
+                for _ in range(_HARD_RESENDS):
+                    caller.send_again_at_once()
+            case Fault.RACING_SWITCHES:
+                self.switch()
+                self.switch(reverse=True)
+            case Fault.CRASHING_REQUEST:
+                self._judged.crashing.add(caller.key)
+                self.kill_server(host_id)
+            case _:
+                self._strike_host(fault, host_id)
+
+    def _strike_host(self, fault: Fault, host_id: str) -> None:
+        match fault:
+            case Fault.PAUSED_NODE:
+                self.pause_node(host_id)
+            case Fault.SILENT_CONNECTION:
+                self.silence_links(host_id)
+            case Fault.NODE_KILLED:
+                self.kill_node(host_id)
+            case Fault.SERVER_KILLED:
+                self.kill_server(host_id)
+            case Fault.CENTRE_CUT_OFF:
+                node = self._fleet.nodes_by_id[host_id]
+                self.cut_centre(node.member.data_centre)
+            case Fault.DRAIN:
+                self.drain(host_id)
+            case Fault.JOIN:
+                self.join(self._judged.service_of(host_id))
+
+    def slow_down(self, service: str) -> None:
+        """Slows a service down for a time."""
+        self._judged.slow_by_service[service] = _SLOW_FACTOR
+        self._judged.after(
+            _SLOW_S,
+            lambda: self._judged.slow_by_service.pop(service, None),
+        )
+
+    def surge(self) -> None:
+        """Lets many more callers send at the same moment."""
+        judged = self._judged
+        for _ in range(_SURGE_CALLERS):
+            self._extra_callers += 1
+            number = self._extra_callers
+            caller = judged_callers.Caller(
+                judged=judged,
+                key=f"surge-{number}",
+                path=judged_fleet.BROWSE_PATH
+                if number % 4
+                else judged_fleet.BOOK_PATH,
+                repeatable=bool(number % 4),
+            )
+            judged.after(judged.rng.uniform(0, _SURGE_S), caller.send)
+
+    def join(self, service: str) -> None:
+        """Adds a host to a service."""
+        self._extra_hosts += 1
+        self._judged.add_host(service, self._extra_hosts)
+
+    def kill_server(self, host_id: str, *, restart_after_s: float = 1) -> None:
+        """Kills a backend server; a new one starts later."""
+        node = self._fleet.nodes_by_id[host_id]
+        if not node.server_up:
+            return
+        self._fleet.kill_server(host_id)
+        self._judged.after(
+            restart_after_s, lambda: self._fleet.start_server(host_id)
+        )
+
+    def kill_node(self, host_id: str, *, restart_after_s: float = 3) -> None:
+        """Kills a node; its server runs on and a new node starts later."""
+        if not self._judged.is_up(host_id):
+            return
+        self._judged.note_down(host_id)
+        self._fleet.kill_node(host_id, noticed=False)
+        self._judged.after(
+            _DEATH_SEEN_S,
+            lambda: self._set_state(host_id, membership.MemberState.DEAD),
+        )
+        self._judged.after(restart_after_s, lambda: self._restart(host_id))
+
+    def pause_node(self, host_id: str, *, seconds: float = 5) -> None:
+        """Stops a node's process; heartbeats close its links."""
+        node = self._fleet.nodes_by_id[host_id]
+        if node.engine is None or node.held is not None:
+            return
+        self._judged.note_down(host_id)
+        self._fleet.pause_node(host_id)
+        self._judged.after(
+            _HEARTBEAT_LOSS_S, lambda: self._fleet.links.close_all(host_id)
+        )
+        self._judged.after(
+            _SUSPICION_S,
+            lambda: self._set_state(host_id, membership.MemberState.SUSPECT),
+        )
+        self._judged.after(seconds, lambda: self._resume(host_id))
+
+    def silence_links(self, host_id: str) -> None:
+        """Silences the open links of a host; new ones work."""
+        pairs = {
+            frozenset({host_id, other})
+            for other in self._fleet.nodes_by_id
+            if other != host_id
+        }
+        self._judged.silenced |= pairs
+        self._judged.after(
+            _HEARTBEAT_LOSS_S, lambda: self._replace_links(host_id, pairs)
+        )
+
+    def cut_centre(self, data_centre: str, *, seconds: float = 5) -> None:
+        """Cuts a data centre off for a time."""
+        inside = self._hosts_in(data_centre)
+        outside = set(self._fleet.nodes_by_id) - inside
+        pairs = [(one, other) for one in inside for other in outside]
+        for host_id in inside:
+            self._judged.note_down(host_id)
+        self._judged.silenced |= {frozenset(pair) for pair in pairs}
+        self._judged.after(_HEARTBEAT_LOSS_S, lambda: self._cut(pairs))
+        self._judged.after(seconds, lambda: self._mend(pairs, inside))
+
+    def drain(self, host_id: str) -> None:
+        """Starts a graceful shutdown of a node."""
+        node = self._fleet.nodes_by_id[host_id]
+        if node.engine is None or node.held is not None:
+            return
+        self._judged.entries.append(
+            ledger.DrainAsked(at=self._judged.now, host_id=host_id)
+        )
+        self._fleet.drain(host_id)
+        incarnation = node.member.incarnation
+        self._judged.after(
+            _DRAIN_POLL_S, lambda: self._end_drain(host_id, incarnation)
+        )
+
+    def switch(self, *, reverse: bool = False) -> None:
+        """Puts the next preset in force, told to each node at its own time."""
+        self._fleet.epoch += 1
+        epoch = self._fleet.epoch
+        preset = judged_fleet.make_preset(f"epoch-{epoch}")
+        self._fleet.preset = preset
+        self._judged.entries.append(
+            ledger.SwitchAccepted(
+                at=self._judged.now,
+                operation_id=f"operation-{epoch}",
+                epoch=epoch,
+                preset_name=preset.name,
+            )
+        )
+        event = messages.PresetInForce(epoch=epoch, preset=preset)
+        for number, host_id in enumerate(sorted(self._fleet.nodes_by_id)):
+            delay_s = 0.1 * (number % 5 if not reverse else 4 - number % 5)
+            self._fleet.send_event_after(delay_s, host_id, event)
+
+    def _set_state(self, host_id: str, state: membership.MemberState) -> None:
+        node = self._fleet.nodes_by_id[host_id]
+        is_away = node.engine is None or node.held is not None
+        if is_away or state is membership.MemberState.ALIVE:
+            self._fleet.set_state(host_id, state)
+
+    def _restart(self, host_id: str) -> None:
+        if not self._judged.is_up(host_id):
+            self._fleet.start_node(host_id)
+            self._judged.note_up(host_id)
+
+    def _resume(self, host_id: str) -> None:
+        if self._judged.is_up(host_id):
+            self._fleet.resume_node(host_id)
+            self._fleet.set_state(host_id, membership.MemberState.ALIVE)
+            self._judged.note_up(host_id)
+
+    def _replace_links(self, host_id: str, pairs: set[frozenset[str]]) -> None:
+        self._judged.silenced -= pairs
+        self._fleet.links.close_all(host_id)
+
+    def _hosts_in(self, data_centre: str) -> set[str]:
+        return {
+            host_id
+            for host_id, node in self._fleet.nodes_by_id.items()
+            if node.member.data_centre == data_centre
+        }
+
+    def _cut(self, pairs: list[tuple[str, str]]) -> None:
+        for one, other in pairs:
+            self._fleet.links.cut(one, other)
+
+    def _mend(self, pairs: list[tuple[str, str]], inside: set[str]) -> None:
+        for one, other in pairs:
+            self._judged.silenced.discard(frozenset({one, other}))
+            self._fleet.links.mend(one, other)
+        for host_id in inside:
+            self._judged.note_up(host_id)
+
+    def _end_drain(self, host_id: str, incarnation: str) -> None:
+        node = self._fleet.nodes_by_id[host_id]
+        if node.engine is None or node.member.incarnation != incarnation:
+            return
+        if node.held is not None or not node.engine.idle():
+            self._judged.after(
+                _DRAIN_POLL_S, lambda: self._end_drain(host_id, incarnation)
+            )
+            return
+        self._judged.entries.append(
+            ledger.DrainEnded(at=self._judged.now, host_id=host_id, exit_code=0)
+        )
+        # What was written before the exit still arrives.
+        self._judged.after(_FLUSH_S, lambda: self._fleet.kill_node(host_id))
