--- a/standins/judged.py
+++ b/standins/judged.py
@@ -61,15 +61,21 @@
     strike: Strike
 
 
-def make_preset(name: str = "ordinary", **options) -> model.Preset:
+def make_preset(
+    name: str = "ordinary",
+    *,
+    services: tuple[str, ...] = SERVICES,
+    **options,
+) -> model.Preset:
     """Builds a preset for the chain.
 
     Args:
       name: Its name.
+      services: Services of the chain.
       **options: Further fields of the preset.
     """
     routes = []
-    for service in SERVICES:
+    for service in services:
         routes.append(
             model.Route(
                 service=service,
--- /dev/null
+++ b/standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures goodput, recovery, latency and control cost of real nodes."""
--- /dev/null
+++ b/standins/measure/resends.py
@@ -0,0 +1,79 @@
+"""Re-sends per user request in chains of several depths, under losses."""
+
+import collections
+import random
+
+from bergamotdeal.presets import model
+from standins import judged as judged_fleet
+from standins import judged_callers
+from standins import judged_faults
+from standins.measure import figures
+
+DEPTHS = (2, 4, 8, 16)
+_CALLERS = 60
+_LOAD_S = 6.0
+_SETTLE_S = 20.0
+_KILL_EVERY_S = 0.05
+_ALLOWANCE = 3
+_NO_ALLOWANCE = 100
+
+
+def measure(report: figures.Report, *, seed: int = 1) -> None:
+    """Adds the largest number of re-sends at each depth.
+
+    The engines run under an injected clock, so the figure depends on the
+    seed alone. Servers and nodes die all the time and callers resend.
+    """
+    for depth in DEPTHS:
+        for variant, allowance, target in (
+            ("control on", _ALLOWANCE, _ALLOWANCE),
+            ("allowance 100", _NO_ALLOWANCE, None),
+        ):
+            most = _run(depth, seed, allowance)
+            report.add(
+                "re-sends per user request, maximum",
+                most,
+                "re-sends",
+                variant=f"depth {depth}, {variant}",
+                target=target,
+                note=f"{_CALLERS} user requests, seed {seed}",
+            )
+
+
+def _run(depth: int, seed: int, allowance: int) -> int:
+    rng = random.Random(seed)
+    # The allowance alone is to bound the re-sends here.
+    retries = model.RetryPolicy(allowance=allowance, ratio=1.0, burst=1000)
+    services = tuple(f"level-{n}" for n in range(depth))
+    judged = judged_fleet.JudgedFleet(
+        seed=seed,
+        services=services,
+        preset=judged_fleet.make_preset(services=services, retries=retries),
+    )
+    faults = judged_faults.Faults(judged=judged)
+    for number in range(_CALLERS):
+        caller = judged_callers.Caller(
+            judged=judged, key=f"user-{number}", service=services[0]
+        )
+        judged.after(rng.uniform(0.2, _LOAD_S), caller.send)
+    elapsed_s = 0.2
+    while elapsed_s < _LOAD_S:
+        host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
+        strike = rng.choice((faults.kill_server, faults.kill_node))
+        judged.after(elapsed_s, lambda host_id=host_id, s=strike: s(host_id))
+        elapsed_s += _KILL_EVERY_S
+    judged.run_for(_LOAD_S + _SETTLE_S)
+    return max(_resends_by_user(judged).values(), default=0)
+
+
+def _resends_by_user(judged: judged_fleet.JudgedFleet) -> dict[str, int]:
+    """Counts the call frames that repeat a sending, by user request."""
+    frames_by_sending = collections.Counter()
+    for _, _, call in judged.fleet.calls_sent:
+        label = judged_fleet.label_of(call.request)
+        user = label.root.partition("#")[0]
+        frames_by_sending[user, label.key, label.sending] += 1
+    resends = collections.Counter()
+    for (user, _, _), count in frames_by_sending.items():
+        resends[user] += count - 1
+    return resends
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,141 @@
+"""A seeded random walk over faults, on the call engines.
+
+    make soak SEED=1 SECONDS=60
+
+Each walk has a seed of its own; a failing one is run again alone with
+``python -m standins.soak --walk SEED``.
+"""
+
+import dataclasses
+import random
+import time
+
+import click
+
+from standins import checker
+from standins import judged as judged_fleet
+from standins import judged_callers
+from standins import judged_faults
+from standins import ledger
+
+_CALLERS = 40
+_MAX_FAULTS = 5
+_LOAD_S = 8.0
+_SETTLE_S = 30.0
+_SEEDS = 1 << 32
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Walk:
+    """The result of one walk.
+
+    Attributes:
+      seed: Its seed.
+      faults: What struck, in order.
+      violations: What the checker found.
+      open_callers: Callers that never came to an end.
+      runs: Runs on backend servers.
+    """
+
+    seed: int
+    faults: list[str]
+    violations: list[checker.Violation]
+    open_callers: list[str]
+    runs: int
+
+    @property
+    def failed(self) -> bool:
+        """Whether anything was wrong."""
+        return bool(self.violations or self.open_callers)
+
+
+def run_walk(seed: int) -> Walk:
+    """Runs callers of all kinds while random faults strike random hosts.
+
+    Args:
+      seed: Decides everything in the walk.
+    """
+    rng = random.Random(seed)
+    judged = judged_fleet.JudgedFleet(seed=seed)
+    faults = judged_faults.Faults(judged=judged)
+    callers = [_make_caller(judged, rng, n) for n in range(_CALLERS)]
+    for caller in callers:
+        judged.after(rng.uniform(0.2, _LOAD_S), caller.send)
+    struck = []
+
+    def strike(fault: judged_faults.Fault, host_id: str) -> None:
+        struck.append(f"{judged.now:.3f} {fault.value} {host_id}")
+        faults.strike(fault, host_id, rng.choice(callers))
+
+    for _ in range(rng.randint(1, _MAX_FAULTS)):
+        fault = rng.choice(list(judged_faults.Fault))
+        host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
+        judged.after(
+            rng.uniform(0.2, _LOAD_S),
+            lambda fault=fault, host_id=host_id: strike(fault, host_id),
+        )
+    judged.run_for(_LOAD_S + _SETTLE_S)
+    return Walk(
+        seed=seed,
+        faults=struck,
+        violations=checker.check(judged.entries),
+        open_callers=[c.key for c in callers if not c.done],
+        runs=sum(isinstance(e, ledger.RunStarted) for e in judged.entries),
+    )
+
+
+def _make_caller(
+    judged: judged_fleet.JudgedFleet, rng: random.Random, number: int
+) -> judged_callers.Caller:
+    path = rng.choice(
+        (
+            judged_fleet.BROWSE_PATH,
+            judged_fleet.BOOK_PATH,
+            judged_fleet.MIXED_PATH,
+        )
+    )
+    return judged_callers.Caller(
+        judged=judged,
+        key=f"caller-{number}",
+        path=path,
+        repeatable=path != judged_fleet.BOOK_PATH,
+    )
+
+
+def _report(walk: Walk) -> None:
+    click.echo(f"walk {walk.seed}: FAILED")
+    for fault in walk.faults:
+        click.echo(f"  struck: {fault}")
+    for violation in walk.violations:
+        click.echo(
+            f"  {violation.promise.value}: "
+            f"{violation.subject}: {violation.detail}"
+        )
+    for key in walk.open_callers:
+        click.echo(f"  never ended: {key}")
+
+
+@click.command()
+@click.option("--seed", default=1, help="Seed of the walks' seeds.")
+@click.option("--seconds", default=60.0, help="Wall-clock time to go on for.")
+@click.option("--walk", default=None, type=int, help="Run this walk alone.")
+def main(seed: int, seconds: float, walk: int | None) -> None:
+    """Walks until the time is up; exits 1 when any walk failed."""
+    rng = random.Random(seed)
+    deadline = time.monotonic() + seconds
+    walks = runs = failures = 0
+    while walk is not None or time.monotonic() < deadline:
+        result = run_walk(rng.randrange(_SEEDS) if walk is None else walk)
+        walks += 1
+        runs += result.runs
+        if result.failed:
+            failures += 1
+            _report(result)
+        if walk is not None:
+            break
+    click.echo(f"{walks} walks, {runs} runs, {failures} walks failed")
+    raise SystemExit(1 if failures else 0)
+
+
+if __name__ == "__main__":
+    main()
