--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -7,16 +7,13 @@
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
-from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
 from bergamotdeal.node import drain
 from bergamotdeal.node import faces
 from bergamotdeal.node import hub
-from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
 from bergamotdeal.node import server_link
-from bergamotdeal.node import status as node_status
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.telemetry import catalogue
