Run a node from its settings over gossip membership

Cause: the thin path needed real membership, a preset and the admin face. Change: node.app wires all tasks; bulk requests go to the task that they are for; calls and answers carry the hybrid clock's stamp.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -94,6 +94,18 @@
         """Whether no exchange, call or run is open."""
         return self._dispatcher.idle() and self._executor.idle()
 
+    def load(self) -> core.Load | None:
+        """Returns the backend server's load, None before an announcement."""
+        return self._executor.load()
+
+    def threshold(self, class_name: str) -> float:
+        """Returns the share of request hashes that is admitted here.
+
+        Args:
+          class_name: Class of the requests.
+        """
+        return self._executor.threshold(class_name)
+
     def _handle(self, event: messages.Event) -> None:
         match event:
             case messages.CallArrived():
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -54,6 +54,17 @@
         """Whether every call is answered."""
         return self._table.idle()
 
+    def load(self) -> core.Load | None:
+        """Returns the backend server's load, None before an announcement."""
+        return self._controller.load() if self._controller else None
+
+    def threshold(self, class_name: str) -> float:
+        """Returns the share of request hashes of a class that is admitted."""
+        if self._controller is None:
+            return 1.0
+        rank = self._state.preset.rank_of(class_name)
+        return self._controller.threshold(rank)
+
     def next_wakeup(self) -> float | None:
         """Returns when ``advance`` is next needed, in monotonic seconds."""
         if self._controller is None:
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -1,20 +1,31 @@
 """Assembles the node from its tasks and runs it."""
 
 import itertools
+import pathlib
 import random
 import secrets
+import signal
+
+import result
 
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
+from bergamotdeal.membership import messages as gossip_messages
+from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
+from bergamotdeal.node import bulk_server
 from bergamotdeal.node import drain
 from bergamotdeal.node import faces
 from bergamotdeal.node import hub
+from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
 from bergamotdeal.node import server_link
+from bergamotdeal.node import status as node_status
+from bergamotdeal.node import status_report
 from bergamotdeal.presets import model as preset_model
+from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.telemetry import catalogue
 
@@ -22,6 +33,11 @@
 FLUSH_TIMEOUT_S = 2.0
 FLUSH_POLL_S = 0.01
 NO_EPOCH = -1
+NO_PRESET_REASON = "no preset in force is known"
+
+
+class InvalidPresetError(Exception):
+    """The preset file named in the settings can't be used."""
 
 
 class Application:
@@ -36,57 +52,43 @@
         self._settings = settings
         self._reactor = reactor
         self._rng = random.SystemRandom()
+        self._started_at = reactor.seconds()
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._observation = observation.Observation(
             settings=settings, reactor=reactor
         )
-        self._record = self._observation.recorder.record
-        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self.epoch = NO_EPOCH
-        self.preset = preset_model.Preset(name="none")
-        self._held_announcement: messages.ServerAnnounced | None = None
-        self._identity = membership.Member(
-            host_id=settings.node.host_id,
-            incarnation=self.incarnation,
-            data_centre=settings.node.data_centre,
-            region=settings.node.region,
-            address=settings.peer.address,
-            peer_port=settings.peer.port,
-            admin_port=settings.admin.port,
-        )
-        self._engine = call_engine.Engine(
-            identity=self._identity,
-            preset=self.preset,
-            epoch=NO_EPOCH,
-            # Routing and identifiers need speed here, not secrecy.
-            rng=random.Random(self._rng.getrandbits(64)),
-        )
-        self.hub = hub.Hub(
+        self._recorder = self._observation.recorder
+        self._record = self._recorder.record
+        self._epoch = NO_EPOCH
+        self._preset = preset_model.Preset(name="none")
+        self._announced: messages.ServerAnnounced | None = None
+        self._engine = self._build_engine()
+        self._hub = hub.Hub(
             reactor=reactor,
             engine=self._engine,
             record=self._record,
-            share_crash_reports=self._share_crash_reports,
+            share_crash_reports=lambda effect: self._membership.deliver(effect),
         )
         self._server = server_link.ServerLinkTask(
-            reactor=reactor, post=self._post_from_server
+            reactor=reactor, post=self._server_posted
         )
-        self._peer = peer.PeerTask(
-            reactor=reactor,
+        self._peer = self._build_peer()
+        self._membership = self._build_membership()
+        self._entry, self._egress = self._build_faces()
+        self._admin = admin.AdminTask(
+            node=self,
             host_id=settings.node.host_id,
-            incarnation=self.incarnation,
-            key=settings.peer.key.encode(),
-            rng=self._rng,
-            post=self.hub.post,
+            events=self._recorder.ring,
+            token=settings.admin.token,
             record=self._record,
-            serve_bulk=self._serve_bulk,
         )
-        self._entry, self._egress = self._build_faces()
         self._drain = drain.Drain(
             reactor=reactor,
             is_idle=self._engine.idle,
             on_started=self._drain_started,
             on_finished=self._drain_finished,
         )
-        self.hub.connect(
+        self._hub.connect(
             face_tasks=[self._entry, self._egress],
             peer_task=self._peer,
             server_task=self._server,
@@ -95,71 +97,232 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node knows the preset in force."""
-        return self.epoch > NO_EPOCH
+        return self._epoch > NO_EPOCH
 
     def start(self) -> None:
-        """Opens the faces."""
+        """Opens the faces and makes contact with the fleet."""
         settings = self._settings
         self._observation.start()
-        self._record(
-            messages.Record(
-                code=catalogue.EventCode.NODE_STARTED,
-                fields={
-                    "host": settings.node.host_id,
-                    "incarnation": self.incarnation,
-                },
-            )
+        self._note(
+            catalogue.EventCode.NODE_STARTED,
+            host=settings.node.host_id,
+            incarnation=self._incarnation,
         )
         self._peer.start(address=settings.peer.address, port=settings.peer.port)
         self._server.start()
         for face, section in (
             (self._egress, settings.egress),
             (self._entry, settings.entry),
+            (self._admin, settings.admin),
         ):
             face.start(
                 reactor=self._reactor,
                 address=section.address,
                 port=section.port,
             )
+        self._membership.start(
+            peer_port=self._peer.port,
+            admin_port=status_report.reachable_admin_port(settings),
+        )
+        if settings.preset.file:
+            self._read_first_preset()
 
-    def begin_drain(self) -> None:
-        """Starts the graceful shutdown."""
+    # What the admin face asks.
+
+    def start_drain(self) -> None:
+        """Starts a graceful shutdown; a second call changes nothing."""
         self._drain.start()
 
+    def status(self, *, with_members: bool) -> node_status.NodeStatus:
+        """Returns the node's status.
+
+        Args:
+          with_members: Whether the fleet's members are wanted, too.
+        """
+        node = self._settings.node
+        members_by_id = self._membership.members_by_id() if with_members else {}
+        own = self._announced
+        return node_status.NodeStatus(
+            host_id=node.host_id,
+            incarnation=self._incarnation,
+            data_centre=node.data_centre,
+            region=node.region,
+            ready=self.is_ready,
+            not_ready_reason="" if self.is_ready else NO_PRESET_REASON,
+            draining=self._drain.started,
+            epoch=max(0, self._epoch),
+            preset_name=self._preset.name if self.is_ready else "",
+            uptime_s=self._reactor.seconds() - self._started_at,
+            resident_bytes=status_report.resident_bytes(),
+            server=status_report.server_status(
+                self._engine, server=own, preset=self._preset
+            ),
+            members=[
+                status_report.member_status(member)
+                for member in members_by_id.values()
+            ],
+            counters_by_name=self._recorder.metrics.totals(),
+        )
+
+    def offer_in_force(self, data: bytes) -> result.Result[int, str]:
+        """Takes the accepted in-force object that an operator hands over.
+
+        Args:
+          data: The object's encoded content.
+
+        Returns:
+          The epoch in force here now, or why the content can't be accepted.
+        """
+        del data
+        return result.Err("not supported")
+
+    # Assembly.
+
+    def _build_engine(self) -> call_engine.Engine:
+        settings = self._settings
+        identity = membership.Member(
+            host_id=settings.node.host_id,
+            incarnation=self._incarnation,
+            data_centre=settings.node.data_centre,
+            region=settings.node.region,
+            address=settings.peer.address,
+            peer_port=settings.peer.port,
+        )
+        return call_engine.Engine(
+            identity=identity,
+            preset=self._preset,
+            epoch=NO_EPOCH,
+            # Routing needs speed here, not secrecy.
+            rng=random.Random(self._rng.getrandbits(64)),
+        )
+
+    def _build_peer(self) -> peer.PeerTask:
+        server = bulk_server.BulkServer(
+            membership=lambda request: self._membership.serve(request),
+            presets=self._serve_presets,
+        )
+        return peer.PeerTask(
+            reactor=self._reactor,
+            host_id=self._settings.node.host_id,
+            incarnation=self._incarnation,
+            key=self._settings.peer.key.encode(),
+            rng=self._rng,
+            post=self._hub.post,
+            record=self._record,
+            serve_bulk=server.serve,
+            hybrid_clock=self._recorder.clock,
+        )
+
+    def _build_membership(self) -> membership_task.MembershipTask:
+        return membership_task.MembershipTask(
+            settings=self._settings,
+            incarnation=self._incarnation,
+            reactor=self._reactor,
+            post=self._membership_posted,
+            rng=random.Random(self._rng.getrandbits(64)),
+            request_bulk=self._peer.request_bulk,
+            record=self._record,
+        )
+
     def _build_faces(self) -> tuple[faces.FaceTask, faces.FaceTask]:
         origin_ids = itertools.count(1)
         handler = announcements.AnnouncementHandler(
-            on_announced=self._server.announced, on_drain=self.begin_drain
+            on_announced=self._server.announced, on_drain=self.start_drain
         )
-        entry = faces.FaceTask(
-            face=messages.Face.ENTRY,
-            post=self.hub.post,
-            is_ready=lambda: self.is_ready,
-            rng=self._rng,
-            origin_ids=origin_ids,
-        )
-        egress = faces.FaceTask(
-            face=messages.Face.EGRESS,
-            post=self.hub.post,
-            is_ready=lambda: self.is_ready,
-            rng=self._rng,
-            origin_ids=origin_ids,
-            handle_own=handler.handle,
+        entry, egress = (
+            faces.FaceTask(
+                face=face,
+                post=self._hub.post,
+                is_ready=lambda: self.is_ready,
+                rng=random.Random(self._rng.getrandbits(64)),
+                origin_ids=origin_ids,
+                handle_own=handle_own,
+            )
+            for face, handle_own in (
+                (messages.Face.ENTRY, None),
+                (messages.Face.EGRESS, handler.handle),
+            )
         )
         return entry, egress
 
+    # What the tasks post.
+
+    def _membership_posted(self, event: messages.Event) -> None:
+        if isinstance(event, messages.MembersChanged):
+            self._peer.outgoing.members_changed(event.members_by_id)
+        self._hub.post(event)
+
+    def _server_posted(self, event: messages.Event) -> None:
+        match event:
+            case messages.ServerAnnounced():
+                self._announced = event
+                # Without a preset no call can be judged, so none may come.
+                if self.is_ready:
+                    self._publish_server(event)
+            case messages.ServerStopped() | messages.ServerSilent():
+                self._announced = None
+                self._note(catalogue.EventCode.SERVER_STOPPED)
+                self._publish_server(event)
+            case _:
+                self._hub.post(event)
+
+    def _publish_server(self, event: messages.Event) -> None:
+        self._hub.post(event)
+        self._membership.deliver(event)
+
+    # Presets.
+
+    def _read_first_preset(self) -> None:
+        path = pathlib.Path(self._settings.preset.file)
+        parsed = preset_parser.parse(path.read_text(encoding="utf-8"))
+        if isinstance(parsed, result.Err):
+            problems = "; ".join(str(problem) for problem in parsed.err_value)
+            raise InvalidPresetError(f"{path}: {problems}")
+        self._put_in_force(
+            messages.PresetInForce(epoch=0, preset=parsed.ok_value)
+        )
+
+    def _put_in_force(self, event: messages.PresetInForce) -> None:
+        if event.epoch <= self._epoch:
+            return
+        was_ready = self.is_ready
+        self._epoch = event.epoch
+        self._preset = event.preset
+        self._hub.post(event)
+        self._note(
+            catalogue.EventCode.PRESET_IN_FORCE,
+            name=event.preset.name,
+            epoch=event.epoch,
+        )
+        if was_ready:
+            return
+        self._note(catalogue.EventCode.NODE_READY)
+        if self._announced is not None:
+            self._publish_server(self._announced)
+
+    def _serve_presets(
+        self, request: gossip_messages.Bulk
+    ) -> gossip_messages.Bulk:
+        del request
+        raise bulk_server.MalformedBulkError("no preset task")
+
+    # Drain and stop.
+
     def _drain_started(self) -> None:
-        self._record(messages.Record(code=catalogue.EventCode.DRAIN_STARTED))
-        self.hub.post(messages.DrainStarted())
+        self._note(catalogue.EventCode.DRAIN_STARTED)
+        self._hub.post(messages.DrainStarted())
+        self._membership.deliver(messages.DrainStarted())
         self._entry.start_closing()
 
     def _drain_finished(self) -> None:
-        self._record(messages.Record(code=catalogue.EventCode.DRAIN_FINISHED))
+        self._note(catalogue.EventCode.DRAIN_FINISHED)
         self._entry.stop()
         self._egress.stop()
         self._egress.start_closing()
-        self._peer.stop()
+        self._admin.stop()
         self._server.stop()
+        self._membership.stop()
+        self._peer.stop()
         self._stop_when_flushed(self._reactor.seconds() + FLUSH_TIMEOUT_S)
 
     def _stop_when_flushed(self, deadline: float) -> None:
@@ -169,36 +332,31 @@
             return
         self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
 
-    def _put_in_force(self, event: messages.PresetInForce) -> None:
-        if event.epoch <= self.epoch:
-            return
-        was_ready = self.is_ready
-        self.epoch = event.epoch
-        self.preset = event.preset
-        self.hub.post(event)
-        self._record(
-            messages.Record(
-                code=catalogue.EventCode.PRESET_IN_FORCE,
-                fields={"name": event.preset.name, "epoch": event.epoch},
-            )
-        )
-        if not was_ready:
-            self._became_ready()
+    def _note(self, code: catalogue.EventCode, **fields) -> None:
+        self._record(messages.Record(code=code, fields=fields))
 
-    def _became_ready(self) -> None:
-        self._record(messages.Record(code=catalogue.EventCode.NODE_READY))
-        if self._held_announcement is not None:
-            self._server_announced(self._held_announcement)
 
-    def _post_from_server(self, event: messages.Event) -> None:
-        match event:
-            case messages.ServerAnnounced() if not self.is_ready:
-                # Without a preset no call can be judged, so none may come.
-                self._held_announcement = event
-            case messages.ServerAnnounced():
-                self._server_announced(event)
-            case messages.ServerStopped() | messages.ServerSilent():
-                self._held_announcement = None
-                self._server_gone(event)
-            case _:
-                self.hub.post(event)
+def run(settings: settings_model.Settings) -> None:
+    """Runs a node until it has drained.
+
+    Args:
+      settings: The node's settings.
+
+    Raises:
+      InvalidPresetError: The preset file can't be used.
+      twisted.internet.error.CannotListenError: A port is taken.
+    """
+    # Importing the reactor installs it, which a library must not do.
+    from twisted.internet import reactor
+
+    application = Application(settings=settings, reactor=reactor)
+
+    def on_signal(number, frame) -> None:
+        del number, frame
+        reactor.callFromThread(application.start_drain)
+
+    application.start()
+    # The reactor's own handlers would stop it at once.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    reactor.run(installSignalHandlers=False)
--- a/bergamotdeal/node/outgoing.py
+++ b/bergamotdeal/node/outgoing.py
@@ -7,6 +7,7 @@
 from bergamotdeal.membership import core as membership
 from bergamotdeal.node import peer_link
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import clock
 from bergamotdeal.wire import messages
 
 DIAL_TIMEOUT_S = 1.0
@@ -49,6 +50,7 @@
       builder: Builds the links.
       post: Takes the events for the call engine.
       record: Takes events for the time line.
+      hybrid_clock: Stamps calls and answers, for the time line.
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         builder: peer_link.LinkBuilder,
         post: Callable[[calls.Event], None],
         record: Callable[[calls.Record], None],
+        hybrid_clock: clock.HybridClock,
     ) -> None:
         self._reactor = reactor
         self._builder = builder
         self._post = post
         self._record = record
+        self._clock = hybrid_clock
         self._members_by_id: dict[str, membership.Member] = {}
         self._outgoing_by_host: dict[str, _Outgoing] = {}
 
@@ -199,6 +203,7 @@
 
     def _write_call(self, outgoing: _Outgoing, effect: calls.SendCall) -> None:
         outgoing.sent.add(effect.call.number)
+        effect.call.stamp = self._clock.now()
         outgoing.link.send(messages.CallFrame(call=effect.call))
 
     def _frame_from_target(
@@ -207,6 +212,7 @@
         match frame:
             case messages.AnswerFrame():
                 outgoing.sent.discard(frame.number)
+                self._clock.observe(frame.answer.stamp)
                 self._post(
                     calls.PeerAnswered(
                         host_id=outgoing.host_id,
--- a/bergamotdeal/node/peer.py
+++ b/bergamotdeal/node/peer.py
@@ -18,6 +18,7 @@
 from bergamotdeal.node import outgoing
 from bergamotdeal.node import peer_link
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import clock
 from bergamotdeal.wire import messages
 
 CHECK_INTERVAL_S = 0.25
@@ -35,6 +36,7 @@
       post: Takes the events for the call engine.
       record: Takes events for the time line.
       serve_bulk: Answers a bulk request's payload.
+      hybrid_clock: Stamps calls and answers, for the time line.
 
     Attributes:
       outgoing: The links on which this node calls others.
@@ -51,11 +53,13 @@
         post: Callable[[calls.Event], None],
         record: Callable[[calls.Record], None],
         serve_bulk: Callable[[bytes], bytes],
+        hybrid_clock: clock.HybridClock,
     ) -> None:
         self._reactor = reactor
         self._post = post
         self._record = record
         self._serve_bulk = serve_bulk
+        self._clock = hybrid_clock
         self._builder = peer_link.LinkBuilder(
             host_id=host_id,
             incarnation=incarnation,
@@ -64,7 +68,11 @@
             seconds=reactor.seconds,
         )
         self.outgoing = outgoing.OutgoingLinks(
-            reactor=reactor, builder=self._builder, post=post, record=record
+            reactor=reactor,
+            builder=self._builder,
+            post=post,
+            record=record,
+            hybrid_clock=hybrid_clock,
         )
         self._incoming_by_id: dict[int, peer_link.PeerLink] = {}
         self._link_ids = itertools.count(1)
@@ -114,6 +122,7 @@
         link = self._incoming_by_id.get(effect.link_id)
         if link is None:
             return
+        effect.answer.stamp = self._clock.now()
         link.send(
             messages.AnswerFrame(
                 number=effect.number,
@@ -177,17 +186,28 @@
     ) -> None:
         match frame:
             case messages.CallFrame():
+                self._clock.observe(frame.call.stamp)
                 self._post(calls.PeerCalled(link_id=link_id, call=frame.call))
             case messages.CancelFrame():
                 self._post(
                     calls.PeerCancelled(link_id=link_id, number=frame.number)
                 )
             case messages.BulkRequest():
-                response = self._serve_bulk(frame.payload)
-                link.send(messages.BulkResponse(payload=response))
+                self._answer_bulk(link, frame)
             case _:
                 link.close("unexpected frame")
 
+    def _answer_bulk(
+        self, link: peer_link.PeerLink, frame: messages.BulkRequest
+    ) -> None:
+        try:
+            response = self._serve_bulk(frame.payload)
+        except Exception as e:
+            # The link serves this exchange alone; other links go on.
+            link.close(f"bulk request failed: {e}")
+            return
+        link.send(messages.BulkResponse(payload=response))
+
     def _check_links(self) -> None:
         now = self._reactor.seconds()
         self.outgoing.check(now)
--- /dev/null
+++ b/bergamotdeal/node/status_report.py
@@ -0,0 +1,88 @@
+"""Puts together the status of a node from its parts."""
+
+import resource
+import sys
+
+from bergamotdeal.calls import engine as call_engine
+from bergamotdeal.calls import messages
+from bergamotdeal.membership import core as membership
+from bergamotdeal.node import status
+from bergamotdeal.presets import model as preset_model
+from bergamotdeal.settings import model as settings_model
+
+_PAGE_BYTES = resource.getpagesize()
+_RESIDENT_FIELD = 1
+_BYTES_PER_KB = 1024
+
+
+def resident_bytes() -> int:
+    """Returns the process's resident memory in bytes."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as stream:
+            return int(stream.read().split()[_RESIDENT_FIELD]) * _PAGE_BYTES
+    except OSError:
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        return peak if sys.platform == "darwin" else peak * _BYTES_PER_KB
+
+
+def server_status(
+    engine: call_engine.Engine,
+    *,
+    server: messages.ServerAnnounced | None,
+    preset: preset_model.Preset,
+) -> status.ServerStatus | None:
+    """Returns the status of the local backend server.
+
+    Args:
+      engine: The call engine.
+      server: The announced server, or None.
+      preset: The preset in force.
+    """
+    if server is None:
+        return None
+    load = engine.load()
+    return status.ServerStatus(
+        service=server.service,
+        slots=server.slots,
+        running=load.running if load else 0,
+        queued=load.queued if load else 0,
+        limit=load.limit if load else 0,
+        thresholds_by_class={
+            name: engine.threshold(name) for name in preset.classes
+        },
+    )
+
+
+def member_status(
+    member: membership.Member,
+) -> status.MemberStatus:
+    """Returns the status of one member.
+
+    Args:
+      member: The member.
+    """
+    return status.MemberStatus(
+        host_id=member.host_id,
+        incarnation=member.incarnation,
+        state=member.state.value,
+        data_centre=member.data_centre,
+        region=member.region,
+        address=member.address,
+        admin_port=member.admin_port,
+        service=member.server.service if member.server else "",
+    )
+
+
+def reachable_admin_port(settings: settings_model.Settings) -> int:
+    """Returns the admin port that other hosts can reach, zero for none.
+
+    Args:
+      settings: The node's settings.
+    """
+    # Behind a loopback address only this host's operators get through, unless
+    # the whole fleet runs on loopback addresses.
+    same = settings.admin.address == settings.peer.address
+    is_loopback = settings.admin.address.startswith("127.")
+    if is_loopback and not same:
+        return 0
+    return settings.admin.port
