--- a/bergamotdeal/calls/core.py
+++ b/bergamotdeal/calls/core.py
@@ -63,6 +63,10 @@
       class_name: Class of the user request, empty when not yet known.
       depth: Number of calls above this one.
       epoch: Epoch of the configuration in force at the origin.
+      needs_ticket: Whether the origin's preset lets the request run only
+        under a ticket.
+      only_repeatable: Whether a call above may be sent again after its answer
+        was lost, so that nothing below may be non-repeatable.
     """
 
     number: int
@@ -77,6 +81,8 @@
     class_name: str = ""
     depth: int = 0
     epoch: int = 0
+    needs_ticket: bool = False
+    only_repeatable: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -2,16 +2,22 @@
 
 from collections.abc import Callable
 
+import result
+
+from bergamotdeal.admission import feedback
 from bergamotdeal.calls import core
 from bergamotdeal.calls import exchanges
+from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.calls import truth
 from bergamotdeal.errors import core as errors
-from bergamotdeal.retries import allowance
-from bergamotdeal.retries import budget
+from bergamotdeal.membership import core as membership
+from bergamotdeal.retries import budget as retry_budget
+from bergamotdeal.routing import router as routing
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.tickets import core as tickets
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
@@ -21,9 +27,11 @@
     """Carries the calls of callers and of the local backend server.
 
     Args:
-      state: State shared with the target's side.
+      state: State of the engine.
+      intake: Opens the exchanges.
       router: Chooses servers.
-      run_table: Runs of the local backend server, the parents of its calls.
+      thresholds: Takes the thresholds that answers report.
+      budget: Bounds the re-sends to a service.
       send: Sends a call to a host, this one included.
       cancel: Cancels a call at a host, this one included.
     """
@@ -32,45 +40,65 @@
         self,
         *,
         state: engine_state.EngineState,
-        router,
-        run_table: runs.RunTable,
+        intake: call_intake.Intake,
+        router: routing.Router,
+        thresholds: feedback.ThresholdTable,
+        budget: retry_budget.RetryBudget,
         send: Callable[[str, core.Call], None],
         cancel: Callable[[str, int], None],
     ):
         self._state = state
+        self._intake = intake
         self._router = router
-        self._run_table = run_table
+        self._thresholds = thresholds
+        self._budget = budget
         self._send = send
         self._cancel = cancel
         self._last_number = 0
         self._exchanges_by_origin: dict[int, exchanges.Exchange] = {}
         self._exchanges_by_number: dict[int, exchanges.Exchange] = {}
-        self.budget = budget.RetryBudget(policy=state.preset.retries)
 
     def idle(self) -> bool:
         """Whether every caller has its answer."""
         return not self._exchanges_by_origin
 
+    def exchange_of(self, event: messages.Event) -> exchanges.Exchange | None:
+        """Returns the open exchange that an event concerns, or None."""
+        match event:
+            case messages.CallArrived() | messages.CallerGone():
+                return self._exchanges_by_origin.get(event.origin_id)
+            case messages.PeerAnswered() | messages.DispatchFailed():
+                return self._exchanges_by_number.get(event.number)
+        return None
+
     def arrive(self, event: messages.CallArrived) -> None:
         """Takes up a request of a caller."""
-        exchange = self._open(event)
-        refusal = self._refusal(exchange, event)
+        state = self._state
+        exchange = self._intake.open(event)
+        self._exchanges_by_origin[event.origin_id] = exchange
+        request = exchange.request
+        state.record(
+            _CODES.CALL_ARRIVED,
+            exchange.user_request_id,
+            method=request.method,
+            service=request.service,
+            path=request.path,
+            face=event.face.value,
+        )
+        refusal = self._intake.refusal(exchange)
         if refusal is not None:
             self._refuse(exchange, refusal)
             return
-        exchange.timer = self._state.timers.add(exchange.deadline, exchange)
+        exchange.timer = state.timers.add(exchange.deadline, exchange)
+        self._budget.first_sent(request.service)
         self._dispatch(exchange)
 
     def caller_gone(self, origin_id: int) -> None:
         """Drops a request whose caller has disconnected."""
         exchange = self._exchanges_by_origin.get(origin_id)
         if exchange is not None:
-            self.abandon(exchange)
-
-    def abandon(self, exchange: exchanges.Exchange) -> None:
-        """Ends a request whose answer nobody waits for."""
-        self._withdraw(exchange)
-        self._refuse(exchange, _KINDS.CANCELLED)
+            self._withdraw(exchange)
+            self._refuse(exchange, _KINDS.CANCELLED)
 
     def abandon_children(self, run: runs.Run) -> None:
         """Ends the open calls that a run made."""
@@ -82,6 +110,16 @@
         self._withdraw(exchange)
         self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED)
 
+    def fail(self, exchange: exchanges.Exchange) -> None:
+        """Answers a request whose handling failed internally."""
+        if self._exchanges_by_origin.get(exchange.origin_id) is not exchange:
+            return
+        self._exchanges_by_number.pop(exchange.number, None)
+        exchange.number = 0
+        exchange.may_have_run = True
+        exchange.repeatable = False
+        self._refuse(exchange, _KINDS.INTERNAL)
+
     def answered(self, event: messages.PeerAnswered) -> None:
         """Handles an answer from a target."""
         exchange = self._exchanges_by_number.get(event.number)
@@ -100,9 +138,18 @@
         exchange.allowance.put_back(
             answer.tokens_left, carried=exchange.carried
         )
+        exchange.repeatable = exchange.repeatable and answer.repeatable
+        request = exchange.request
+        self._thresholds.observe(
+            request.service,
+            exchange.route.prefix,
+            exchange.class_name,
+            answer.threshold,
+            self._state.now,
+        )
         self._end_dispatch(
             exchange,
-            succeeded=answer.error not in truth.LOSSES_WORTH_RESENDING,
+            succeeded=answer.error not in truth.LOSSES,
             load=answer.load,
         )
         self._take_answer(exchange, answer)
@@ -120,101 +167,61 @@
         )
         if event.handed_over:
             kind = _KINDS.PEER_LOST
+            self._lose_sight(exchange)
         else:
             kind = _KINDS.PEER_UNREACHABLE
             exchange.allowance.put_back(
                 exchange.carried, carried=exchange.carried
             )
         self._end_dispatch(exchange, succeeded=False, load=None)
-        answer = core.error_answer(kind, may_have_run=exchange.may_have_run)
+        answer = core.error_answer(
+            kind, may_have_run=exchange.own_refusal_may_have_run
+        )
         self._take_answer(exchange, answer)
 
-    def _open(self, event: messages.CallArrived) -> exchanges.Exchange:
-        state = self._state
-        parent = None
-        if event.face is messages.Face.EGRESS and event.context:
-            parent = self._run_table.find(event.context)
-        request = event.request
-        route = state.preset.route_for(
-            request.service, request.method, request.path
-        )
-        granted_ms = event.deadline_ms
-        if granted_ms is None:
-            granted_ms = route.deadline_ms
-        deadline = state.now + granted_ms / 1000
-        exchange = exchanges.Exchange(
-            origin_id=event.origin_id,
-            face=event.face,
-            request=request,
-            user_request_id=event.user_request_id,
-            call_id=event.user_request_id,
-            route=route,
-            class_name=route.class_name,
-            deadline=deadline,
-            depth=0,
-            attempt=event.attempt,
-            allowance=allowance.Allowance(),
-            may_have_run=event.attempt > 0 or bool(event.ticket),
-            ticket=event.ticket,
-        )
-        if parent is not None:
-            self._adopt(exchange, parent)
-        elif event.face is messages.Face.ENTRY and event.attempt == 0:
-            exchange.allowance.tokens = state.preset.retries.allowance
-        self._exchanges_by_origin[event.origin_id] = exchange
-        state.record(
-            _CODES.CALL_ARRIVED,
-            exchange.user_request_id,
-            method=request.method,
-            service=request.service,
-            path=request.path,
-            face=event.face.value,
-        )
-        return exchange
+    def _dispatch(self, exchange: exchanges.Exchange) -> None:
+        """Sends a call to a server, or replies that it can't."""
+        match self._choose(exchange):
+            case result.Ok(host_id):
+                self._send_to(exchange, host_id)
+            case result.Err(kind):
+                self._refuse(exchange, kind)
 
-    def _adopt(self, exchange: exchanges.Exchange, parent: runs.Run) -> None:
-        """Makes an exchange a child of the run that caused it."""
-        call = parent.call
-        exchange.parent = parent
-        exchange.user_request_id = call.user_request_id
-        self._last_number += 1
-        exchange.call_id = (
-            f"{self._state.identity.incarnation}.{self._last_number:x}"
-        )
-        exchange.class_name = self._state.class_for(
-            parent.class_name, exchange.route.class_name
-        )
-        exchange.deadline = min(exchange.deadline, parent.deadline)
-        exchange.depth = call.depth + 1
-        exchange.allowance = parent.allowance
-        parent.children.add(exchange.origin_id)
-
-    def _refusal(
-        self, exchange: exchanges.Exchange, event: messages.CallArrived
-    ) -> _KINDS | None:
-        """Returns why a request is refused on arrival, or None."""
-        state = self._state
-        if event.face is messages.Face.ENTRY and state.draining:
-            return _KINDS.DRAINING
-        if exchange.depth > core.MAX_CALL_DEPTH:
-            return _KINDS.CALL_TOO_DEEP
-        if exchange.parent is not None and exchange.parent.answered:
-            return _KINDS.CANCELLED
-        if not state.members_by_id:
-            return _KINDS.NOT_READY
-        if not self._router.knows(exchange.request.service):
-            return _KINDS.UNKNOWN_SERVICE
-        return None
+    def _choose(
+        self, exchange: exchanges.Exchange
+    ) -> result.Result[str, _KINDS]:
+        """Returns the host to send a call to, or why there is none."""
+        if exchange.ticket:
+            return self._ticket_host(exchange.ticket)
+        service = exchange.request.service
+        if self._state.needs_ticket(exchange.route):
+            host_id = self._router.choose_by_hash(
+                service, exchange.call_id, exclude=exchange.tried
+            )
+        else:
+            host_id = self._router.choose(
+                service, exclude=exchange.tried, now=self._state.now
+            )
+        if host_id is None:
+            return result.Err(_KINDS.NO_SERVER)
+        return result.Ok(host_id)
 
-    def _dispatch(self, exchange: exchanges.Exchange) -> None:
-        """Sends a call to a server."""
+    def _ticket_host(self, encoded: bytes) -> result.Result[str, _KINDS]:
+        """Returns the only host that may run a ticket's request."""
+        match tickets.decode(encoded):
+            case result.Ok(ticket):
+                pass
+            case _:
+                return result.Err(_KINDS.TICKET_INVALID)
+        member = self._state.members_by_id.get(ticket.host_id)
+        if member is None or member.incarnation != ticket.incarnation:
+            return result.Err(_KINDS.TICKET_LOST)
+        if member.state is membership.MemberState.DEAD:
+            return result.Err(_KINDS.PEER_UNREACHABLE)
+        return result.Ok(ticket.host_id)
+
+    def _send_to(self, exchange: exchanges.Exchange, host_id: str) -> None:
         state = self._state
-        host_id = self._router.choose(
-            exchange.request.service, exclude=exchange.tried, now=state.now
-        )
-        if host_id is None:
-            self._refuse(exchange, _KINDS.NO_SERVER)
-            return
         left_ms = engine_state.milliseconds_left(exchange.deadline, state.now)
         if left_ms <= 0:
             self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED)
@@ -233,6 +240,9 @@
             number=number,
             host=host_id,
         )
+        parent = exchange.parent
+        route = exchange.route
+        exchange.minting = not exchange.ticket and state.needs_ticket(route)
         call = core.Call(
             number=number,
             user_request_id=exchange.user_request_id,
@@ -246,6 +256,11 @@
             class_name=exchange.class_name,
             depth=exchange.depth,
             epoch=state.epoch,
+            needs_ticket=exchange.minting,
+            only_repeatable=(
+                (parent is not None and parent.call.only_repeatable)
+                or (route.repeatable and route.repeatable_below)
+            ),
         )
         self._send(host_id, call)
 
@@ -273,50 +288,102 @@
         if not exchange.number:
             return
         number = exchange.number
-        exchange.may_have_run = True
+        self._lose_sight(exchange)
         self._end_dispatch(exchange, succeeded=True, load=None)
         self._cancel(exchange.host_id, number)
 
+    def _lose_sight(self, exchange: exchanges.Exchange) -> None:
+        """Notes that a dispatch ends without word of what came of it."""
+        if exchange.minting:
+            return
+        exchange.may_have_run = True
+        if not exchange.route.repeatable_below:
+            exchange.repeatable = False
+
     def _take_answer(
         self, exchange: exchanges.Exchange, answer: core.Answer
     ) -> None:
-        """Decides between a re-send and the reply."""
-        if self._may_resend(exchange, answer):
-            self._resend(exchange, answer)
+        """Decides between a further sending and the reply."""
+        if answer.error in truth.LOSSES and not exchange.minting:
+            exchange.losses += 1
+            exchange.may_have_run = True
+        if self._gives_ticket(exchange, answer):
+            self._use_ticket(exchange, answer.ticket)
+            return
+        if exchange.ticket_is_own and _is_refusal(answer):
+            self._forget_ticket(exchange)
+        if self._resend(exchange, answer):
             return
         self._reply(exchange, answer)
 
-    def _may_resend(
+    def _gives_ticket(
         self, exchange: exchanges.Exchange, answer: core.Answer
     ) -> bool:
-        if answer.error in truth.REFUSALS_WORTH_RESENDING:
-            safe = True
-        elif answer.error in truth.LOSSES_WORTH_RESENDING:
-            safe = exchange.route.repeatable and answer.repeatable
-        else:
-            safe = False
-        if not safe or exchange.allowance.tokens < 1:
+        """Whether this node uses an issued ticket for its caller."""
+        if answer.error is not _KINDS.TICKET_REQUIRED or not answer.ticket:
+            return False
+        if exchange.ticket:
             return False
-        return self.budget.try_resend(exchange.request.service)
+        # An entry's own preset may already call the route repeatable; its
+        # caller then expects no ticket.
+        return (
+            exchange.face is messages.Face.EGRESS or exchange.route.repeatable
+        )
+
+    def _use_ticket(self, exchange: exchanges.Exchange, ticket: bytes) -> None:
+        exchange.ticket = ticket
+        exchange.ticket_is_own = True
+        exchange.repeatable = False
+        parent = exchange.parent
+        if parent is not None and exchange.key:
+            key = (exchange.request.service, exchange.key)
+            parent.tickets_by_key[key] = ticket
+        self._dispatch(exchange)
+
+    def _forget_ticket(self, exchange: exchanges.Exchange) -> None:
+        """Drops a ticket that its own node has burnt."""
+        parent = exchange.parent
+        if parent is not None and exchange.key:
+            key = (exchange.request.service, exchange.key)
+            parent.tickets_by_key.pop(key, None)
 
     def _resend(
         self, exchange: exchanges.Exchange, answer: core.Answer
-    ) -> None:
+    ) -> bool:
+        """Sends a call again if that is safe and paid for.
+
+        Returns:
+          Whether it was sent again.
+        """
+        state = self._state
+        max_losses = state.preset.quarantine.deaths
+        if not truth.may_resend(exchange, answer, max_losses=max_losses):
+            return False
+        if exchange.allowance.tokens < 1 or exchange.deadline <= state.now:
+            return False
+        exchange.tried |= {exchange.host_id}
+        exchange.ticket = b""
+        exchange.ticket_is_own = False
+        chosen = self._choose(exchange)
+        if chosen.is_err():
+            return False
+        if not self._budget.try_resend(exchange.request.service):
+            return False
         exchange.allowance.spend()
         exchange.resends += 1
-        if answer.error in truth.LOSSES_WORTH_RESENDING:
-            exchange.may_have_run = True
-        exchange.tried |= {exchange.host_id}
-        self._state.record(
+        state.record(
             _CODES.CALL_RETRIED,
             exchange.user_request_id,
             number=self._last_number,
             tokens=exchange.allowance.tokens,
         )
-        self._dispatch(exchange)
+        self._send_to(exchange, chosen.ok_value)
+        return True
 
     def _refuse(self, exchange: exchanges.Exchange, kind: _KINDS) -> None:
-        answer = core.error_answer(kind, may_have_run=exchange.may_have_run)
+        answer = core.error_answer(
+            kind, may_have_run=exchange.own_refusal_may_have_run
+        )
         self._reply(exchange, answer)
 
     def _reply(self, exchange: exchanges.Exchange, answer: core.Answer) -> None:
@@ -330,7 +397,7 @@
         if parent is not None:
             parent.children.discard(exchange.origin_id)
             parent.threshold = min(parent.threshold, answer.threshold)
-            parent.repeatable = parent.repeatable and answer.repeatable
+            parent.repeatable = parent.repeatable and exchange.repeatable
         state.record(
             _CODES.CALL_ANSWERED,
             exchange.user_request_id,
@@ -345,3 +412,7 @@
                 answer=answer,
             )
         )
+
+
+def _is_refusal(answer: core.Answer) -> bool:
+    return answer.outcome is errors.Outcome.NOT_RUN
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -2,17 +2,25 @@
 
 import collections
 import random
+import traceback
 
+from bergamotdeal.admission import feedback
 from bergamotdeal.calls import core
 from bergamotdeal.calls import dispatch
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import execution
-from bergamotdeal.calls import interim
+from bergamotdeal.calls import intake as call_intake
+from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
+from bergamotdeal.calls import ticketing as call_ticketing
+from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.retries import budget as retry_budget
+from bergamotdeal.routing import router as routing
+from bergamotdeal.telemetry import catalogue
 
 LOCAL_LINK = -1
 """Link id of calls that this node makes to its own backend server."""
@@ -36,12 +44,19 @@
         epoch: int,
         rng: random.Random,
     ):
-        self._state = engine_state.EngineState(
+        state = engine_state.EngineState(
             identity=identity, preset=preset, epoch=epoch, rng=rng
         )
-        self._local_events = collections.deque()
-        run_table = runs.RunTable(incarnation=identity.incarnation)
-        self._router = interim.Router(
+        self._state = state
+        self._local_events: collections.deque[messages.Event] = (
+            collections.deque()
+        )
+        self._run_table = runs.RunTable(incarnation=identity.incarnation)
+        self._thresholds = feedback.ThresholdTable(policy=preset.admission)
+        self._budget = retry_budget.RetryBudget(policy=preset.retries)
+        self._server = local_server.LocalServer(state=state)
+        self._ticketing = call_ticketing.Ticketing(state=state)
+        self._router = routing.Router(
             policy=preset.routing,
             host_id=identity.host_id,
             data_centre=identity.data_centre,
@@ -49,15 +64,24 @@
             rng=rng,
         )
         self._dispatcher = dispatch.Dispatcher(
-            state=self._state,
+            state=state,
+            intake=call_intake.Intake(
+                state=state,
+                run_table=self._run_table,
+                router=self._router,
+                thresholds=self._thresholds,
+            ),
             router=self._router,
-            run_table=run_table,
+            thresholds=self._thresholds,
+            budget=self._budget,
             send=self._send,
             cancel=self._cancel,
         )
         self._executor = execution.Executor(
-            state=self._state,
-            run_table=run_table,
+            state=state,
+            run_table=self._run_table,
+            server=self._server,
+            ticketing=self._ticketing,
             send_answer=self._send_answer,
             abandon_children=self._dispatcher.abandon_children,
         )
@@ -67,6 +91,9 @@
     ) -> list[messages.Effect]:
         """Handles one event.
 
+        An exception in one call answers that call and leaves the others
+        alone.
+
         Args:
           event: What happened.
           now: Time in monotonic seconds.
@@ -77,23 +104,79 @@
         state = self._state
         state.now = now
         state.effects = []
-        self._handle(event)
+        self._handle_safely(event)
         while self._local_events:
-            self._handle(self._local_events.popleft())
+            self._handle_safely(self._local_events.popleft())
         return state.effects
 
     def next_wakeup(self) -> float | None:
         """Returns when ``TimePassed`` is due, in monotonic seconds."""
-        wakeups = (
-            self._state.timers.next_due(),
-            self._executor.next_wakeup(),
-        )
-        return min((w for w in wakeups if w is not None), default=None)
+        due = self._state.timers.next_due()
+        wakeup = self._server.next_wakeup()
+        if due is None or (wakeup is not None and wakeup < due):
+            return wakeup
+        return due
 
     def idle(self) -> bool:
         """Whether no exchange, call or run is open."""
         return self._dispatcher.idle() and self._executor.idle()
 
+    def _handle_safely(self, event: messages.Event) -> None:
+        exchange = self._dispatcher.exchange_of(event)
+        run = self._executor.run_of(event)
+        try:
+            self._handle(event)
+        except Exception:
+            self._state.record(
+                catalogue.EventCode.CALL_FAILED_INTERNALLY,
+                trace=traceback.format_exc(),
+            )
+            self._answer_failed(event, exchange, run)
+
+    def _answer_failed(
+        self,
+        event: messages.Event,
+        exchange: exchanges.Exchange | None,
+        run: runs.Run | None,
+    ) -> None:
+        """Answers the call whose handling raised an exception."""
+        exchange = exchange or self._dispatcher.exchange_of(event)
+        run = run or self._executor.run_of(event)
+        try:
+            if exchange is not None:
+                self._dispatcher.fail(exchange)
+            if run is not None:
+                self._executor.fail(run)
+        except Exception:
+            self._state.record(
+                catalogue.EventCode.CALL_FAILED_INTERNALLY,
+                trace=traceback.format_exc(),
+            )
+        if exchange is None and run is None:
+            self._answer_unopened(event)
+
+    def _answer_unopened(self, event: messages.Event) -> None:
+        """Answers a call that failed before it was taken up."""
+        state = self._state
+        answer = core.error_answer(errors.ErrorKind.INTERNAL)
+        match event:
+            case messages.CallArrived():
+                replied = any(
+                    isinstance(effect, messages.ReplyToCaller)
+                    and effect.origin_id == event.origin_id
+                    for effect in state.effects
+                )
+                if not replied:
+                    state.emit(
+                        messages.ReplyToCaller(
+                            origin_id=event.origin_id,
+                            user_request_id=event.user_request_id,
+                            answer=answer,
+                        )
+                    )
+            case messages.PeerCalled():
+                self._send_answer(event.link_id, event.call, answer)
+
     def _handle(self, event: messages.Event) -> None:
         match event:
             case messages.CallArrived():
@@ -121,11 +204,14 @@
 
     def _handle_change(self, event: messages.Event) -> None:
         """Handles what concerns the node and not one call."""
+        apply = self._executor.apply
         match event:
             case messages.ServerAnnounced():
-                self._executor.server_announced(event.service, event.slots)
-            case messages.ServerStopped() | messages.ServerSilent():
-                self._executor.server_silent()
+                apply(self._server.announced(event.service, event.slots))
+            case messages.ServerStopped():
+                apply(self._server.stopped())
+            case messages.ServerSilent():
+                apply(self._server.silent())
             case messages.DrainStarted():
                 self._state.draining = True
             case messages.MembersChanged():
@@ -134,7 +220,7 @@
             case messages.PresetInForce():
                 self._put_in_force(event)
             case messages.QuarantineHeard():
-                pass
+                self._server.hear(event.reports)
 
     def _put_in_force(self, event: messages.PresetInForce) -> None:
         state = self._state
@@ -143,18 +229,39 @@
         state.epoch = event.epoch
         state.preset = event.preset
         self._router.set_policy(event.preset.routing)
-        self._dispatcher.budget.set_policy(event.preset.retries)
-        self._executor.preset_changed()
+        self._thresholds.set_policy(event.preset.admission)
+        self._budget.set_policy(event.preset.retries)
+        self._ticketing.preset_changed()
+        self._executor.apply(self._server.preset_changed())
 
     def _pass_time(self) -> None:
         state = self._state
         while (item := state.timers.pop_due(state.now)) is not None:
-            match item:
-                case exchanges.Exchange():
-                    self._dispatcher.expire(item)
-                case runs.Run():
-                    self._executor.expire(item)
-        self._executor.advance()
+            try:
+                self._expire(item)
+            except Exception:
+                state.record(
+                    catalogue.EventCode.CALL_FAILED_INTERNALLY,
+                    trace=traceback.format_exc(),
+                )
+                self._fail_expired(item)
+        self._executor.apply(self._server.advance())
+
+    def _expire(self, item: object) -> None:
+        match item:
+            case exchanges.Exchange():
+                self._dispatcher.expire(item)
+            case runs.Run():
+                self._executor.expire(item)
+            case local_server.LostRun(run_id=run_id):
+                self._server.run_ended(run_id)
+
+    def _fail_expired(self, item: object) -> None:
+        match item:
+            case exchanges.Exchange():
+                self._dispatcher.fail(item)
+            case runs.Run():
+                self._executor.fail(item)
 
     def _send(self, host_id: str, call: core.Call) -> None:
         if host_id == self._state.identity.host_id:
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -28,12 +28,17 @@
       allowance: Where its re-sends are paid from.
       parent: The run that made this call, or None.
       may_have_run: Whether an earlier sending may have run.
+      key: Idempotency key of a run's call, or empty.
       ticket: Encoded ticket to present, or empty.
+      minting: Whether the dispatch in flight only asks for a ticket.
+      ticket_is_own: Whether this node got the ticket on the caller's behalf.
       number: Number of the dispatch in flight, zero without one.
       host_id: Host that the last dispatch went to.
       carried: Tokens that the dispatch in flight took along.
       sent_at: Time of the last dispatch, monotonic seconds.
       resends: Re-sends so far.
+      losses: Dispatches whose answer was lost.
+      repeatable: False once a dispatch may have led to non-repeatable work.
       tried: Hosts that refused or lost a dispatch.
       timer: Timer of the deadline.
     """
@@ -51,11 +56,27 @@
     allowance: allowance.Allowance
     parent: runs.Run | None = None
     may_have_run: bool = False
+    key: str = ""
     ticket: bytes = b""
+    minting: bool = False
+    ticket_is_own: bool = False
     number: int = 0
     host_id: str = ""
     carried: int = 0
     sent_at: float = 0.0
     resends: int = 0
+    losses: int = 0
+    repeatable: bool = True
     tried: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
+
+    @property
+    def own_refusal_may_have_run(self) -> bool:
+        """Whether a refusal by this node must leave open that it has run.
+
+        Only the node that a ticket names knows whether the request has run
+        under it, unless no other sending can have presented the ticket.
+        """
+        if self.ticket and (self.key or not self.ticket_is_own):
+            return True
+        return self.may_have_run
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -1,21 +1,29 @@
-"""The target's side of a call: admission, the run and its answer."""
+"""The target's side of a call: tickets, admission, the run, its answer."""
 
 from collections.abc import Callable
+import dataclasses
 
+from bergamotdeal.admission import core as admission
+from bergamotdeal.admission import hashing
 from bergamotdeal.calls import core
-from bergamotdeal.calls import interim
+from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
+from bergamotdeal.calls import ticketing as call_ticketing
 from bergamotdeal.calls import truth
 from bergamotdeal.errors import core as errors
-from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.tickets import core as tickets
+from bergamotdeal.tickets import table
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
 
+LINGER_MS = 1000
+"""Time for which a run that can't be cancelled keeps its slot at most."""
+
 _KINDS_BY_FAILURE = {
     messages.RunFailure.UNREACHABLE: _KINDS.SERVER_UNREACHABLE,
     messages.RunFailure.LOST: _KINDS.SERVER_LOST,
@@ -29,8 +37,10 @@
     """Runs calls of other nodes on the local backend server.
 
     Args:
-      state: State shared with the origin's side.
+      state: State of the engine.
       run_table: Table of the runs.
+      server: The local backend server's admission and quarantine.
+      ticketing: Tickets of this node.
       send_answer: Sends an answer for a call on a link, the local one
         included.
       abandon_children: Ends the open calls that a run made.
@@ -41,85 +51,53 @@
         *,
         state: engine_state.EngineState,
         run_table: runs.RunTable,
+        server: local_server.LocalServer,
+        ticketing: call_ticketing.Ticketing,
         send_answer: Callable[[int, core.Call, core.Answer], None],
         abandon_children: Callable[[runs.Run], None],
     ):
         self._state = state
         self._table = run_table
+        self._server = server
+        self._ticketing = ticketing
         self._send_answer = send_answer
         self._abandon_children = abandon_children
-        self._controller: interim.Controller | None = None
 
     def idle(self) -> bool:
-        """Whether every call is answered."""
+        """Whether every call is answered and every run has ended."""
         return self._table.idle()
 
-    def next_wakeup(self) -> float | None:
-        """Returns when ``advance`` is next needed, in monotonic seconds."""
-        if self._controller is None:
-            return None
-        return self._controller.next_wakeup()
-
-    def advance(self) -> None:
-        """Lets admission decide on what the passed time changed."""
-        if self._controller is not None:
-            self._apply(self._controller.advance(self._state.now))
-
-    def server_announced(self, service: str, slots: int) -> None:
-        """Takes up the local backend server's announcement."""
-        state = self._state
-        if self._controller is None or state.service != service:
-            state.service = service
-            self._controller = interim.Controller(
-                policy=state.preset.admission,
-                service_policy=self._service_policy(),
-                class_count=len(state.preset.classes),
-                slots=slots,
-                now=state.now,
-            )
-            return
-        self._apply(self._controller.set_slots(slots, state.now))
-
-    def server_silent(self) -> None:
-        """Stops giving work to a server that no longer announces itself."""
-        self._state.service = ""
-
-    def preset_changed(self) -> None:
-        """Applies the preset in force to admission."""
-        if self._controller is not None:
-            preset = self._state.preset
-            verdicts = self._controller.set_policy(
-                policy=preset.admission,
-                service_policy=self._service_policy(),
-                class_count=len(preset.classes),
-                now=self._state.now,
-            )
-            self._apply(verdicts)
+    def run_of(self, event: messages.Event) -> runs.Run | None:
+        """Returns the open run that an event concerns, or None."""
+        match event:
+            case messages.PeerCalled():
+                key = (event.link_id, event.call.number)
+                return self._table.runs_by_call.get(key)
+            case messages.PeerCancelled():
+                key = (event.link_id, event.number)
+                return self._table.runs_by_call.get(key)
+            case messages.RunAnswered() | messages.RunFailed():
+                return self._table.runs_by_id.get(event.run_id)
+        return None
 
     def arrive(self, link_id: int, call: core.Call) -> None:
         """Takes up a call of another node."""
         if (link_id, call.number) in self._table.runs_by_call:
             return
-        state = self._state
-        request = call.request
-        route = state.preset.route_for(
-            request.service, request.method, request.path
-        )
-        margin_ms = min(state.preset.hop_margin_ms, call.deadline_ms // 2)
-        run = runs.Run(
-            run_id=self._table.next_id(),
-            link_id=link_id,
-            call=call,
-            route=route,
-            class_name=state.class_for(call.class_name, route.class_name),
-            deadline=state.now + (call.deadline_ms - margin_ms) / 1000,
-            allowance=allowance.Allowance(tokens=call.tokens),
-        )
+        run = self._open(link_id, call)
+        self._table.add(run)
+        if call.ticket:
+            self._present(run)
+            return
         refusal = self._refusal(run)
         if refusal is not None:
             self._refuse(run, refusal)
-            return
-        self._admit(run)
+        elif self._ticketing.must_mint(run):
+            threshold = self._server.threshold(run.class_name)
+            answer = self._ticketing.issue(run, threshold=threshold)
+            self._end_unrun(run, answer)
+        else:
+            self._admit(run)
 
     def cancelled(self, link_id: int, number: int) -> None:
         """Handles a call whose answer is no longer wanted."""
@@ -138,168 +116,297 @@
         run = self._table.runs_by_id.get(event.run_id)
         if run is None:
             return
-        shed_status = self._service_policy().shed_status
-        if shed_status is not None and event.status == shed_status:
-            self._end_run(run, completed=False)
-            answer = core.error_answer(
-                _KINDS.SERVER_SHED, may_have_run=truth.sent_before(run.call)
-            )
-        else:
-            self._end_run(run, completed=True)
-            answer = core.Answer(
-                outcome=errors.Outcome.COMPLETED,
-                status=event.status,
-                headers=event.headers,
-                body=event.body,
-            )
-        self._answer(run, answer)
+        if event.status == self._server.policy().shed_status:
+            self._free_slot(run, completed=False)
+            self._server.run_ended(run.run_id)
+            self._refuse(run, _KINDS.SERVER_SHED)
+            return
+        self._free_slot(run, completed=not run.abandoned)
+        self._server.run_ended(run.run_id)
+        answer = core.Answer(
+            outcome=errors.Outcome.COMPLETED,
+            status=event.status,
+            headers=event.headers,
+            body=event.body,
+        )
+        self._end_run(run, answer)
 
     def run_failed(self, event: messages.RunFailed) -> None:
         """Handles a run that ended without an answer."""
         run = self._table.runs_by_id.get(event.run_id)
         if run is None:
             return
-        self._end_run(run, completed=False)
+        self._free_slot(run, completed=False)
         kind = _KINDS_BY_FAILURE[event.failure]
-        answer = core.error_answer(
-            kind, may_have_run=truth.sent_before(run.call)
-        )
-        self._answer(run, answer)
+        if event.failure is messages.RunFailure.UNREACHABLE:
+            self._server.run_ended(run.run_id)
+            self._refuse(run, kind)
+            return
+        if event.failure is messages.RunFailure.LOST:
+            self._server.run_lost(run.run_id)
+        else:
+            self._server.run_ended(run.run_id)
+        self._end_run(run, core.error_answer(kind))
 
     def expire(self, run: runs.Run) -> None:
-        """Answers a call whose deadline has passed."""
+        """Acts on a run whose timer is due.
+
+        The first time answers its call, the second one ends a run that was
+        not cancelled.
+        """
+        if run.answered:
+            self._stop(run)
+            return
         answer = core.error_answer(_KINDS.DEADLINE_EXCEEDED)
-        self._give_up(run)
-        self._answer(run, answer)
+        self._let_go(run, answer)
 
-    def _service_policy(self) -> model.ServicePolicy:
-        policy = self._state.preset.services_by_name.get(self._state.service)
-        return policy or model.ServicePolicy()
+    def fail(self, run: runs.Run) -> None:
+        """Answers a call whose handling failed internally."""
+        if run.phase is runs.Phase.ENDED and run.answered:
+            return
+        if run.phase is runs.Phase.RUNNING:
+            self._state.emit(messages.CancelRun(run_id=run.run_id))
+            self._free_slot(run, completed=False)
+            self._server.run_ended(run.run_id)
+        elif run.phase is runs.Phase.QUEUED:
+            self.apply(self._server.withdraw(run.run_id))
+        self._end_run(run, core.error_answer(_KINDS.INTERNAL))
+
+    def _open(self, link_id: int, call: core.Call) -> runs.Run:
+        state = self._state
+        request = call.request
+        route = state.preset.route_for(
+            request.service, request.method, request.path
+        )
+        margin_ms = min(state.preset.hop_margin_ms, call.deadline_ms // 2)
+        return runs.Run(
+            run_id=self._table.next_id(),
+            link_id=link_id,
+            call=call,
+            route=route,
+            class_name=state.class_for(call.class_name, route.class_name),
+            deadline=state.now + (call.deadline_ms - margin_ms) / 1000,
+            allowance=allowance.Allowance(tokens=call.tokens),
+        )
+
+    def _present(self, run: runs.Run) -> None:
+        match self._ticketing.present(run):
+            case table.Run():
+                refusal = self._refusal(run)
+                if refusal is not None:
+                    self._refuse(run, refusal)
+                else:
+                    self._admit(run)
+            case table.Join():
+                run.phase = runs.Phase.JOINED
+                self._set_timer(run, run.deadline)
+            case table.Replay(answer=answer):
+                self._end_unrun(run, dataclasses.replace(answer))
+            case table.Reject(kind=kind):
+                self._refuse(run, kind)
 
     def _refusal(self, run: runs.Run) -> _KINDS | None:
         """Returns why a call is refused before admission, or None."""
         state = self._state
         if state.draining:
             return _KINDS.DRAINING
-        if self._controller is None or not state.service:
+        if not state.service:
             return _KINDS.NOT_READY
         if run.call.request.service != state.service:
             return _KINDS.NO_SERVER
         if run.call.deadline_ms <= 0:
             return _KINDS.DEADLINE_EXCEEDED
+        if run.call.only_repeatable and not run.route.repeatable:
+            return _KINDS.CALL_NOT_DECLARED
+        run.fingerprint = tickets.fingerprint(run.call.request)
+        if self._server.quarantines(run.fingerprint):
+            return _KINDS.QUARANTINED
         return None
 
     def _admit(self, run: runs.Run) -> None:
         state = self._state
-        self._table.add(run)
-        run.timer = state.timers.add(run.deadline, run)
-        job = interim.Job(
+        run.phase = runs.Phase.QUEUED
+        self._set_timer(run, run.deadline)
+        job = admission.Job(
             job_id=run.run_id,
             class_rank=state.preset.rank_of(run.class_name),
-            hash_share=0.0,
+            hash_share=hashing.hash_share(run.call.user_request_id),
             deadline=run.deadline,
             arrived=state.now,
         )
-        self._apply(self._controller.submit(job, state.now))
+        self.apply(self._server.submit(job))
 
-    def _apply(self, verdicts: list[interim.Verdict]) -> None:
+    def _set_timer(self, run: runs.Run, when: float) -> None:
+        if run.timer is not None:
+            run.timer.cancel()
+        run.timer = self._state.timers.add(when, run)
+
+    def apply(self, verdicts: list[admission.Verdict]) -> None:
         """Carries out what admission decided."""
         for verdict in verdicts:
             run = self._table.runs_by_id.get(verdict.job_id)
             if run is None:
                 continue
             match verdict:
-                case interim.Start():
+                case admission.Start():
                     self._start(run)
-                case interim.Refuse(kind=kind):
-                    self._table.remove(run)
+                case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
+                    answer = core.error_answer(_KINDS.DEADLINE_EXCEEDED)
+                    self._withdrawn(run, answer)
+                case admission.Refuse(kind=kind):
                     self._refuse(run, kind)
-                case interim.Preempt():
+                case admission.Preempt():
                     self._preempt(run)
 
     def _start(self, run: runs.Run) -> None:
         """Hands a request over to the local backend server."""
         state = self._state
         run.phase = runs.Phase.RUNNING
+        self._ticketing.used(run)
+        self._server.run_started(run.fingerprint, run.run_id)
         state.record(
             _CODES.RUN_STARTED, run.call.user_request_id, run=run.run_id
         )
+        left_ms = engine_state.milliseconds_left(run.deadline, state.now)
+        if not self._can_cancel(run):
+            left_ms += LINGER_MS
         state.emit(
             messages.StartRun(
                 run_id=run.run_id,
                 request=run.call.request,
                 user_request_id=run.call.user_request_id,
                 context=self._table.context_of(run),
-                deadline_ms=engine_state.milliseconds_left(
-                    run.deadline, state.now
-                ),
+                deadline_ms=left_ms,
             )
         )
 
+    def _can_cancel(self, run: runs.Run) -> bool:
+        return run.record is None and self._server.policy().accepts_cancellation
+
     def _preempt(self, run: runs.Run) -> None:
         """Cancels a running request in favour of a more important one."""
+        self._state.emit(messages.CancelRun(run_id=run.run_id))
+        self._server.run_ended(run.run_id)
         answer = core.error_answer(_KINDS.SHED, may_have_run=True)
-        self._give_up(run)
-        self._answer(run, answer)
+        self._end_run(run, answer)
 
     def _abandon(self, run: runs.Run) -> None:
-        """Stops the work for a call that nobody waits for."""
+        """Handles a call that nobody waits for."""
         self._state.record(
             _CODES.CALL_CANCELLED,
             run.call.user_request_id,
             number=run.call.number,
         )
-        self._give_up(run)
-        self._close(run)
-
-    def _give_up(self, run: runs.Run) -> None:
-        """Takes a request out of the queue or stops its run."""
-        if run.phase is runs.Phase.QUEUED:
-            self._table.remove(run)
-            verdicts = self._controller.withdraw(run.run_id, self._state.now)
-            self._apply(verdicts)
-        elif run.phase is runs.Phase.RUNNING:
-            self._state.emit(messages.CancelRun(run_id=run.run_id))
-            self._end_run(run, completed=False)
-
-    def _end_run(self, run: runs.Run, *, completed: bool) -> None:
-        """Frees a run's slot."""
+        self._let_go(run, None)
+
+    def _let_go(self, run: runs.Run, answer: core.Answer | None) -> None:
+        """Answers a call and stops its work, if it can be stopped."""
+        match run.phase:
+            case runs.Phase.JOINED:
+                self._ticketing.leave(run)
+                self._table.remove(run)
+                self._answer(run, answer)
+            case runs.Phase.QUEUED:
+                verdicts = self._server.withdraw(run.run_id)
+                self._withdrawn(run, answer)
+                self.apply(verdicts)
+            case runs.Phase.RUNNING:
+                self._detach(run, answer)
+
+    def _withdrawn(self, run: runs.Run, answer: core.Answer | None) -> None:
+        """Ends a request that left the queue unrun."""
+        heir = self._ticketing.pass_on(run)
         self._table.remove(run)
+        self._answer(run, answer)
+        if heir is not None:
+            heir.fingerprint = run.fingerprint
+            self._admit(heir)
+
+    def _detach(self, run: runs.Run, answer: core.Answer | None) -> None:
+        """Answers the call of a running request and cancels the run.
+
+        A run under a ticket goes on, so that its answer can be replayed.
+        """
+        run.abandoned = run.record is None
+        self._answer(run, answer)
+        if self._can_cancel(run):
+            self._stop(run)
+            return
+        self._set_timer(run, run.deadline + LINGER_MS / 1000)
+
+    def _stop(self, run: runs.Run) -> None:
+        """Aborts a run whose call is answered."""
+        self._state.emit(messages.CancelRun(run_id=run.run_id))
+        self._free_slot(run, completed=False)
+        self._server.run_ended(run.run_id)
+        self._end_run(run, core.error_answer(_KINDS.DEADLINE_EXCEEDED))
+
+    def _free_slot(self, run: runs.Run, *, completed: bool) -> None:
+        run.phase = runs.Phase.ENDED
         self._state.record(
             _CODES.RUN_ENDED,
             run.call.user_request_id,
             run=run.run_id,
             result="completed" if completed else "not completed",
         )
-        verdicts = self._controller.finish(
-            run.run_id, self._state.now, completed=completed
-        )
-        self._apply(verdicts)
-
-    def _close(self, run: runs.Run) -> None:
-        """Ends the timer, the calls below and the re-sends of a run."""
-        self._table.close_call(run)
-        if run.timer is not None:
-            run.timer.cancel()
-        self._abandon_children(run)
+        self.apply(self._server.finish(run.run_id, completed=completed))
 
     def _refuse(self, run: runs.Run, kind: _KINDS) -> None:
-        """Answers a call that was not handed over."""
-        answer = core.error_answer(
-            kind, may_have_run=truth.sent_before(run.call)
-        )
+        """Answers a call whose request was not run, and those that joined."""
+        calls = [run, *run.joined]
+        answers = [
+            core.error_answer(kind, may_have_run=each.may_have_run)
+            for each in calls
+        ]
+        self._ticketing.refuse(run, answers)
+        if kind is _KINDS.SHED:
+            self._state.record(
+                _CODES.CALL_SHED,
+                run.call.user_request_id,
+                place="target",
+                reason=kind.value,
+            )
+        for each, answer in zip(calls, answers, strict=True):
+            self._table.remove(each)
+            self._answer(each, answer)
+
+    def _end_unrun(self, run: runs.Run, answer: core.Answer) -> None:
+        """Answers a call that needs no run of its own."""
+        self._table.remove(run)
+        self._answer(run, answer)
+
+    def _end_run(self, run: runs.Run, answer: core.Answer) -> None:
+        """Answers a call that was handed over, and those that joined."""
+        self._ticketing.finish(run, answer)
+        self._table.remove(run)
+        for joined in run.joined:
+            self._table.remove(joined)
+            self._answer(joined, dataclasses.replace(answer))
         self._answer(run, answer)
 
-    def _answer(self, run: runs.Run, answer: core.Answer) -> None:
-        """Sends the answer of a call, once."""
-        self._close(run)
-        answer.tokens_left = run.allowance.close()
+    def _answer(self, run: runs.Run, answer: core.Answer | None) -> None:
+        """Sends the answer of a call, once.
+
+        Args:
+          run: The call's run, or its wait for another run.
+          answer: The answer; None when nobody waits for it.
+        """
+        if run.timer is not None:
+            run.timer.cancel()
+        goes_on = run.phase is runs.Phase.RUNNING and not run.abandoned
+        if not goes_on:
+            self._abandon_children(run)
+        if run.answered:
+            return
+        self._table.close_call(run)
+        if answer is None:
+            return
+        truth.correct(answer, may_have_run=run.may_have_run)
+        answer.tokens_left = 0 if goes_on else run.allowance.close()
         answer.repeatable = run.repeatable and run.route.repeatable
-        answer.threshold = run.threshold
+        answer.threshold = min(
+            run.threshold, self._server.threshold(run.class_name)
+        )
+        answer.load = self._server.load()
         answer.epoch = self._state.epoch
-        if self._controller is not None:
-            rank = self._state.preset.rank_of(run.class_name)
-            own_threshold = self._controller.threshold(rank)
-            answer.threshold = min(answer.threshold, own_threshold)
-            answer.load = self._controller.load()
         self._send_answer(run.link_id, run.call, answer)
--- /dev/null
+++ b/bergamotdeal/calls/intake.py
@@ -0,0 +1,178 @@
+"""What a request is, when it arrives at the entry or the egress face."""
+
+import hashlib
+
+from bergamotdeal.admission import feedback
+from bergamotdeal.admission import hashing
+from bergamotdeal.calls import core
+from bergamotdeal.calls import exchanges
+from bergamotdeal.calls import messages
+from bergamotdeal.calls import runs
+from bergamotdeal.calls import state as engine_state
+from bergamotdeal.errors import core as errors
+from bergamotdeal.retries import allowance
+from bergamotdeal.routing import router as routing
+
+_KINDS = errors.ErrorKind
+_CALL_ID_BYTES = 16
+_TICKETLESS_SHARE = 1
+"""Re-sends that the first of a ticket's two sendings may use."""
+
+
+class Intake:
+    """Opens exchanges and decides which requests are refused on arrival.
+
+    Args:
+      state: State of the engine.
+      run_table: Runs of the local backend server, the parents of its calls.
+      router: Knows the services.
+      thresholds: What the services' nodes admit.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: engine_state.EngineState,
+        run_table: runs.RunTable,
+        router: routing.Router,
+        thresholds: feedback.ThresholdTable,
+    ):
+        self._state = state
+        self._run_table = run_table
+        self._router = router
+        self._thresholds = thresholds
+        self._last_call = 0
+
+    def open(self, event: messages.CallArrived) -> exchanges.Exchange:
+        """Returns the exchange of a request that arrived."""
+        state = self._state
+        request = event.request
+        route = state.preset.route_for(
+            request.service, request.method, request.path
+        )
+        granted_ms = event.deadline_ms
+        if granted_ms is None:
+            granted_ms = route.deadline_ms
+        exchange = exchanges.Exchange(
+            origin_id=event.origin_id,
+            face=event.face,
+            request=request,
+            user_request_id=event.user_request_id,
+            call_id=event.user_request_id,
+            route=route,
+            class_name=route.class_name,
+            deadline=state.now + granted_ms / 1000,
+            depth=0,
+            attempt=event.attempt,
+            allowance=allowance.Allowance(),
+            may_have_run=event.attempt > 0,
+            ticket=event.ticket,
+        )
+        match event.face:
+            case messages.Face.ENTRY:
+                exchange.allowance.tokens = self._minted(exchange)
+            case messages.Face.EGRESS:
+                self._open_egress(exchange, event)
+        return exchange
+
+    def refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
+        """Returns why a request is refused on arrival, or None."""
+        state = self._state
+        if exchange.depth > core.MAX_CALL_DEPTH:
+            return _KINDS.CALL_TOO_DEEP
+        if not state.members_by_id:
+            return _KINDS.NOT_READY
+        if not self._router.knows(exchange.request.service):
+            return _KINDS.UNKNOWN_SERVICE
+        if exchange.face is messages.Face.ENTRY:
+            return self._entry_refusal(exchange)
+        return self._egress_refusal(exchange)
+
+    def _entry_refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
+        if self._state.draining:
+            return _KINDS.DRAINING
+        if exchange.ticket:
+            # Its request may be running; only the ticket's node knows.
+            return None
+        admitted = self._thresholds.admits(
+            exchange.request.service,
+            exchange.route.prefix,
+            exchange.class_name,
+            hashing.hash_share(exchange.user_request_id),
+            self._state.now,
+        )
+        return None if admitted else _KINDS.SHED
+
+    def _egress_refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
+        parent = exchange.parent
+        if parent is None:
+            return None
+        if parent.abandoned:
+            return _KINDS.CANCELLED
+        if parent.call.only_repeatable and not exchange.route.repeatable:
+            return _KINDS.CALL_NOT_DECLARED
+        return None
+
+    def _minted(self, exchange: exchanges.Exchange) -> int:
+        """Returns the re-sends that a user request may cause.
+
+        The two sendings that a ticket needs share one allowance.
+        """
+        if exchange.attempt > 0:
+            return 0
+        state = self._state
+        minted = state.preset.retries.allowance
+        ticketless = min(_TICKETLESS_SHARE, minted)
+        if exchange.ticket:
+            return minted - ticketless
+        if state.needs_ticket(exchange.route):
+            return ticketless
+        return minted
+
+    def _open_egress(
+        self, exchange: exchanges.Exchange, event: messages.CallArrived
+    ) -> None:
+        exchange.key = event.idempotency_key
+        parent = self._run_table.find(event.context)
+        if parent is not None:
+            self._adopt(exchange, parent)
+        elif not exchange.route.repeatable:
+            # Any of the runs may have made this call.
+            self._run_table.mark_all_not_repeatable()
+        exchange.call_id = self._call_id(exchange)
+
+    def _adopt(self, exchange: exchanges.Exchange, parent: runs.Run) -> None:
+        """Makes an exchange a child of the run that caused it."""
+        call = parent.call
+        exchange.parent = parent
+        exchange.user_request_id = call.user_request_id
+        exchange.class_name = self._state.class_for(
+            parent.class_name, exchange.route.class_name
+        )
+        exchange.deadline = min(exchange.deadline, parent.deadline)
+        exchange.depth = call.depth + 1
+        exchange.allowance = parent.allowance
+        parent.children.add(exchange.origin_id)
+        if not exchange.key:
+            return
+        # A parent that runs again makes the same call under the same key.
+        exchange.may_have_run = exchange.may_have_run or call.may_have_run
+        known = parent.tickets_by_key.get(
+            (exchange.request.service, exchange.key)
+        )
+        if known and not exchange.ticket:
+            exchange.ticket = known
+            exchange.may_have_run = True
+
+    def _call_id(self, exchange: exchanges.Exchange) -> str:
+        """Returns the id by which sendings of one call are recognised."""
+        if not exchange.key:
+            self._last_call += 1
+            return f"{self._state.identity.incarnation}.{self._last_call:x}"
+        parent = exchange.parent
+        above = parent.call.call_id if parent else exchange.user_request_id
+        digest = hashlib.blake2b(digest_size=_CALL_ID_BYTES)
+        for part in (above, exchange.request.service, exchange.key):
+            digest.update(part.encode())
+            digest.update(b"\0")
+        return digest.hexdigest()
--- /dev/null
+++ b/bergamotdeal/calls/local_server.py
@@ -0,0 +1,155 @@
+"""The local backend server as its node sees it: slots, load and deaths."""
+
+from bergamotdeal.admission import controller
+from bergamotdeal.admission import core as admission
+from bergamotdeal.calls import core
+from bergamotdeal.calls import messages
+from bergamotdeal.calls import state as engine_state
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+from bergamotdeal.quarantine import register
+
+DEATH_NOTICE_S = 3.0
+"""Time for which a lost run may still turn out to be a server's death."""
+
+
+class LocalServer:
+    """Admission to the backend server and quarantine of what kills it.
+
+    Args:
+      state: State of the engine.
+    """
+
+    def __init__(self, *, state: engine_state.EngineState):
+        self._state = state
+        self._controller: controller.Controller | None = None
+        self._register = register.Register(
+            policy=state.preset.quarantine, host_id=state.identity.host_id
+        )
+        self._stopped = False
+        self._deaths = 0
+
+    def policy(self) -> model.ServicePolicy:
+        """Returns the policy of the server's service."""
+        policies = self._state.preset.services_by_name
+        return policies.get(self._state.service) or model.ServicePolicy()
+
+    def announced(self, service: str, slots: int) -> list[admission.Verdict]:
+        """Takes up an announcement."""
+        state = self._state
+        is_new = self._stopped or self._controller is None
+        if is_new or state.service not in ("", service):
+            state.service = service
+            self._stopped = False
+            preset = state.preset
+            self._controller = controller.Controller(
+                policy=preset.admission,
+                service_policy=self.policy(),
+                class_count=len(preset.classes),
+                slots=slots,
+                now=state.now,
+            )
+            return []
+        state.service = service
+        return self._controller.set_slots(slots, state.now)
+
+    def silent(self) -> list[admission.Verdict]:
+        """Stops admission until the server announces itself again."""
+        self._state.service = ""
+        if self._controller is None:
+            return []
+        return self._controller.set_slots(0, self._state.now)
+
+    def stopped(self) -> list[admission.Verdict]:
+        """Takes the server's death; the next announcement is a new one."""
+        state = self._state
+        self._stopped = True
+        self._deaths += 1
+        death_id = f"{state.identity.incarnation}.{self._deaths}"
+        reports = self._register.server_died(state.now, death_id)
+        if reports:
+            state.emit(messages.ShareCrashReports(reports=reports))
+        return self.silent()
+
+    def preset_changed(self) -> list[admission.Verdict]:
+        """Applies the preset in force."""
+        preset = self._state.preset
+        self._register.set_policy(preset.quarantine)
+        if self._controller is None:
+            return []
+        return self._controller.set_policy(
+            policy=preset.admission,
+            service_policy=self.policy(),
+            class_count=len(preset.classes),
+            now=self._state.now,
+        )
+
+    def submit(self, job: admission.Job) -> list[admission.Verdict]:
+        """Asks for a slot."""
+        return self._controller.submit(job, self._state.now)
+
+    def withdraw(self, job_id: int) -> list[admission.Verdict]:
+        """Takes back a request for a slot."""
+        return self._controller.withdraw(job_id, self._state.now)
+
+    def finish(
+        self, job_id: int, *, completed: bool
+    ) -> list[admission.Verdict]:
+        """Frees a slot."""
+        return self._controller.finish(
+            job_id, self._state.now, completed=completed
+        )
+
+    def advance(self) -> list[admission.Verdict]:
+        """Lets admission act on the time that has passed."""
+        if self._controller is None:
+            return []
+        return self._controller.advance(self._state.now)
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``advance`` is next needed, in monotonic seconds."""
+        if self._controller is None:
+            return None
+        return self._controller.next_wakeup()
+
+    def threshold(self, class_name: str) -> float:
+        """Returns the share of request hashes that is admitted."""
+        if self._controller is None:
+            return 1.0
+        return self._controller.threshold(
+            self._state.preset.rank_of(class_name)
+        )
+
+    def load(self) -> core.Load | None:
+        """Returns the load to report, or None before an announcement."""
+        return self._controller.load() if self._controller else None
+
+    def quarantines(self, fingerprint: str) -> bool:
+        """Whether a request is suspected of killing servers."""
+        return self._register.blocked(fingerprint, self._state.now)
+
+    def run_started(self, fingerprint: str, run_id: int) -> None:
+        """Notes a run, which may turn out to kill the server."""
+        self._register.started(fingerprint, run_id)
+
+    def run_ended(self, run_id: int) -> None:
+        """Notes a run's end, which the server survived."""
+        self._register.finished(run_id)
+
+    def run_lost(self, run_id: int) -> None:
+        """Notes a lost run; the server's death may be found out later."""
+        when = self._state.now + DEATH_NOTICE_S
+        self._state.timers.add(when, LostRun(run_id=run_id))
+
+    def hear(self, reports: list[membership.CrashReport]) -> None:
+        """Takes crash reports of other nodes."""
+        self._register.hear(reports, self._state.now)
+
+
+class LostRun:
+    """Timer key of a lost run whose server has not died."""
+
+    __slots__ = ("run_id",)
+
+    def __init__(self, *, run_id: int):
+        self.run_id = run_id
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -7,6 +7,7 @@
 from bergamotdeal.calls import deadlines
 from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
+from bergamotdeal.tickets import table as tickets
 
 CONTEXT_SEPARATOR = "."
 
@@ -15,6 +16,7 @@
     """Where a request at its target's node stands."""
 
     QUEUED = "queued"
+    JOINED = "joined"  # Waits for the answer of another call's run.
     RUNNING = "running"
     ENDED = "ended"
 
@@ -33,11 +35,18 @@
       allowance: Re-sends that may be spent below this run.
       phase: Where the request stands.
       answered: Whether the call has its answer or needs none any more.
+      abandoned: Whether the work is of no use any more.
       repeatable: False once a non-repeatable call below may have been handed
         over.
       threshold: The tightest threshold that its own calls reported.
       children: Origin ids of the open calls that it made.
       timer: Timer of the deadline.
+      fingerprint: Digest of the request.
+      record: Record of its ticket, or None.
+      waits_for: Record of the ticket whose run it waits for, or None.
+      joined: Calls that presented the same ticket and wait for the answer.
+      tickets_by_key: Tickets of its own calls by service and idempotency
+        key.
     """
 
     run_id: int
@@ -49,10 +58,23 @@
     allowance: allowance.Allowance
     phase: Phase = Phase.QUEUED
     answered: bool = False
+    abandoned: bool = False
     repeatable: bool = True
     threshold: float = 1.0
     children: set[int] = dataclasses.field(default_factory=set)
     timer: deadlines.Timer | None = None
+    fingerprint: str = ""
+    record: tickets.Record | None = None
+    waits_for: tickets.Record | None = None
+    joined: list["Run"] = dataclasses.field(default_factory=list)
+    tickets_by_key: dict[tuple[str, str], bytes] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an earlier sending of the request may have run."""
+        return self.call.may_have_run
 
 
 class RunTable:
@@ -75,7 +97,7 @@
         self.runs_by_call[run.link_id, run.call.number] = run
 
     def close_call(self, run: Run) -> None:
-        """Forgets which call a run belongs to, once it is answered."""
+        """Notes that a run's call is answered."""
         run.answered = True
         self.runs_by_call.pop((run.link_id, run.call.number), None)
 
@@ -83,7 +105,6 @@
         """Forgets a run that has ended."""
         run.phase = Phase.ENDED
         self.runs_by_id.pop(run.run_id, None)
-        self.close_call(run)
 
     def context_of(self, run: Run) -> str:
         """Returns the context that names a run of this incarnation."""
@@ -104,6 +125,11 @@
             return None
         return self.runs_by_id.get(run_id)
 
+    def mark_all_not_repeatable(self) -> None:
+        """Notes that each run may have led to non-repeatable work."""
+        for run in self.runs_by_id.values():
+            run.repeatable = False
+
     def idle(self) -> bool:
-        """Whether every call that arrived is answered."""
-        return not self.runs_by_call
+        """Whether every call is answered and every run has ended."""
+        return not self.runs_by_call and not self.runs_by_id
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -62,6 +62,10 @@
             )
         )
 
+    def needs_ticket(self, route: model.Route) -> bool:
+        """Whether requests of a route run only under a ticket."""
+        return self.preset.tickets.required and not route.repeatable
+
     def class_for(self, inherited: str, own: str) -> str:
         """Returns the more important one of two classes.
 
--- /dev/null
+++ b/bergamotdeal/calls/tests/scenarios.py
@@ -0,0 +1,105 @@
+"""Presets, requests and server programs that the tests share."""
+
+from bergamotdeal.calls import core
+from bergamotdeal.errors import core as errors
+from bergamotdeal.presets import model
+from standins import fleet
+from standins import fleet_model
+
+SERVICES = ("kitview", "feederdesk", "stencilhub", "orderline")
+
+
+def preset(*, cancels=True, below=False, **kwargs):
+    """GET is repeatable browsing; any other method is critical."""
+    return model.Preset(
+        name="ordinary",
+        services_by_name={
+            service: model.ServicePolicy(
+                accepts_cancellation=cancels, shed_status=503, cold_start_ms=0
+            )
+            for service in SERVICES
+        },
+        routes=tuple(
+            model.Route(
+                service=service,
+                method="GET",
+                prefix="/",
+                class_name=model.BROWSE,
+                repeatable=True,
+                repeatable_below=below,
+            )
+            for service in SERVICES
+        ),
+        **kwargs,
+    )
+
+
+def get(service):
+    return core.Request(
+        service=service, method="GET", path="/x", headers=[], body=b""
+    )
+
+
+def post(service, body=b"reserve"):
+    return core.Request(
+        service=service, method="POST", path="/x", headers=[], body=body
+    )
+
+
+def working(seconds):
+    def program(_start):
+        yield fleet_model.Work(seconds=seconds)
+        return fleet_model.Response()
+
+    return program
+
+
+def calling(*requests, keys=(), work=0.001):
+    """Calls all requests side by side and answers 502 if one fails."""
+
+    def program(_start):
+        yield fleet_model.Work(seconds=work)
+        replies = yield fleet_model.Invoke(
+            requests=list(requests), idempotency_keys=list(keys)
+        )
+        for reply in replies:
+            if reply.outcome is not errors.Outcome.COMPLETED:
+                return fleet_model.Response(status=502, body=b"")
+        return fleet_model.Response(
+            body=b"".join(reply.answer.body for reply in replies)
+        )
+
+    return program
+
+
+def chain(made_preset):
+    """Four services, each calling the next one."""
+    made = fleet.Fleet(preset=made_preset)
+    for service, below in zip(SERVICES, (*SERVICES[1:], ""), strict=True):
+        program = calling(get(below)) if below else fleet_model.answer_at_once
+        made.add_node(service, service=service, program=program)
+    return made
+
+
+def pool(made_preset, *, count=3, service="orderline", **kwargs):
+    """Several servers of one service, beside two entry nodes."""
+    made = fleet.Fleet(preset=made_preset)
+    made.add_node("entry-1")
+    made.add_node("entry-2")
+    for number in range(1, count + 1):
+        made.add_node(f"{service}-{number}", service=service, **kwargs)
+    return made
+
+
+def fetch_ticket(made, host_id, request, user_request_id, **kwargs):
+    reply = made.call(
+        host_id, request, user_request_id=user_request_id, **kwargs
+    )
+    made.run_until(lambda: reply.done)
+    assert reply.error is errors.ErrorKind.TICKET_REQUIRED
+    return reply.answer.ticket
+
+
+def only_run(made, user_request_id):
+    (run,) = made.runs_of(user_request_id)
+    return run
--- /dev/null
+++ b/bergamotdeal/calls/tests/test_fleet_tickets.py
@@ -0,0 +1,507 @@
+from bergamotdeal.calls import core
+from bergamotdeal.calls import messages
+from bergamotdeal.calls.tests import scenarios
+from bergamotdeal.errors import core as errors
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+from bergamotdeal.tickets import core as tickets
+from standins import fleet_model
+
+KINDS = errors.ErrorKind
+NOT_RUN = errors.Outcome.NOT_RUN
+UNKNOWN = errors.Outcome.UNKNOWN
+COMPLETED = errors.Outcome.COMPLETED
+POST = scenarios.post("orderline")
+
+
+def host_of(ticket):
+    return tickets.decode(ticket).ok_value.host_id
+
+
+def make_pool(**kwargs):
+    policy = kwargs.pop("tickets", model.TicketPolicy())
+    return scenarios.pool(scenarios.preset(tickets=policy), **kwargs)
+
+
+def use(made, ticket, *, host_id="entry-1", request=POST, **kwargs):
+    return made.call(
+        host_id, request, user_request_id="r", ticket=ticket, **kwargs
+    )
+
+
+def test_the_first_sending_gets_a_ticket_and_does_not_run():
+    pool = make_pool()
+    reply = pool.call("entry-1", POST, user_request_id="r")
+    pool.run_until(lambda: reply.done)
+    assert (reply.outcome, reply.answer.status) == (NOT_RUN, 428)
+    assert pool.runs_of("r") == []
+
+
+def test_a_caller_that_forgot_its_ticket_gets_the_same_one_again():
+    pool = make_pool()
+    first = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    second = scenarios.fetch_ticket(pool, "entry-2", POST, "r", attempt=1)
+    assert second == first
+
+
+def test_a_ticket_at_two_entries_at_once_runs_once_and_answers_both():
+    pool = make_pool(program=scenarios.working(0.1))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    replies = [use(pool, ticket), use(pool, ticket, host_id="entry-2")]
+    pool.run_until(lambda: all(reply.done for reply in replies))
+    assert [reply.outcome for reply in replies] == [COMPLETED] * 2
+    assert replies[0].answer.body == replies[1].answer.body
+    scenarios.only_run(pool, "r")
+
+
+def test_a_used_ticket_replays_its_answer():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    for attempt in range(3):
+        reply = use(pool, ticket, attempt=attempt)
+        pool.run_until(lambda reply=reply: reply.done)
+        assert (reply.outcome, reply.answer.body) == (COMPLETED, b"ok")
+    scenarios.only_run(pool, "r")
+
+
+def test_a_sending_without_the_ticket_after_the_run_is_not_called_not_run():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    again = pool.call("entry-2", POST, user_request_id="r")
+    pool.run_until(lambda: again.done)
+    assert (again.error, again.outcome) == (KINDS.TICKET_REQUIRED, UNKNOWN)
+    assert again.answer.ticket == ticket
+
+
+def test_an_answer_over_the_budget_is_gone_but_never_run_again():
+    pool = make_pool(tickets=model.TicketPolicy(answer_bytes=1))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket)
+    pool.run_until(lambda: first.done)
+    again = use(pool, ticket)
+    pool.run_until(lambda: again.done)
+    assert (again.error, again.outcome) == (KINDS.ANSWER_GONE, UNKNOWN)
+    scenarios.only_run(pool, "r")
+
+
+def test_other_content_under_a_used_ticket_is_refused():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket)
+    pool.run_until(lambda: first.done)
+    other = use(pool, ticket, request=scenarios.post("orderline", b"other"))
+    pool.run_until(lambda: other.done)
+    assert other.error is KINDS.TICKET_MISMATCH
+    scenarios.only_run(pool, "r")
+
+
+def test_an_expired_ticket_never_runs():
+    pool = make_pool(tickets=model.TicketPolicy(lifetime_ms=1000))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    pool.run_for(1.1)
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    assert (reply.error, reply.outcome) == (KINDS.TICKET_EXPIRED, UNKNOWN)
+    assert pool.runs_of("r") == []
+
+
+def test_a_full_table_issues_no_ticket_and_forgets_none():
+    pool = make_pool(tickets=model.TicketPolicy(table_size=2), count=1)
+    first = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    scenarios.fetch_ticket(pool, "entry-1", POST, "r2")
+    full = pool.call("entry-1", POST, user_request_id="r3")
+    pool.run_until(lambda: full.done)
+    assert (full.error, full.outcome) == (KINDS.TICKET_TABLE_FULL, NOT_RUN)
+    reply = use(pool, first)
+    pool.run_until(lambda: reply.done)
+    assert reply.outcome is COMPLETED
+
+
+def test_a_forged_ticket_is_refused():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    reply = use(pool, ticket[:-1] + bytes([ticket[-1] ^ 1]))
+    pool.run_until(lambda: reply.done)
+    assert reply.error is KINDS.TICKET_INVALID
+    assert pool.runs_of("r") == []
+
+
+def test_a_restarted_node_honours_no_ticket_from_before():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    host_id = host_of(ticket)
+    pool.kill_node(host_id)
+    pool.start_node(host_id)
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    assert (reply.error, reply.outcome) == (KINDS.TICKET_LOST, UNKNOWN)
+    assert pool.runs_of("r") == []
+
+
+def test_an_entry_with_a_stale_view_cannot_run_a_ticket_from_before():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    host_id = host_of(ticket)
+    old_member = pool.nodes_by_id[host_id].member
+    pool.kill_node(host_id)
+    pool.start_node(host_id)
+    view = {k: v.member for k, v in pool.nodes_by_id.items()}
+    view[host_id] = old_member
+    pool.send_event("entry-1", messages.MembersChanged(members_by_id=view))
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    assert (reply.error, reply.outcome) == (KINDS.TICKET_LOST, UNKNOWN)
+    assert pool.runs_of("r") == []
+
+
+def test_a_node_killed_after_hand_over_gives_unknown_and_never_runs_again():
+    pool = make_pool(program=scenarios.working(0.5))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    host_id = host_of(ticket)
+    first = use(pool, ticket)
+    pool.run_until(lambda: pool.runs_of("r"))
+    pool.kill_node(host_id)
+    pool.run_until(lambda: first.done)
+    assert first.outcome is UNKNOWN
+    for attempt, entry in enumerate(("entry-2", "entry-1"), start=1):
+        again = use(pool, ticket, host_id=entry, attempt=attempt)
+        pool.run_until(lambda again=again: again.done)
+        assert again.outcome is UNKNOWN
+    pool.start_node(host_id)
+    again = use(pool, ticket, attempt=3)
+    pool.run_until(lambda: again.done)
+    assert (again.error, again.outcome) == (KINDS.TICKET_LOST, UNKNOWN)
+    scenarios.only_run(pool, "r")
+
+
+def test_a_lost_link_is_survived_by_joining_or_replaying():
+    pool = make_pool(program=scenarios.working(0.5))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket)
+    pool.run_until(lambda: pool.runs_of("r"))
+    pool.links.reset("entry-1", host_of(ticket))
+    pool.run_until(lambda: first.done)
+    assert first.outcome is UNKNOWN
+    second = use(pool, ticket, attempt=1)
+    pool.run_until(lambda: second.done)
+    assert (second.outcome, second.answer.body) == (COMPLETED, b"ok")
+    scenarios.only_run(pool, "r")
+
+
+def fill(made, host_id):
+    """Occupies a server's only slot and its queue with critical work."""
+    node = made.nodes_by_id[host_id]
+    service = node.member.server.service
+    for number in range(4):
+        call = core.Call(
+            number=1000 + number,
+            user_request_id=f"filler-{number}",
+            call_id=f"filler-{number}",
+            request=scenarios.get(service),
+            deadline_ms=60_000,
+            class_name=model.CRITICAL,
+        )
+        made.send_event(host_id, messages.PeerCalled(link_id=77, call=call))
+
+
+def refused_pool():
+    """A pool whose only server is full, and a ticket for it."""
+    pool = make_pool(count=1, slots=1, program=scenarios.working(5))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    fill(pool, "orderline-1")
+    return pool, ticket
+
+
+def test_a_refused_ticket_is_burnt_before_a_travelling_copy_arrives():
+    pool, ticket = refused_pool()
+    pool.links.deliver = lambda frame: (
+        [30.0] if frame.source == "entry-2" else [0.0005]
+    )
+    copy = use(pool, ticket, host_id="entry-2", deadline_ms=60_000)
+    first = use(pool, ticket)
+    pool.run_until(lambda: first.done)
+    assert (first.error, first.outcome) == (KINDS.SHED, NOT_RUN)
+    pool.run_until(lambda: copy.done)
+    assert (copy.error, copy.outcome) == (KINDS.TICKET_BURNT, NOT_RUN)
+    assert pool.runs_of("r") == []
+
+
+def test_a_resend_that_is_shed_after_its_first_sending_ran_says_unknown():
+    pool = make_pool(
+        count=1,
+        slots=1,
+        program=scenarios.working(0.01),
+        tickets=model.TicketPolicy(answer_bytes=0),
+    )
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    pool.links.deliver = lambda frame: (
+        [] if isinstance(frame.content, messages.SendAnswer) else [0.0005]
+    )
+    first = use(pool, ticket, deadline_ms=100)
+    pool.run_until(lambda: first.done)
+    assert first.outcome is UNKNOWN
+    pool.links.deliver = lambda frame: [0.0005]
+    pool.nodes_by_id["orderline-1"].program = scenarios.working(5)
+    fill(pool, "orderline-1")
+    for kwargs in ({"ticket": ticket}, {"ticket": ticket, "attempt": 1}, {}):
+        again = pool.call("entry-2", POST, user_request_id="r", **kwargs)
+        pool.run_until(lambda again=again: again.done)
+        assert again.outcome is UNKNOWN, again.error
+    scenarios.only_run(pool, "r")
+
+
+def test_a_resend_of_a_repeatable_request_that_is_shed_says_unknown():
+    pool = make_pool(count=1, slots=1, program=scenarios.working(5))
+    fill(pool, "orderline-1")
+    for attempt, outcome in ((0, NOT_RUN), (1, UNKNOWN)):
+        reply = pool.call(
+            "entry-1",
+            scenarios.get("orderline"),
+            user_request_id="r",
+            attempt=attempt,
+        )
+        pool.run_until(lambda reply=reply: reply.done)
+        assert (reply.error, reply.outcome) == (KINDS.SHED, outcome)
+
+
+def test_a_draining_node_serves_what_is_in_flight_and_refuses_the_rest():
+    pool = make_pool(count=2, program=scenarios.working(0.5))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    unused = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    assert unused == ticket
+    first = use(pool, ticket)
+    pool.run_until(lambda: pool.runs_of("r"))
+    pool.drain(host_of(ticket))
+    joined = use(pool, ticket, host_id="entry-2", attempt=1)
+    pool.run_until(lambda: first.done and joined.done)
+    assert first.outcome is joined.outcome is COMPLETED
+    replayed = use(pool, ticket, attempt=2)
+    pool.run_until(lambda: replayed.done)
+    assert replayed.outcome is COMPLETED
+    pool.run_for(10)
+    assert pool.nodes_by_id[host_of(ticket)].engine.idle()
+
+
+def test_a_draining_node_burns_an_unused_ticket():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    pool.drain(host_of(ticket))
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    assert (reply.error, reply.outcome) == (KINDS.DRAINING, NOT_RUN)
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    assert reply.error is KINDS.TICKET_BURNT
+    assert pool.runs_of("r") == []
+
+
+def test_a_caller_that_leaves_does_not_stop_a_run_under_a_ticket():
+    pool = make_pool(program=scenarios.working(0.5))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket)
+    pool.run_until(lambda: pool.runs_of("r"))
+    pool.hang_up(first)
+    again = use(pool, ticket, attempt=1)
+    pool.run_until(lambda: again.done)
+    assert again.outcome is COMPLETED
+    scenarios.only_run(pool, "r")
+
+
+def test_a_joined_call_takes_over_when_the_first_caller_leaves_the_queue():
+    pool = make_pool(count=1, slots=1, program=scenarios.working(0.2))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    busy = pool.call("entry-1", scenarios.get("orderline"), user_request_id="b")
+    pool.run_until(lambda: pool.runs_of("b"))
+    first = use(pool, ticket)
+    second = use(pool, ticket, host_id="entry-2")
+    pool.run_for(0.05)
+    assert pool.runs_of("r") == []
+    pool.hang_up(first)
+    pool.run_until(lambda: second.done)
+    assert busy.outcome is second.outcome is COMPLETED
+    scenarios.only_run(pool, "r")
+
+
+def test_a_node_with_an_old_preset_runs_nothing_without_a_ticket():
+    repeatable = scenarios.preset()
+    strict = model.Preset(name="strict")
+    pool = scenarios.pool(repeatable, count=1)
+    pool.switch_preset(strict, to=["entry-1"])
+    request = scenarios.get("orderline")
+    scenarios.fetch_ticket(pool, "entry-1", request, "r")
+    assert pool.runs_of("r") == []
+
+
+def test_an_entry_with_a_newer_preset_uses_the_ticket_for_its_caller():
+    pool = scenarios.pool(model.Preset(name="strict"), count=1)
+    pool.switch_preset(scenarios.preset(), to=["entry-1"])
+    reply = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="r"
+    )
+    pool.run_until(lambda: reply.done)
+    assert reply.outcome is COMPLETED
+    scenarios.only_run(pool, "r")
+
+
+# --- A backend server's own calls ------------------------------------------
+
+
+def booking_program(key, times=1, *, body=b"reserve"):
+    """Makes the same booking one or more times, one after the other."""
+
+    def program(_start):
+        bodies = []
+        for _ in range(times):
+            (reply,) = yield fleet_model.Invoke(
+                requests=[scenarios.post("orderline", body)],
+                idempotency_keys=[key],
+            )
+            bodies.append(reply.outcome.value.encode())
+        return fleet_model.Response(body=b",".join(bodies))
+
+    return program
+
+
+def make_booking_pool(program):
+    made = make_pool()
+    made.add_node("kitview-1", service="kitview", program=program)
+    return made
+
+
+def run_booking(made, user_request_id="r", **kwargs):
+    reply = made.call(
+        "entry-1",
+        scenarios.get("kitview"),
+        user_request_id=user_request_id,
+        **kwargs,
+    )
+    made.run_until(lambda: reply.done)
+    return reply
+
+
+def bookings(made):
+    return [
+        run
+        for run in made.servers.runs
+        if run.start.request.service == "orderline"
+    ]
+
+
+def test_a_servers_booking_needs_no_ticket_of_its_own():
+    pool = make_booking_pool(booking_program(""))
+    assert run_booking(pool).answer.body == b"completed"
+    assert len(bookings(pool)) == 1
+
+
+def test_a_servers_bookings_without_a_key_are_separate():
+    pool = make_booking_pool(booking_program("", times=2))
+    assert run_booking(pool).answer.body == b"completed,completed"
+    assert len(bookings(pool)) == 2
+
+
+def test_a_servers_resend_under_its_key_is_replayed():
+    pool = make_booking_pool(booking_program("k", times=3))
+    assert run_booking(pool).answer.body == b",".join([b"completed"] * 3)
+    assert len(bookings(pool)) == 1
+
+
+def test_a_parent_that_runs_again_finds_the_booking_by_its_key():
+    pool = make_booking_pool(booking_program("k"))
+    run_booking(pool)
+    reply = run_booking(pool, attempt=1)
+    assert reply.answer.body == b"completed"
+    assert len(bookings(pool)) == 1
+
+
+def test_a_parent_is_not_sent_again_once_it_has_booked():
+    def crashing(_start):
+        yield fleet_model.Invoke(requests=[POST])
+        yield fleet_model.Work(seconds=60)
+        return fleet_model.Response()
+
+    pool = make_booking_pool(crashing)
+    pool.add_node("kitview-2", service="kitview", program=crashing)
+    reply = pool.call("entry-1", scenarios.get("kitview"), user_request_id="r")
+    pool.run_until(lambda: bookings(pool))
+    pool.run_for(0.1)
+    parent = pool.servers.runs[0]
+    pool.kill_server(parent.host_id)
+    pool.run_until(lambda: reply.done)
+    assert reply.outcome is UNKNOWN
+    assert len(bookings(pool)) == 1
+
+
+def test_a_lost_parent_that_may_have_booked_is_not_sent_again():
+    def waiting(_start):
+        yield fleet_model.Work(seconds=60)
+        return fleet_model.Response()
+
+    pool = make_booking_pool(waiting)
+    pool.add_node("kitview-2", service="kitview", program=waiting)
+    reply = pool.call("entry-1", scenarios.get("kitview"), user_request_id="r")
+    pool.run_until(lambda: pool.runs_of("r"))
+    pool.kill_node(pool.servers.runs[0].host_id)
+    pool.run_until(lambda: reply.done)
+    assert (reply.error, reply.outcome) == (KINDS.PEER_LOST, UNKNOWN)
+    assert len(pool.runs_of("r")) == 1
+
+
+def test_a_route_declared_repeatable_below_is_sent_again_but_books_nothing():
+    made = scenarios.pool(scenarios.preset(below=True))
+    for number in (1, 2):
+        made.add_node(
+            f"kitview-{number}",
+            service="kitview",
+            program=booking_program("", times=1),
+        )
+    reply = run_booking(made)
+    assert reply.answer.body == b"not-run"
+    assert bookings(made) == []
+
+
+def test_a_burnt_ticket_of_a_server_is_replaced_within_the_allowance():
+    pool = make_booking_pool(booking_program(""))
+    by_rendezvous = []
+    pool.links.deliver = lambda frame: [0.0005]
+    # Each host refuses the first ticket that is presented to it.
+    drained = set()
+
+    def refuse_first(frame):
+        call = frame.content
+        if isinstance(call, core.Call) and call.ticket and not drained:
+            drained.add(frame.target)
+            by_rendezvous.append(frame.target)
+            pool.send_event(frame.target, messages.DrainStarted())
+        return [0.0005]
+
+    pool.links.deliver = refuse_first
+    assert run_booking(pool).answer.body == b"completed"
+    assert len(by_rendezvous) == 1
+    assert len(bookings(pool)) == 1
+    assert bookings(pool)[0].host_id not in drained
+
+
+def test_an_unreachable_ticket_host_is_never_replaced():
+    pool = make_booking_pool(booking_program("k"))
+
+    def kill_before_use(frame):
+        call = frame.content
+        if isinstance(call, messages.SendAnswer) and call.answer.ticket:
+            pool.after(0, lambda: pool.kill_node(frame.source, noticed=False))
+        return [0.0]
+
+    pool.links.deliver = kill_before_use
+    reply = run_booking(pool)
+    assert reply.answer.body in (b"unknown", b"completed")
+    assert len(bookings(pool)) <= 1
+
+
+def test_membership_states_do_not_make_a_ticket_lost():
+    pool = make_pool()
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    pool.set_state(host_of(ticket), membership.MemberState.SUSPECT)
+    reply = use(pool, ticket)
+    pool.run_until(lambda: reply.done)
+    assert reply.outcome is COMPLETED
--- a/bergamotdeal/calls/truth.py
+++ b/bergamotdeal/calls/truth.py
@@ -1,4 +1,4 @@
-"""Rules for what an answer may say about the execution of a request.
+"""Rules for what an answer may say and for what may be sent again.
 
 ``not-run`` speaks of the request and not of its last sending. It is true only
 when no sending of the request was handed over to a backend server. So only a
@@ -7,34 +7,33 @@
 """
 
 from bergamotdeal.calls import core
+from bergamotdeal.calls import exchanges
 from bergamotdeal.errors import core as errors
 
+_KINDS = errors.ErrorKind
+
 REFUSALS_WORTH_RESENDING = frozenset(
     {
-        errors.ErrorKind.DRAINING,
-        errors.ErrorKind.NOT_READY,
-        errors.ErrorKind.PEER_UNREACHABLE,
-        errors.ErrorKind.SERVER_UNREACHABLE,
-        errors.ErrorKind.SERVER_SHED,
+        _KINDS.DRAINING,
+        _KINDS.NOT_READY,
+        _KINDS.PEER_UNREACHABLE,
+        _KINDS.SERVER_UNREACHABLE,
+        _KINDS.SERVER_SHED,
+        _KINDS.TICKET_TABLE_FULL,
     }
 )
 """Refusals that concern one server, so that another one may accept."""
 
-LOSSES_WORTH_RESENDING = frozenset(
+LOSSES = frozenset(
     {
-        errors.ErrorKind.PEER_LOST,
-        errors.ErrorKind.SERVER_LOST,
-        errors.ErrorKind.SERVER_ANSWER_INVALID,
+        _KINDS.PEER_LOST,
+        _KINDS.SERVER_LOST,
+        _KINDS.SERVER_ANSWER_INVALID,
     }
 )
 """Losses after which a repeatable call may be sent to another server."""
 
 
-def sent_before(call: core.Call) -> bool:
-    """Whether an earlier sending of a call's request may have run."""
-    return call.may_have_run or call.attempt > 0
-
-
 def correct(answer: core.Answer, *, may_have_run: bool) -> core.Answer:
     """Takes back a ``not-run`` that is not true for the whole request.
 
@@ -48,3 +47,42 @@
     if may_have_run and answer.outcome is errors.Outcome.NOT_RUN:
         answer.outcome = errors.Outcome.UNKNOWN
     return answer
+
+
+def may_resend(
+    exchange: exchanges.Exchange, answer: core.Answer, *, max_losses: int
+) -> bool:
+    """Whether sending a call again can do no harm.
+
+    Args:
+      exchange: The call, whose last dispatch has ended.
+      answer: The answer to it, or the error that took its place.
+      max_losses: Lost dispatches after which the call itself is suspected
+        of causing them.
+    """
+    if answer.error in REFUSALS_WORTH_RESENDING:
+        return _may_replace_refused(exchange, answer)
+    if answer.error in LOSSES:
+        if exchange.minting:
+            return True
+        return (
+            exchange.losses < max_losses
+            and not exchange.ticket
+            and exchange.route.repeatable
+            and exchange.repeatable
+        )
+    return False
+
+
+def _may_replace_refused(
+    exchange: exchanges.Exchange, answer: core.Answer
+) -> bool:
+    if not exchange.ticket:
+        return True
+    # Another ticket is safe only once the first one is burnt, and only its
+    # own incarnation can burn it.
+    return (
+        exchange.ticket_is_own
+        and answer.error is not _KINDS.PEER_UNREACHABLE
+        and answer.outcome is errors.Outcome.NOT_RUN
+    )
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -60,6 +60,7 @@
 
     # Calls.
     CALL_TOO_DEEP = "call-too-deep"
+    CALL_NOT_DECLARED = "call-not-declared"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -157,6 +158,9 @@
     ErrorKind.NOT_FOUND: _not_run(404, "No such object."),
     ErrorKind.INTERNAL: _unknown(500, "The node failed internally."),
     ErrorKind.CALL_TOO_DEEP: _not_run(508, "The chain of calls is too deep."),
+    ErrorKind.CALL_NOT_DECLARED: _not_run(
+        403, "A route above is declared to make repeatable calls only."
+    ),
 }
 
 
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -29,6 +29,9 @@
       class_name: Class of the requests, one of the preset's.
       repeatable: Whether running the request twice is harmless.
       deadline_ms: Deadline when the caller states none.
+      repeatable_below: Whether all calls that it leads to are repeatable too.
+        Only then is it sent again after a lost answer; non-repeatable calls
+        below it are refused.
     """
 
     service: str
@@ -37,6 +40,7 @@
     class_name: str = CRITICAL
     repeatable: bool = False
     deadline_ms: Milliseconds = 5000
+    repeatable_below: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bergamotdeal/tickets/__init__.py
+++ b/bergamotdeal/tickets/__init__.py
@@ -1,1 +1,3 @@
-"""Tickets that let a non-repeatable request run at most once."""
+"""Tickets by which a request that must not be repeated runs at most once."""
+
+__all__ = ["core", "mint", "table"]
--- a/bergamotdeal/wire/codec.py
+++ b/bergamotdeal/wire/codec.py
@@ -136,6 +136,8 @@
     builder.className = call.class_name
     builder.depth = call.depth
     builder.epoch = call.epoch
+    builder.needsTicket = call.needs_ticket
+    builder.onlyRepeatable = call.only_repeatable
 
 
 def _read_call(reader) -> calls.Call:
@@ -158,6 +160,8 @@
         class_name=reader.className,
         depth=reader.depth,
         epoch=reader.epoch,
+        needs_ticket=reader.needsTicket,
+        only_repeatable=reader.onlyRepeatable,
     )
 
 
--- a/bergamotdeal/wire/frame.capnp
+++ b/bergamotdeal/wire/frame.capnp
@@ -42,6 +42,8 @@
   className @13 :Text;
   depth @14 :UInt16;
   epoch @15 :UInt64;
+  needsTicket @16 :Bool;
+  onlyRepeatable @17 :Bool;
 }
 
 struct Answer {
