--- a/bergamotdeal/calls/core.py
+++ b/bergamotdeal/calls/core.py
@@ -63,6 +63,7 @@
       class_name: Class of the user request, empty when not yet known.
       depth: Number of calls above this one.
       epoch: Epoch of the configuration in force at the origin.
+      stamp: Stamp of the origin's hybrid logical clock, set by its peer face.
       needs_ticket: Whether the origin's preset lets the request run only
         under a ticket.
       only_repeatable: Whether a call above may be sent again after its answer
@@ -81,6 +82,7 @@
     class_name: str = ""
     depth: int = 0
     epoch: int = 0
+    stamp: int = 0
     needs_ticket: bool = False
     only_repeatable: bool = False
 
@@ -103,6 +105,7 @@
         own targets admit for this route and class.
       load: Load of the target, or None when the answer came from elsewhere.
       epoch: Epoch of the configuration in force at the target.
+      stamp: Stamp of the target's hybrid logical clock, set by its peer face.
     """
 
     outcome: errors.Outcome
@@ -117,6 +120,7 @@
     threshold: float = 1.0
     load: Load | None = None
     epoch: int = 0
+    stamp: int = 0
 
 
 def error_answer(
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -4,8 +4,11 @@
 reused; the message's fields are filled from the event.
 """
 
+from collections.abc import Mapping
 import enum
 
+import result
+
 
 class EventCode(enum.IntEnum):
     """Number of each event."""
@@ -101,3 +104,47 @@
     EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
     EventCode.FRAME_MALFORMED: "malformed frame from {address}",
 }
+
+
+def describe(code: EventCode, fields_by_name: Mapping[str, object]) -> str:
+    """Words an event.
+
+    Args:
+      code: The event's number.
+      fields_by_name: Values for the fields of its message.
+
+    Returns:
+      The catalogue's message with its fields filled; a field without a value
+      shows as a question mark.
+    """
+    fields = _Filled(fields_by_name)
+    return MESSAGES_BY_CODE[code].format_map(fields)
+
+
+class _Filled(dict):
+    """Stands a question mark in for each missing field."""
+
+    def __missing__(self, name: str) -> str:
+        return "?"
+
+
+def find(word: str) -> result.Result[EventCode | None, str]:
+    """Finds an event by its name or number.
+
+    Args:
+      word: Name in any case, with dashes or underscores, or a number; empty
+        for no event.
+
+    Returns:
+      The code, None for an empty word, or why there is no such event.
+    """
+    if not word:
+        return result.Ok(None)
+    name = word.upper().replace("-", "_")
+    if name in EventCode.__members__:
+        return result.Ok(EventCode[name])
+    if word.isascii() and word.isdigit() and len(word) < 6:
+        number = int(word)
+        if number in MESSAGES_BY_CODE:
+            return result.Ok(EventCode(number))
+    return result.Err(f"no event is called {word!r}")
--- a/bergamotdeal/wire/codec.py
+++ b/bergamotdeal/wire/codec.py
@@ -136,6 +136,7 @@
     builder.className = call.class_name
     builder.depth = call.depth
     builder.epoch = call.epoch
+    builder.stamp = call.stamp
     builder.needsTicket = call.needs_ticket
     builder.onlyRepeatable = call.only_repeatable
 
@@ -160,6 +161,7 @@
         class_name=reader.className,
         depth=reader.depth,
         epoch=reader.epoch,
+        stamp=reader.stamp,
         needs_ticket=reader.needsTicket,
         only_repeatable=reader.onlyRepeatable,
     )
@@ -187,6 +189,7 @@
         load.queued = answer.load.queued
         load.limit = answer.load.limit
     builder.epoch = answer.epoch
+    builder.stamp = answer.stamp
 
 
 def _read_answer(reader) -> messages.AnswerFrame:
@@ -211,6 +214,7 @@
         threshold=reader.threshold,
         load=load,
         epoch=reader.epoch,
+        stamp=reader.stamp,
     )
     return messages.AnswerFrame(
         number=reader.number,
--- a/bergamotdeal/wire/frame.capnp
+++ b/bergamotdeal/wire/frame.capnp
@@ -42,8 +42,9 @@
   className @13 :Text;
   depth @14 :UInt16;
   epoch @15 :UInt64;
-  needsTicket @16 :Bool;
-  onlyRepeatable @17 :Bool;
+  stamp @16 :UInt64;
+  needsTicket @17 :Bool;
+  onlyRepeatable @18 :Bool;
 }
 
 struct Answer {
@@ -61,6 +62,7 @@
   threshold @11 :Float32 = 1.0;
   load @12 :Load;
   epoch @13 :UInt64;
+  stamp @14 :UInt64;
 }
 
 struct Frame {
