--- a/bergamotdeal/wire/frame.capnp
+++ b/bergamotdeal/wire/frame.capnp
@@ -43,6 +43,8 @@
   depth @14 :UInt16;
   epoch @15 :UInt64;
   stamp @16 :UInt64;
+  needsTicket @17 :Bool;
+  onlyRepeatable @18 :Bool;
 }
 
 struct Answer {
