Add the demo of a chain under overload

Cause: newcomers need one command that shows what the layer does. Change: make demo runs four services over eight nodes, calm, overloaded (twice the demand, deepest service 3x slow, callers that resend hard) and recovering, with control on and off, and prints a time line; the stand-in server can resend at its level.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -24,6 +24,7 @@
 KEY = "standin-key-0123456789"
 MAX_PROCESSES = 100
 POLL_S = 0.02
+COMMAND_TIMEOUT_S = 30
 START_TIMEOUT_S = 20.0
 
 _numbers = itertools.count(1)
@@ -43,6 +44,7 @@
       slots: Slots of the server.
       connections: Connections that the server announces.
       service_ms: Mean service time.
+      tries: Sendings of a call by the server to the next service.
       node: The node process, or None while it is down.
       server: The server process, or None while it is down.
     """
@@ -56,6 +58,7 @@
     slots: int = 20
     connections: int = 200
     service_ms: float = 5.0
+    tries: int = 1
     node: subprocess.Popen | None = None
     server: subprocess.Popen | None = None
 
@@ -173,6 +176,7 @@
             "connections": host.connections,
             "service-ms": host.service_ms,
             "next-service": host.next_service,
+            "tries": host.tries,
             "ledger": self.ledger_path(host),
         }
         arguments = [
@@ -231,6 +235,22 @@
         if status != 200:
             raise RuntimeError(f"control answered {status}")
 
+    def command(self, *arguments: str) -> str:
+        """Runs ``bergamotdeal`` and returns what it printed.
+
+        Args:
+          *arguments: Subcommand and options.
+        """
+        done = subprocess.run(
+            [*self._command, *arguments],
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+            check=False,
+            cwd=pathlib.Path(__file__).parent.parent,
+        )
+        return done.stdout + done.stderr
+
     def wait_ready(self, host: Host) -> None:
         """Waits until a host's node says that it is ready.
 
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,246 @@
+"""Runs a chain of four services through overload, with control on and off."""
+
+import json
+import pathlib
+import statistics
+import tempfile
+
+import click
+from twisted.internet import defer
+from twisted.internet import reactor as twisted_reactor
+from twisted.internet import task
+from twisted.internet import threads
+
+from standins import cluster
+from standins import load
+from standins import presets
+
+SERVERS_PER_SERVICE = 2
+DEEPEST = presets.SERVICES[-1]
+SLOW_FACTOR = 3.0
+CALM_PER_S = 40.0
+DEADLINE_MS = 800
+BASELINE_TRIES = 3
+SEED = 7
+
+PHASES = (
+    load.Plan(
+        name="calm",
+        rate_per_s=CALM_PER_S,
+        duration_s=5,
+        deadline_ms=DEADLINE_MS,
+    ),
+    load.Plan(
+        name="overload",
+        rate_per_s=2 * CALM_PER_S,
+        duration_s=8,
+        deadline_ms=DEADLINE_MS,
+    ),
+    load.Plan(
+        name="recovery",
+        rate_per_s=CALM_PER_S,
+        duration_s=6,
+        deadline_ms=DEADLINE_MS,
+    ),
+)
+
+
+def build_cluster(folder: pathlib.Path, *, control: bool) -> cluster.Cluster:
+    """Returns the cluster of the demo; nothing runs yet.
+
+    Args:
+      folder: Folder for its files.
+      control: Whether overload control is on.
+    """
+    preset = presets.with_control() if control else presets.without_control()
+    built = cluster.Cluster(folder=folder, preset=preset)
+    next_services = (*presets.SERVICES[1:], "")
+    for service, next_service in zip(
+        presets.SERVICES, next_services, strict=True
+    ):
+        is_deepest = service == DEEPEST
+        for number in range(1, SERVERS_PER_SERVICE + 1):
+            built.add(
+                f"{service}-{number}",
+                "bayan-lepas",
+                service=service,
+                next_service=next_service,
+                slots=2 if is_deepest else 20,
+                service_ms=40.0 if is_deepest else 3.0,
+                tries=1 if control else BASELINE_TRIES,
+            )
+    return built
+
+
+@defer.inlineCallbacks
+def run_phases(running: cluster.Cluster, callers: load.Callers):
+    """Runs calm, overload and recovery.
+
+    Args:
+      running: The cluster.
+      callers: The callers.
+    """
+    deepest = [
+        host for host in running.hosts_by_id.values() if host.service == DEEPEST
+    ]
+
+    @defer.inlineCallbacks
+    def slow_down(factor: float):
+        for host in deepest:
+            yield threads.deferToThread(running.control, host, slow=factor)
+
+    calm_s, overload_s = PHASES[0].duration_s, PHASES[1].duration_s
+    changes = [
+        task.deferLater(twisted_reactor, calm_s, slow_down, SLOW_FACTOR),
+        task.deferLater(twisted_reactor, calm_s + overload_s, slow_down, 1.0),
+    ]
+    yield callers.run(list(PHASES))
+    yield defer.gatherResults(changes)
+
+
+def summarize(requests: list[load.UserRequest]) -> list[dict]:
+    """Returns one row per phase and class.
+
+    Args:
+      requests: All user requests.
+    """
+    counts = load.count_outcomes(requests)
+    rows = []
+    for plan in PHASES:
+        for class_name in ("critical", "browse"):
+            chosen = [
+                request
+                for request in requests
+                if request.phase == plan.name
+                and request.is_critical == (class_name == "critical")
+            ]
+            latencies_ms = [
+                1000 * (request.ended_at - request.sent_at)
+                for request in chosen
+                if request.completed
+            ]
+            row = {"phase": plan.name, "class": class_name}
+            row["requests"] = len(chosen)
+            for outcome in ("completed", "failed", "not-run", "unknown"):
+                row[outcome] = counts[plan.name, class_name, outcome]
+            row["sendings"] = sum(request.sendings for request in chosen)
+            row["p50_ms"] = (
+                round(statistics.median(latencies_ms)) if latencies_ms else None
+            )
+            rows.append(row)
+    return rows
+
+
+def print_rows(title: str, rows: list[dict]) -> None:
+    """Prints the table of one run.
+
+    Args:
+      title: Its heading.
+      rows: The rows.
+    """
+    click.echo(f"\n{title}")
+    click.echo("".join(f"{name:>10}" for name in rows[0]))
+    for row in rows:
+        click.echo("".join(f"{row[name]!s:>10}" for name in row))
+
+
+@defer.inlineCallbacks
+def run_once(folder: pathlib.Path, *, control: bool):
+    """Runs the demo once.
+
+    Args:
+      folder: Folder for its files.
+      control: Whether overload control is on.
+
+    Returns:
+      Fires with the rows and some lines of the time line.
+    """
+    built = build_cluster(folder, control=control)
+    try:
+        yield threads.deferToThread(built.start)
+        yield threads.deferToThread(wait_until_joined, built)
+        entries = [
+            (host.address, cluster.ENTRY_PORT)
+            for host in built.hosts_by_id.values()
+            if host.service == presets.SERVICES[0]
+        ]
+        callers = load.Callers(
+            reactor=twisted_reactor, entries=entries, seed=SEED
+        )
+        yield run_phases(built, callers)
+        timeline = yield threads.deferToThread(
+            shed_request_timeline, built, callers.requests
+        )
+    finally:
+        yield threads.deferToThread(built.stop)
+    return summarize(callers.requests), timeline
+
+
+def wait_until_joined(running: cluster.Cluster) -> None:
+    """Waits until each node knows every backend server.
+
+    Args:
+      running: The cluster.
+    """
+    wanted = len(running.hosts_by_id)
+
+    def joined(host: cluster.Host) -> bool:
+        members = running.status(host).get("members", [])
+        return sum(bool(member["service"]) for member in members) == wanted
+
+    for host in running.hosts_by_id.values():
+        cluster.wait_for(lambda host=host: joined(host), "members joined")
+
+
+def shed_request_timeline(
+    running: cluster.Cluster, requests: list[load.UserRequest]
+) -> list[str]:
+    """Returns the time line of one request of the overload.
+
+    Args:
+      running: The cluster.
+      requests: All user requests.
+    """
+    chosen = [
+        request
+        for request in requests
+        if request.phase == "overload" and not request.completed
+    ] or requests
+    node = next(iter(running.hosts_by_id.values()))
+    return running.command(
+        "timeline",
+        "--node",
+        f"{node.address}:{cluster.ADMIN_PORT}",
+        "--request",
+        chosen[-1].request_id,
+    ).splitlines()
+
+
+@defer.inlineCallbacks
+def run_all(reactor):
+    """Runs the demo with control on and off and writes the result.
+
+    Args:
+      reactor: The reactor.
+    """
+    del reactor
+    results = {}
+    for control in (True, False):
+        name = "on" if control else "off"
+        with tempfile.TemporaryDirectory() as folder:
+            rows, timeline = yield run_once(
+                pathlib.Path(folder), control=control
+            )
+        results[name] = {"rows": rows, "timeline": timeline}
+        print_rows(f"Overload control {name}", rows)
+        if control:
+            click.echo("\nThe time line of one request of the overload")
+            click.echo("\n".join(timeline[:12]))
+    path = pathlib.Path("build/demo.json")
+    path.parent.mkdir(exist_ok=True)
+    path.write_text(json.dumps(results, indent=2) + "\n")
+    click.echo(f"\nWritten to {path}")
+
+
+if __name__ == "__main__":
+    task.react(run_all)
--- a/standins/server.py
+++ b/standins/server.py
@@ -82,6 +82,7 @@
         self.request_id = request.header(header_names.REQUEST_ID)
         self.child: defer.Deferred | None = None
         self.started_at = 0.0
+        self.tries_left = 0
         self.gone = False
         self.holds_slot = False
 
@@ -99,6 +100,7 @@
       connections: Connections that it announces.
       service_ms: Mean service time.
       next_service: Service that each request calls, or empty.
+      tries: Sendings of a call to the next service at most.
       ledger_path: Ledger file, or empty.
       seed: Seed of the service times.
     """
@@ -115,6 +117,7 @@
         connections: int,
         service_ms: float,
         next_service: str,
+        tries: int,
         ledger_path: str,
         seed: int,
     ) -> None:
@@ -126,6 +129,7 @@
         self._connections = connections
         self._service_s = service_ms / 1000
         self._next_service = next_service
+        self._tries = tries
         self._rng = random.Random(seed)
         self._instance = os.urandom(INSTANCE_BYTES).hex()
         self._behaviour = Behaviour()
@@ -193,6 +197,7 @@
         self._running += 1
         run.holds_slot = True
         run.started_at = self._reactor.seconds()
+        run.tries_left = self._tries
         self._record("started", run)
         crash_path = self._behaviour.crash_path
         if crash_path and run.request.target.startswith(crash_path):
@@ -209,6 +214,10 @@
         if not self._next_service:
             self._complete(run, [])
             return
+        self._call_next(run)
+
+    def _call_next(self, run: Run) -> None:
+        run.tries_left -= 1
         run.child = self._egress.request(
             run.request.method,
             f"/{self._next_service}{run.request.target}",
@@ -234,6 +243,9 @@
         run.child = None
         if not run.holds_slot:
             return
+        if run.tries_left > 0:
+            self._call_next(run)
+            return
         self._record("failed", run)
         self._release(run)
         text = f"{self._next_service} answered {status} {error}"
@@ -296,6 +308,7 @@
 @click.option("--connections", default=400)
 @click.option("--service-ms", default=5.0)
 @click.option("--next-service", default="")
+@click.option("--tries", default=1)
 @click.option("--ledger", default="")
 @click.option("--seed", default=1)
 def main(port: int, ledger: str, **options) -> None:
