--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -15,6 +15,7 @@
 from bergamotdeal.membership import messages
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import metrics
 from bergamotdeal.wire import gossip as codec
 
 _MS_PER_S = 1000
@@ -47,7 +48,7 @@
         anti-entropy.
       on_epoch: Called with each ``EpochHeard``.
       record: Called with each ``calls.messages.Record`` for the time line.
-      count: Called with a counter's name and an increment.
+      count: Called with a counter and an increment.
       timing: Intervals and bounds of the protocol.
       clock: Returns monotonic seconds.
       wall_clock: Returns seconds since the epoch.
@@ -64,7 +65,7 @@
         request_bulk: RequestBulk | None = None,
         on_epoch: Callable[[messages.EpochHeard], None] | None = None,
         record: Callable[[calls.Record], None] | None = None,
-        count: Callable[[str, int], None] | None = None,
+        count: Callable[[metrics.Counter, int], None] | None = None,
         timing: gossip.Timing = gossip.DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
@@ -206,7 +207,7 @@
             return
         match codec.decode_datagram(data, self._key):
             case result.Err(_):
-                self._count("membership.datagrams_dropped", 1)
+                self._count(metrics.Counter.GOSSIP_DATAGRAMS_DROPPED, 1)
             case result.Ok(datagram):
                 address, port = source[:2]
                 endpoint = messages.Endpoint(address=address, port=port)
@@ -236,11 +237,10 @@
             self._timer = self._reactor.callLater(delay, self._wake)
 
     def _fail(self, trace: str) -> None:
-        self._count("membership.failures", 1)
         self._record(
             calls.Record(
-                code=catalogue.EventCode.CALL_FAILED_INTERNALLY,
-                fields={"trace": trace},
+                code=catalogue.EventCode.TASK_FAILED,
+                fields={"task": "membership", "trace": trace},
             )
         )
 
@@ -275,16 +275,15 @@
         try:
             self._port.write(data, (endpoint.address, endpoint.port))
         except (OSError, ValueError):
-            self._count("membership.send_failures", 1)
-            return
-        self._count("membership.datagrams_sent", 1)
-        self._count("membership.bytes_sent", len(data))
+            return  # Like a datagram that the network lost.
+        self._count(metrics.Counter.GOSSIP_DATAGRAMS_SENT, 1)
+        self._count(metrics.Counter.GOSSIP_BYTES_SENT, len(data))
 
     def _exchange(self, effect: messages.SendBulk) -> None:
         if self._request_bulk is None:
             return
         payload = codec.encode_bulk(effect.bulk)
-        self._count("membership.bytes_sent", len(payload))
+        self._count(metrics.Counter.GOSSIP_BYTES_SENT, len(payload))
         answered = self._request_bulk(
             address=effect.endpoint.address,
             port=effect.endpoint.port,
@@ -303,10 +302,9 @@
                 event = messages.SyncAnswered(endpoint=endpoint, answer=a)
                 self._handle(event)
             case _:
-                self._count("membership.bulk_dropped", 1)
+                self._handle(messages.SyncFailed(endpoint=endpoint))
 
     def _exchange_failed(self, _, endpoint: messages.Endpoint) -> None:
-        self._count("membership.sync_failures", 1)
         self._handle(messages.SyncFailed(endpoint=endpoint))
 
 
--- /dev/null
+++ b/bergamotdeal/presets/follower.py
@@ -0,0 +1,420 @@
+"""How a node comes to the preset in force: events in, effects out.
+
+Only a higher epoch is ever applied, whatever its way: by rumour and pull from
+another node, from the store, or handed over by an operator's command.
+"""
+
+import dataclasses
+import hashlib
+import random
+
+import result
+
+from bergamotdeal.membership import core as membership
+from bergamotdeal.membership import messages as gossip
+from bergamotdeal.presets import in_force
+from bergamotdeal.presets import model
+from bergamotdeal.presets import sections as preset_sections
+
+WATCHERS_PER_DATA_CENTRE = 2
+MAX_TELLERS = 16
+PULL_PATIENCE_S = 0.7
+PEER_WAIT_S = 1.0
+READ_RETRY_MIN_S = 0.5
+READ_RETRY_MAX_S = 30.0
+
+NO_EPOCH = -1
+INITIAL_EPOCH = 0
+
+
+# --- Events ---------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EpochHeard:
+    """Another node has a preset of this epoch in force."""
+
+    epoch: int
+    host_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MembersKnown:
+    """The membership view changed."""
+
+    members_by_id: dict[str, membership.Member]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PullAnswered:
+    """A node answered a pull."""
+
+    host_id: str
+    response: gossip.PresetResponse
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PullFailed:
+    """A pull got no usable answer."""
+
+    host_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PresetHanded:
+    """An operator's command handed over an accepted switch.
+
+    Attributes:
+      document: The object in force as the store accepted it.
+    """
+
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreRead:
+    """The store answered.
+
+    Attributes:
+      document: The object in force, or None when there is none yet.
+    """
+
+    document: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreFailed:
+    """The store could not be read."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TimePassed:
+    """The wake-up time that the core asked for has come."""
+
+
+Event = (
+    EpochHeard
+    | MembersKnown
+    | PullAnswered
+    | PullFailed
+    | PresetHanded
+    | StoreRead
+    | StoreFailed
+    | TimePassed
+)
+
+
+# --- Effects --------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Pull:
+    """Ask a node for the preset in force."""
+
+    host_id: str
+    known_digests: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReadStore:
+    """Read the object in force once."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WatchStore:
+    """Start or stop watching the object in force."""
+
+    watch: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Apply:
+    """Put a preset in force at this node."""
+
+    epoch: int
+    preset: model.Preset
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reject:
+    """A preset was offered that can't be applied."""
+
+    epoch: int
+    reason: str
+
+
+Effect = Pull | ReadStore | WatchStore | Apply | Reject
+
+
+class Follower:
+    """Follows the preset in force.
+
+    Args:
+      host_id: This node's host.
+      data_centre: Its data centre.
+      has_store: Whether the settings name a store.
+      initial: Preset of the settings, for a fleet without any switch yet.
+      rng: Random source.
+      now: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        data_centre: str,
+        has_store: bool,
+        initial: model.Preset | None = None,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._host_id = host_id
+        self._data_centre = data_centre
+        self._has_store = has_store
+        self._initial = initial
+        self._rng = rng
+        self._members_by_id: dict[str, membership.Member] = {}
+        self._epochs_by_teller: dict[str, int] = {}
+        self._pulls_by_host: dict[str, float] = {}
+        self._sections: tuple[gossip.Section, ...] = ()
+        self._operation_id = ""
+        self._watching = False
+        self._reading = False
+        self._read_delay_s = READ_RETRY_MIN_S
+        self._next_read = now + PEER_WAIT_S * (0.5 + rng.random())
+        self._now = now
+        self._store_problem = ""
+        self._effects: list[Effect] = []
+        self.epoch = NO_EPOCH
+        self.preset: model.Preset | None = None
+
+    @property
+    def watching(self) -> bool:
+        """Whether this node watches the store."""
+        return self._watching
+
+    def problem(self) -> str | None:
+        """Returns why this node has no preset, or None when it has one."""
+        if self.epoch > NO_EPOCH:
+            return None
+        if not self._has_store:
+            return "no preset: no other node has one, and no store is set"
+        if self._store_problem:
+            return (
+                "no preset: no other node has one, and the store "
+                f"{self._store_problem}"
+            )
+        return "no preset: waiting for other nodes and the store"
+
+    def next_wakeup(self) -> float | None:
+        """Returns the monotonic seconds of the next ``TimePassed``."""
+        times = [
+            sent + PULL_PATIENCE_S
+            for sent in self._pulls_by_host.values()
+            if sent + PULL_PATIENCE_S > self._now
+        ]
+        if self.epoch == NO_EPOCH and not self._reading:
+            times.append(self._next_read)
+        return min(times, default=None)
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Takes one event.
+
+        Args:
+          event: What happened.
+          now: Monotonic seconds.
+
+        Returns:
+          What is to be done, in order.
+        """
+        self._effects = []
+        self._now = now
+        match event:
+            case EpochHeard():
+                self._hear(event)
+            case MembersKnown(members_by_id=members_by_id):
+                self._members_by_id = members_by_id
+                self._choose_watchers()
+            case PullAnswered():
+                self._pulls_by_host.pop(event.host_id, None)
+                self._on_pulled(event.host_id, event.response)
+            case PullFailed(host_id=host_id):
+                self._pulls_by_host.pop(host_id, None)
+                self._epochs_by_teller.pop(host_id, None)
+            case PresetHanded(document=document):
+                self._on_document(document)
+            case StoreRead(document=document):
+                self._on_store_read(document, now)
+            case StoreFailed(reason=reason):
+                self._on_store_failed(f"is not available: {reason}", now)
+            case TimePassed():
+                self._advance(now)
+        self._pull_if_behind(now)
+        return self._effects
+
+    def serve(self, request: gossip.PresetRequest) -> gossip.PresetResponse:
+        """Answers another node's pull.
+
+        Args:
+          request: What the other node has.
+        """
+        known = frozenset(request.known_digests)
+        return gossip.PresetResponse(
+            epoch=max(self.epoch, INITIAL_EPOCH),
+            operation_id=self._operation_id,
+            sections=preset_sections.without_known(self._sections, known),
+        )
+
+    # --- Other nodes -------------------------------------------------------
+
+    def _hear(self, event: EpochHeard) -> None:
+        if event.epoch <= max(self.epoch, INITIAL_EPOCH):
+            return
+        self._epochs_by_teller.pop(event.host_id, None)
+        self._epochs_by_teller[event.host_id] = event.epoch
+        while len(self._epochs_by_teller) > MAX_TELLERS:
+            del self._epochs_by_teller[next(iter(self._epochs_by_teller))]
+
+    def _pull_if_behind(self, now: float) -> None:
+        """Pulls from one teller at a time, and from a second if it is slow."""
+        late = now - PULL_PATIENCE_S
+        if any(sent > late for sent in self._pulls_by_host.values()):
+            return
+        candidates = [
+            host_id
+            for host_id, epoch in self._epochs_by_teller.items()
+            if epoch > self.epoch and host_id not in self._pulls_by_host
+        ]
+        if not candidates:
+            return
+        newest = max(self._epochs_by_teller[host] for host in candidates)
+        best = [h for h in candidates if self._epochs_by_teller[h] == newest]
+        host_id = self._rng.choice(best)
+        self._pulls_by_host[host_id] = now
+        digests = tuple(section.digest for section in self._sections)
+        self._effects.append(Pull(host_id=host_id, known_digests=digests))
+
+    def _on_pulled(self, host_id: str, response: gossip.PresetResponse) -> None:
+        told = self._epochs_by_teller.pop(host_id, None)
+        if response.epoch <= max(self.epoch, INITIAL_EPOCH):
+            return
+        match preset_sections.join(response.sections, self._sections):
+            case result.Ok(preset):
+                self._apply(response.epoch, preset, response.operation_id)
+            case result.Err(reason):
+                epoch = response.epoch if told is None else told
+                self._effects.append(Reject(epoch=epoch, reason=reason))
+
+    # --- The store and operators -------------------------------------------
+
+    def _on_document(self, document: bytes) -> None:
+        match in_force.decode(document):
+            case result.Err(reason):
+                self._effects.append(Reject(epoch=self.epoch, reason=reason))
+            case result.Ok(offered):
+                if offered.epoch > self.epoch:
+                    self._apply(
+                        offered.epoch, offered.preset, offered.operation_id
+                    )
+                elif self._contradicts(offered):
+                    reason = "another preset is in force under this epoch"
+                    self._effects.append(
+                        Reject(epoch=offered.epoch, reason=reason)
+                    )
+
+    def _contradicts(self, offered: in_force.InForce) -> bool:
+        same_epoch = offered.epoch == self.epoch
+        return same_epoch and offered.operation_id != self._operation_id
+
+    def _on_store_read(self, document: bytes | None, now: float) -> None:
+        self._reading = False
+        if document is not None:
+            self._store_problem = ""
+            self._on_document(document)
+            if self.epoch == NO_EPOCH:
+                self._on_store_failed("holds a malformed preset", now)
+            return
+        self._on_store_failed("holds no preset yet", now)
+        self._apply_initial()
+
+    def _on_store_failed(self, problem: str, now: float) -> None:
+        self._reading = False
+        self._store_problem = problem
+        jitter = 0.5 + self._rng.random()
+        self._next_read = now + jitter * self._read_delay_s
+        self._read_delay_s = min(2 * self._read_delay_s, READ_RETRY_MAX_S)
+
+    def _advance(self, now: float) -> None:
+        if self.epoch > NO_EPOCH or self._reading or now < self._next_read:
+            return
+        if self._has_store:
+            self._reading = True
+            self._effects.append(ReadStore())
+            return
+        self._next_read = now + PEER_WAIT_S
+        self._apply_initial()
+
+    def _apply_initial(self) -> None:
+        """Falls back on the settings' preset when there was no switch yet."""
+        if self._epochs_by_teller or self._initial is None:
+            return
+        if self.epoch == NO_EPOCH:
+            self._apply(INITIAL_EPOCH, self._initial, "")
+
+    def _choose_watchers(self) -> None:
+        watch = self._has_store and self._host_id in watchers(
+            self._members_by_id, self._data_centre
+        )
+        if watch != self._watching:
+            self._watching = watch
+            self._effects.append(WatchStore(watch=watch))
+
+    def _apply(
+        self, epoch: int, preset: model.Preset, operation_id: str
+    ) -> None:
+        self.epoch = epoch
+        self.preset = preset
+        self._operation_id = operation_id
+        self._sections = preset_sections.split(preset)
+        self._epochs_by_teller = {
+            host_id: told
+            for host_id, told in self._epochs_by_teller.items()
+            if told > epoch
+        }
+        self._effects.append(Apply(epoch=epoch, preset=preset))
+
+
+def watchers(
+    members_by_id: dict[str, membership.Member],
+    data_centre: str,
+    *,
+    purpose: str = "watch",
+    count: int = WATCHERS_PER_DATA_CENTRE,
+) -> frozenset[str]:
+    """Chooses the nodes that use the store on behalf of a data centre.
+
+    Args:
+      members_by_id: Members as this node sees them.
+      data_centre: The data centre.
+      purpose: What for; each purpose chooses other nodes.
+      count: Number of nodes.
+
+    Returns:
+      Host ids by highest hash (rendezvous hashing, Thaler and Ravishankar,
+      1998), so that a change of members moves as few choices as it can.
+    """
+    live = [
+        member.host_id
+        for member in members_by_id.values()
+        if member.data_centre == data_centre
+        and member.state is membership.MemberState.ALIVE
+    ]
+    live.sort(key=lambda host_id: _weight(purpose, host_id), reverse=True)
+    return frozenset(live[:count])
+
+
+def _weight(purpose: str, host_id: str) -> bytes:
+    text = f"{purpose} {host_id}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- /dev/null
+++ b/bergamotdeal/presets/in_force.py
@@ -0,0 +1,125 @@
+"""The object that says which preset is in force, as the store keeps it."""
+
+import dataclasses
+from typing import Annotated
+
+import msgspec
+import result
+
+from bergamotdeal.presets import codec
+from bergamotdeal.presets import model
+from bergamotdeal.presets import parser
+
+IN_FORCE_KEY = "in-force"
+PRESET_PREFIX = "presets/"
+HISTORY_LENGTH = 16
+MAX_DOCUMENT_BYTES = codec.MAX_PRESET_BYTES + 16 * 1024
+
+Epoch = Annotated[int, msgspec.Meta(ge=1, le=2**62)]
+OperationId = Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
+]
+Operator = Annotated[str, msgspec.Meta(max_length=128)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Switch:
+    """One accepted switch.
+
+    Attributes:
+      epoch: Epoch that it began.
+      operation_id: Id that the operator's command gave it.
+      preset_name: Name of the preset that it put in force.
+      operator: Who switched.
+    """
+
+    epoch: Epoch
+    operation_id: OperationId
+    preset_name: str
+    operator: Operator
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InForce:
+    """The preset in force.
+
+    Attributes:
+      epoch: Its epoch; each switch raises it.
+      operation_id: Id of the switch.
+      operator: Who switched.
+      preset: The content, copied from the preset at the time of the switch.
+      history: The last switches, this one included, newest last.
+    """
+
+    epoch: Epoch
+    operation_id: OperationId
+    operator: Operator = ""
+    preset: model.Preset
+    history: tuple[Switch, ...] = ()
+
+    def find(self, operation_id: str) -> Switch | None:
+        """Returns the switch with an operation id, if it is remembered."""
+        for switch in self.history:
+            if switch.operation_id == operation_id:
+                return switch
+        return None
+
+
+def succeed(
+    previous: InForce | None,
+    *,
+    preset: model.Preset,
+    operation_id: str,
+    operator: str,
+    lowest_epoch: int = 1,
+) -> InForce:
+    """Returns what follows when a switch is accepted.
+
+    Args:
+      previous: What is in force, or None before the first switch.
+      preset: Content to put in force.
+      operation_id: Id of the switch.
+      operator: Who switches.
+      lowest_epoch: Lowest epoch to use, above every epoch seen in the fleet.
+    """
+    epoch = max(1 if previous is None else previous.epoch + 1, lowest_epoch)
+    switch = Switch(
+        epoch=epoch,
+        operation_id=operation_id,
+        preset_name=preset.name,
+        operator=operator,
+    )
+    history = () if previous is None else previous.history
+    return InForce(
+        epoch=epoch,
+        operation_id=operation_id,
+        operator=operator,
+        preset=preset,
+        history=(*history, switch)[-HISTORY_LENGTH:],
+    )
+
+
+def encode(in_force: InForce) -> bytes:
+    """Encodes the object as JSON."""
+    return msgspec.json.encode(in_force, order="sorted")
+
+
+def decode(data: bytes) -> result.Result[InForce, str]:
+    """Decodes and checks the object.
+
+    Args:
+      data: The store's value, or what an operator handed over.
+
+    Returns:
+      The object, or the reason for which it can't be accepted.
+    """
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return result.Err(f"more than {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        in_force = msgspec.json.decode(data, type=InForce)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        return result.Err(str(error))
+    problems = parser.check(in_force.preset)
+    if problems:
+        return result.Err("; ".join(str(problem) for problem in problems))
+    return result.Ok(in_force)
--- /dev/null
+++ b/bergamotdeal/store/backoff.py
@@ -0,0 +1,35 @@
+"""Waiting times between retries."""
+
+import random
+
+
+class Backoff:
+    """Doubling waits with jitter.
+
+    Args:
+      rng: Random source.
+      shortest_s: First wait in seconds, before jitter.
+      longest_s: Longest wait in seconds, before jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        shortest_s: float = 0.25,
+        longest_s: float = 30.0,
+    ) -> None:
+        self._rng = rng
+        self._shortest_s = shortest_s
+        self._longest_s = longest_s
+        self._wait_s = shortest_s
+
+    def next_wait(self) -> float:
+        """Returns the seconds to wait before the next try."""
+        wait_s = self._wait_s * (0.5 + self._rng.random())
+        self._wait_s = min(2 * self._wait_s, self._longest_s)
+        return wait_s
+
+    def reset(self) -> None:
+        """Starts again with the shortest wait, after a success."""
+        self._wait_s = self._shortest_s
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -63,6 +63,7 @@
     PEER_LINK_CLOSED = 907
     PEER_REJECTED = 908
     FRAME_MALFORMED = 909
+    TASK_FAILED = 910
 
 
 MESSAGES_BY_CODE: dict[EventCode, str] = {
@@ -101,6 +102,7 @@
     EventCode.PEER_LINK_CLOSED: "link to {host} closed: {reason}",
     EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
     EventCode.FRAME_MALFORMED: "malformed frame from {address}",
+    EventCode.TASK_FAILED: "task {task} failed: {trace}",
 }
 
 
