--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -11,7 +11,6 @@
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
-from bergamotdeal.membership import messages as gossip_messages
 from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
 from bergamotdeal.node import bulk_server
@@ -21,19 +20,21 @@
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
+from bergamotdeal.node import presets as presets_task
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
+from bergamotdeal.presets import follower
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
+from bergamotdeal.store import http as store_http
 from bergamotdeal.telemetry import catalogue
 
 INCARNATION_BYTES = 16
 FLUSH_TIMEOUT_S = 2.0
 FLUSH_POLL_S = 0.01
 NO_EPOCH = -1
-NO_PRESET_REASON = "no preset in force is known"
 
 
 class InvalidPresetError(Exception):
@@ -59,8 +60,7 @@
         )
         self._recorder = self._observation.recorder
         self._record = self._recorder.record
-        self._epoch = NO_EPOCH
-        self._preset = preset_model.Preset(name="none")
+        self._served = False
         self._announced: messages.ServerAnnounced | None = None
         self._engine = self._build_engine()
         self._hub = hub.Hub(
@@ -74,6 +74,10 @@
         )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
+        self._presets = self._build_presets()
+        self._bulk_server = bulk_server.BulkServer(
+            membership=self._membership, presets=self._presets
+        )
         self._entry, self._egress = self._build_faces()
         self._admin = admin.AdminTask(
             node=self,
@@ -97,7 +101,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node knows the preset in force."""
-        return self._epoch > NO_EPOCH
+        return self._served
 
     def start(self) -> None:
         """Opens the faces and makes contact with the fleet."""
@@ -124,8 +128,7 @@
             peer_port=self._peer.port,
             admin_port=status_report.reachable_admin_port(settings),
         )
-        if settings.preset.file:
-            self._read_first_preset()
+        self._presets.start()
 
     # What the admin face asks.
 
@@ -142,20 +145,21 @@
         node = self._settings.node
         members_by_id = self._membership.members_by_id() if with_members else {}
         own = self._announced
+        preset = self._presets.preset
         return node_status.NodeStatus(
             host_id=node.host_id,
             incarnation=self._incarnation,
             data_centre=node.data_centre,
             region=node.region,
             ready=self.is_ready,
-            not_ready_reason="" if self.is_ready else NO_PRESET_REASON,
+            not_ready_reason=self._presets.problem() or "",
             draining=self._drain.started,
-            epoch=max(0, self._epoch),
-            preset_name=self._preset.name if self.is_ready else "",
+            epoch=max(0, self._presets.epoch),
+            preset_name=preset.name if preset else "",
             uptime_s=self._reactor.seconds() - self._started_at,
             resident_bytes=status_report.resident_bytes(),
             server=status_report.server_status(
-                self._engine, server=own, preset=self._preset
+                self._engine, server=own, preset=preset
             ),
             members=[
                 status_report.member_status(member)
@@ -173,8 +177,8 @@
         Returns:
           The epoch in force here now, or why the content can't be accepted.
         """
-        del data
-        return result.Err("not supported")
+        self._presets.deliver(presets_task.PresetHanded(document=data))
+        return result.Ok(max(0, self._presets.epoch))
 
     # Assembly.
 
@@ -190,17 +194,13 @@
         )
         return call_engine.Engine(
             identity=identity,
-            preset=self._preset,
+            preset=preset_model.Preset(name="none"),
             epoch=NO_EPOCH,
             # Routing needs speed here, not secrecy.
             rng=random.Random(self._rng.getrandbits(64)),
         )
 
     def _build_peer(self) -> peer.PeerTask:
-        server = bulk_server.BulkServer(
-            membership=lambda request: self._membership.serve(request),
-            presets=self._serve_presets,
-        )
         return peer.PeerTask(
             reactor=self._reactor,
             host_id=self._settings.node.host_id,
@@ -208,8 +208,9 @@
             key=self._settings.peer.key.encode(),
             rng=self._rng,
             post=self._hub.post,
+            on_epoch=self._epoch_heard,
             record=self._record,
-            serve_bulk=server.serve,
+            serve_bulk=lambda payload: self._bulk_server.serve(payload),
             hybrid_clock=self._recorder.clock,
         )
 
@@ -221,6 +222,25 @@
             post=self._membership_posted,
             rng=random.Random(self._rng.getrandbits(64)),
             request_bulk=self._peer.request_bulk,
+            on_epoch=lambda heard: self._presets.deliver(heard),
+            record=self._record,
+        )
+
+    def _build_presets(self) -> presets_task.PresetTask:
+        store = None
+        if self._settings.store.address:
+            store = store_http.HttpStore(
+                settings=self._settings.store, reactor=self._reactor
+            )
+        return presets_task.PresetTask(
+            settings=self._settings,
+            reactor=self._reactor,
+            post=self._preset_posted,
+            rng=random.Random(self._rng.getrandbits(64)),
+            request_bulk=self._peer.request_bulk,
+            membership=self._membership,
+            store=store,
+            initial=self._first_preset(),
             record=self._record,
         )
 
@@ -250,8 +270,15 @@
     def _membership_posted(self, event: messages.Event) -> None:
         if isinstance(event, messages.MembersChanged):
             self._peer.outgoing.members_changed(event.members_by_id)
+            self._presets.deliver(event)
         self._hub.post(event)
 
+    def _epoch_heard(self, epoch: int, host_id: str) -> None:
+        if epoch > self._presets.epoch:
+            self._presets.deliver(
+                follower.EpochHeard(epoch=epoch, host_id=host_id)
+            )
+
     def _server_posted(self, event: messages.Event) -> None:
         match event:
             case messages.ServerAnnounced():
@@ -272,40 +299,26 @@
 
     # Presets.
 
-    def _read_first_preset(self) -> None:
+    def _first_preset(self) -> preset_model.Preset | None:
+        if not self._settings.preset.file:
+            return None
         path = pathlib.Path(self._settings.preset.file)
         parsed = preset_parser.parse(path.read_text(encoding="utf-8"))
         if isinstance(parsed, result.Err):
             problems = "; ".join(str(problem) for problem in parsed.err_value)
             raise InvalidPresetError(f"{path}: {problems}")
-        self._put_in_force(
-            messages.PresetInForce(epoch=0, preset=parsed.ok_value)
-        )
+        return parsed.ok_value
 
-    def _put_in_force(self, event: messages.PresetInForce) -> None:
-        if event.epoch <= self._epoch:
-            return
-        was_ready = self.is_ready
-        self._epoch = event.epoch
-        self._preset = event.preset
+    def _preset_posted(self, event: messages.PresetInForce) -> None:
+        was_ready = self._served
+        self._served = True
         self._hub.post(event)
-        self._note(
-            catalogue.EventCode.PRESET_IN_FORCE,
-            name=event.preset.name,
-            epoch=event.epoch,
-        )
         if was_ready:
             return
         self._note(catalogue.EventCode.NODE_READY)
         if self._announced is not None:
             self._publish_server(self._announced)
 
-    def _serve_presets(
-        self, request: gossip_messages.Bulk
-    ) -> gossip_messages.Bulk:
-        del request
-        raise bulk_server.MalformedBulkError("no preset task")
-
     # Drain and stop.
 
     def _drain_started(self) -> None:
@@ -321,6 +334,7 @@
         self._egress.start_closing()
         self._admin.stop()
         self._server.stop()
+        self._presets.stop()
         self._membership.stop()
         self._peer.stop()
         self._stop_when_flushed(self._reactor.seconds() + FLUSH_TIMEOUT_S)
--- a/bergamotdeal/node/peer.py
+++ b/bergamotdeal/node/peer.py
@@ -34,6 +34,7 @@
       key: The key that all nodes share.
       rng: Source of nonces.
       post: Takes the events for the call engine.
+      on_epoch: Takes the epoch of each call and answer, and its host.
       record: Takes events for the time line.
       serve_bulk: Answers a bulk request's payload.
       hybrid_clock: Stamps calls and answers, for the time line.
@@ -51,12 +52,14 @@
         key: bytes,
         rng: random.Random,
         post: Callable[[calls.Event], None],
+        on_epoch: Callable[[int, str], None],
         record: Callable[[calls.Record], None],
         serve_bulk: Callable[[bytes], bytes],
         hybrid_clock: clock.HybridClock,
     ) -> None:
         self._reactor = reactor
         self._post = post
+        self._on_epoch = on_epoch
         self._record = record
         self._serve_bulk = serve_bulk
         self._clock = hybrid_clock
@@ -71,6 +74,7 @@
             reactor=reactor,
             builder=self._builder,
             post=post,
+            on_epoch=on_epoch,
             record=record,
             hybrid_clock=hybrid_clock,
         )
@@ -187,6 +191,7 @@
         match frame:
             case messages.CallFrame():
                 self._clock.observe(frame.call.stamp)
+                self._on_epoch(frame.call.epoch, link.peer.host_id)
                 self._post(calls.PeerCalled(link_id=link_id, call=frame.call))
             case messages.CancelFrame():
                 self._post(
--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -29,18 +29,19 @@
     engine: call_engine.Engine,
     *,
     server: messages.ServerAnnounced | None,
-    preset: preset_model.Preset,
+    preset: preset_model.Preset | None,
 ) -> status.ServerStatus | None:
     """Returns the status of the local backend server.
 
     Args:
       engine: The call engine.
       server: The announced server, or None.
-      preset: The preset in force.
+      preset: The preset in force, or None.
     """
     if server is None:
         return None
     load = engine.load()
+    classes = preset.classes if preset else ()
     return status.ServerStatus(
         service=server.service,
         slots=server.slots,
@@ -48,7 +49,8 @@
         queued=load.queued if load else 0,
         limit=load.limit if load else 0,
         thresholds_by_class={
-            name: engine.threshold(name) for name in preset.classes
+            name: engine.threshold(name)
+            for name in (preset.classes if preset else ())
         },
     )
 
