--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS)
 
 binary: setup
-	$(BIN)/python -m standins.build_binary
+	$(BIN)/python -m tools.build_binary
 
 clean:
 	rm -rf build dist
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for building and releasing the project."""
