--- a/bergamotdeal/node/transport.py
+++ b/bergamotdeal/node/transport.py
@@ -1,16 +1,17 @@
 """Writes to a transport without waiting for the reactor's next turn."""
 
+from twisted.internet import interfaces
 from twisted.internet import tcp
 
 
-def write_now(transport: tcp.Connection, data: bytes) -> None:
+def write_now(transport: interfaces.ITransport, data: bytes) -> None:
     """Writes bytes at once if nothing waits before them.
 
     ``transport.write`` registers for writability and sends in the reactor's
     next turn, which costs three system calls more per message.
 
     Args:
-      transport: A connected TCP transport.
+      transport: A connected transport; only real TCP is written at once.
       data: The bytes to write.
     """
     if not _can_write_now(transport):
@@ -25,8 +26,10 @@
         transport.write(data[sent:])
 
 
-def _can_write_now(transport: tcp.Connection) -> bool:
-    return (
+def _can_write_now(transport: interfaces.ITransport) -> bool:
+    if not isinstance(transport, tcp.Connection):
+        return False
+    return bool(
         transport.connected
         and not transport.disconnecting
         and not transport.dataBuffer
