--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,73 @@
+"""Every example file is valid and does what its page says."""
+
+import pathlib
+
+import pytest
+
+from bergamotdeal.presets import parser as preset_parser
+from bergamotdeal.settings import parser as settings_parser
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+DEPLOYMENTS = {
+    "lintasan": {"kitview", "feederdesk", "stencilhub", "orderline"},
+    "kitaguchi": {"forecaster", "dispatch", "events", "notices"},
+}
+PRESETS = ("ordinary", "peak", "maintenance")
+CRITICAL_REQUESTS = {
+    "lintasan": [
+        ("feederdesk", "/reservations"),
+        ("stencilhub", "/bookings"),
+        ("orderline", "/releases"),
+    ],
+    "kitaguchi": [("dispatch", "/bookings"), ("events", "/holds")],
+}
+BROWSE_REQUESTS = {
+    "lintasan": [("kitview", "/kits/17?line=3")],
+    "kitaguchi": [("forecaster", "/platforms/odori")],
+}
+
+
+def _preset(deployment, name):
+    text = (EXAMPLES / deployment / f"{name}.ini").read_text()
+    return preset_parser.parse(text).unwrap()
+
+
+def test_no_example_is_left_out():
+    expected = {
+        EXAMPLES / deployment / f"{name}.ini"
+        for deployment in DEPLOYMENTS
+        for name in (*PRESETS, "node")
+    }
+    assert set(EXAMPLES.rglob("*.*")) == expected
+
+
+@pytest.mark.parametrize("name", PRESETS)
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+def test_preset(deployment, name):
+    preset = _preset(deployment, name)
+    assert preset.name == name
+    assert set(preset.services_by_name) == DEPLOYMENTS[deployment]
+    for service, path in CRITICAL_REQUESTS[deployment]:
+        route = preset.route_for(service, "POST", path)
+        assert route.prefix == path
+        assert (route.class_name, route.repeatable) == ("critical", False)
+    for service, path in BROWSE_REQUESTS[deployment]:
+        route = preset.route_for(service, "GET", path)
+        assert (route.class_name, route.repeatable) == ("browse", True)
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+def test_peak_sheds_browsing_sooner_than_the_usual_day(deployment):
+    ordinary = _preset(deployment, "ordinary")
+    peak = _preset(deployment, "peak")
+    assert peak.retries.allowance < ordinary.retries.allowance
+    assert peak.admission.reserved_share > ordinary.admission.reserved_share
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+def test_node_settings(deployment):
+    path = EXAMPLES / deployment / "node.ini"
+    settings = settings_parser.parse(path.read_text()).unwrap()
+    assert (EXAMPLES.parent / settings.preset.file).exists()
+    for seed in settings.peer.seeds:
+        assert settings_parser.parse_endpoint(seed).is_ok()
