--- a/bergamotdeal/presets/tests/test_parser.py
+++ b/bergamotdeal/presets/tests/test_parser.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -121,7 +121,7 @@
     assert parser.parse(text).unwrap_err()
 
 
-@given(st.text(max_size=200))
+@hypothesis.given(st.text(max_size=200))
 def test_no_text_raises(text):
     parser.parse(text)
 
@@ -153,12 +153,12 @@
 )
 
 
-@given(PRESETS)
+@hypothesis.given(PRESETS)
 def test_render_parses_to_the_same_preset(preset):
     assert parser.parse(parser.render(preset)).unwrap() == preset
 
 
-@given(PRESETS)
+@hypothesis.given(PRESETS)
 def test_codec_round_trip_is_stable(preset):
     data = codec.encode(preset)
     assert codec.decode(data).unwrap() == preset
@@ -169,7 +169,7 @@
     assert codec.encode(turned) == data
 
 
-@given(st.binary(max_size=200))
+@hypothesis.given(st.binary(max_size=200))
 def test_no_bytes_raise_in_the_codec(data):
     codec.decode(data)
 
