--- a/bergamotdeal/wire/tests/test_gossip.py
+++ b/bergamotdeal/wire/tests/test_gossip.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -63,7 +63,7 @@
 )
 
 
-@given(MEMBERS, NUMBERS, BODIES, st.lists(RUMOURS, max_size=12))
+@hypothesis.given(MEMBERS, NUMBERS, BODIES, st.lists(RUMOURS, max_size=12))
 def test_datagrams_fit_and_survive_a_round_trip(sender, epoch, body, queued):
     queue = rumours.RumourQueue()
     for rumour in queued:
