Kill five servers a level in the re-send measure

Cause: with two servers a level the allowance was never the bound. Change: five servers a level, a kill every 10 ms.

--- a/standins/measure/resends.py
+++ b/standins/measure/resends.py
@@ -13,7 +13,8 @@
 _CALLERS = 60
 _LOAD_S = 6.0
 _SETTLE_S = 20.0
-_KILL_EVERY_S = 0.05
+_KILL_EVERY_S = 0.01
+_HOSTS_PER_SERVICE = 5
 _ALLOWANCE = 3
 _NO_ALLOWANCE = 100
 
@@ -48,6 +49,7 @@
     judged = judged_fleet.JudgedFleet(
         seed=seed,
         services=services,
+        hosts_per_service=_HOSTS_PER_SERVICE,
         preset=judged_fleet.make_preset(services=services, retries=retries),
     )
     faults = judged_faults.Faults(judged=judged)
