Add the fault matrix of calls, pairs of faults and the bounded walk

Cause: nothing struck each step of a call with each fault. Change: twelve faults at six steps, at the target, its parent and the entry, for browse, ticketed and browse over ticketed requests; every pair of faults; 40 seeded walks. Under a switch the checker now asks for a host seen acting under an old epoch after the grace, as a host without traffic shows nothing; the forged ledger names such a sighting. A run cut by another fault on the same host is not put down to its drain, with a forged ledger for each side.

--- a/standins/judged_faults.py
+++ b/standins/judged_faults.py
@@ -133,6 +133,7 @@
         node = self._fleet.nodes_by_id[host_id]
         if not node.server_up:
             return
+        self._disturb(host_id)
         self._fleet.kill_server(host_id)
         self._judged.after(
             restart_after_s, lambda: self._fleet.start_server(host_id)
@@ -174,6 +175,8 @@
             if other != host_id
         }
         self._judged.silenced |= pairs
+        for other in self._fleet.nodes_by_id:
+            self._disturb(other)
         self._judged.after(
             _HEARTBEAT_LOSS_S, lambda: self._replace_links(host_id, pairs)
         )
@@ -185,6 +188,8 @@
         pairs = [(one, other) for one in inside for other in outside]
         for host_id in inside:
             self._judged.note_down(host_id)
+        for host_id in outside:
+            self._disturb(host_id)
         self._judged.silenced |= {frozenset(pair) for pair in pairs}
         self._judged.after(_HEARTBEAT_LOSS_S, lambda: self._cut(pairs))
         self._judged.after(seconds, lambda: self._mend(pairs, inside))
@@ -222,6 +227,12 @@
             delay_s = 0.1 * (number % 5 if not reverse else 4 - number % 5)
             self._fleet.send_event_after(delay_s, host_id, event)
 
+    def _disturb(self, host_id: str) -> None:
+        """Notes that what is in flight at a host may be lost."""
+        self._judged.entries.append(
+            ledger.HostDisturbed(at=self._judged.now, host_id=host_id)
+        )
+
     def _set_state(self, host_id: str, state: membership.MemberState) -> None:
         node = self._fleet.nodes_by_id[host_id]
         is_away = node.engine is None or node.held is not None
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -221,6 +221,18 @@
     host_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostDisturbed:
+    """A fault struck a host's backend server or open connections.
+
+    Its node was not away, so that everything but the loss of what was in
+    flight there still holds.
+    """
+
+    at: float
+    host_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DrainAsked:
     """A drain of a host was asked for."""
@@ -286,6 +298,7 @@
     | RunEnded
     | HostUp
     | HostDown
+    | HostDisturbed
     | DrainAsked
     | DrainEnded
     | SwitchAccepted
@@ -302,6 +315,7 @@
         RunEnded,
         HostUp,
         HostDown,
+        HostDisturbed,
         DrainAsked,
         DrainEnded,
         SwitchAccepted,
--- /dev/null
+++ b/tests/matrix/test_call_faults.py
@@ -0,0 +1,54 @@
+"""Every fault at every step of a call, for each kind of request."""
+
+import itertools
+import random
+
+import pytest
+
+from tests.matrix import cells
+
+LOAD_FAULTS = (
+    cells.Fault.SLOW_SERVICE,
+    cells.Fault.SURGE,
+    cells.Fault.HARD_RETRIES,
+    cells.Fault.RACING_SWITCHES,
+    cells.Fault.CRASHING_REQUEST,
+    cells.Fault.JOIN,
+)
+BLOWS = [
+    cells.Blow(step, fault, place)
+    for step in cells.Step
+    for fault in cells.Fault
+    for place in cells.Place
+    if place is cells.Place.TARGET or fault not in LOAD_FAULTS
+    if place is not cells.Place.ENTRY or fault is not cells.Fault.SERVER_KILLED
+]
+PAIRS = list(itertools.combinations(cells.Fault, 2))
+
+
+def name_of(blow):
+    return f"{blow.fault.value} at {blow.place.value}, {blow.step.value}"
+
+
+@pytest.mark.parametrize("kind", cells.KINDS)
+@pytest.mark.parametrize("blow", BLOWS, ids=name_of)
+def test_fault_at_step(blow, kind):
+    cell = cells.run_reached_cell(cells.KINDS[kind], [blow])
+    assert cell.violations == []
+    assert cells.unfinished(cell) == []
+
+
+@pytest.mark.parametrize("kind", cells.KINDS)
+@pytest.mark.parametrize(
+    "pair", PAIRS, ids=lambda pair: f"{pair[0].value} and {pair[1].value}"
+)
+def test_pair_of_faults(pair, kind):
+    """Two faults strike, at steps and places that the pair's number fixes."""
+    rng = random.Random(f"{pair[0].value} {pair[1].value} {kind}")
+    blows = [
+        cells.Blow(rng.choice(list(cells.Step)[2:]), fault) for fault in pair
+    ]
+    cell = cells.run_cell(cells.KINDS[kind], blows, seed=rng.randrange(1000))
+    assert cell.judged.struck
+    assert cell.violations == []
+    assert cells.unfinished(cell) == []
--- /dev/null
+++ b/tests/matrix/test_soak.py
@@ -0,0 +1,12 @@
+"""A bounded random walk; ``make soak`` goes on for longer."""
+
+import pytest
+
+from standins import soak
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_walk(seed):
+    walk = soak.run_walk(seed)
+    assert walk.violations == [], walk.faults
+    assert walk.open_callers == [], walk.faults
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -95,6 +95,13 @@
         answer(0.3, R),
         ledger.DrainEnded(at=0.4, host_id="h1", exit_code=0),
     ],
+    "drain of a host whose server died": [
+        sent(0, R),
+        *run(0.1, "a", R, completed=False),
+        ledger.DrainAsked(at=0.15, host_id="h1"),
+        ledger.HostDisturbed(at=0.2, host_id="h1"),
+        ledger.DrainEnded(at=0.3, host_id="h1", exit_code=0),
+    ],
     "switch": [
         ledger.HostUp(at=0, host_id="h1"),
         seen(0, "h1", 1, "ordinary"),
@@ -246,6 +253,16 @@
             answer(0.4, R, "unknown", error="peer-lost"),
         ],
     ),
+    "drain cuts a run on a host apart from the disturbed one": (
+        Promise.DRAIN_CUTS_NOTHING,
+        [
+            sent(0, R),
+            *run(0.1, "a", R, completed=False),
+            ledger.HostDisturbed(at=0.1, host_id="h2"),
+            ledger.DrainAsked(at=0.15, host_id="h1"),
+            ledger.DrainEnded(at=0.3, host_id="h1", exit_code=0),
+        ],
+    ),
     "drain fails": (
         Promise.DRAIN_CUTS_NOTHING,
         [
@@ -259,6 +276,7 @@
             ledger.HostUp(at=0, host_id="h1"),
             seen(0, "h1", 1, "ordinary"),
             accepted(1, 2),
+            seen(6.1, "h1", 1, "ordinary"),
             seen(6.5, "h1", 2),
         ],
     ),
