--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -121,6 +121,18 @@
         """Whether no exchange, call or run is open."""
         return self._dispatcher.idle() and self._executor.idle()
 
+    def load(self) -> core.Load | None:
+        """Returns the backend server's load, None before an announcement."""
+        return self._server.load()
+
+    def threshold(self, class_name: str) -> float:
+        """Returns the share of request hashes that is admitted here.
+
+        Args:
+          class_name: Class of the requests.
+        """
+        return self._server.threshold(class_name)
+
     def _handle_safely(self, event: messages.Event) -> None:
         exchange = self._dispatcher.exchange_of(event)
         run = self._executor.run_of(event)
