--- a/standins/fleet_model.py
+++ b/standins/fleet_model.py
@@ -94,6 +94,7 @@
       start: What the node handed over.
       started_at: Time of the start.
       finished: Whether the program ran to its end.
+      status: Status that the program returned, zero before.
       stopped: Whether a cancellation or the server's death ended it.
     """
 
@@ -102,6 +103,7 @@
     start: messages.StartRun
     started_at: float
     finished: bool = False
+    status: int = 0
     stopped: bool = False
     deadline_at: float = 0.0
     incarnation: str = ""
--- a/standins/fleet_servers.py
+++ b/standins/fleet_servers.py
@@ -101,6 +101,7 @@
             step = program.send(replies)
         except StopIteration as e:
             run.finished = True
+            run.status = e.value.status
             self._deliver_response(node, run, e.value)
             return
         match step:
