--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -48,10 +48,7 @@
         running=load.running if load else 0,
         queued=load.queued if load else 0,
         limit=load.limit if load else 0,
-        thresholds_by_class={
-            name: engine.threshold(name)
-            for name in (preset.classes if preset else ())
-        },
+        thresholds_by_class={name: engine.threshold(name) for name in classes},
     )
 
 
