--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -1,23 +1,36 @@
 """Assembles the node from its tasks and runs it."""
 
 import itertools
-import os
+import pathlib
 import random
 import secrets
 import signal
 
+import result
+
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
+from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
+from bergamotdeal.node import bulk_server
 from bergamotdeal.node import drain
 from bergamotdeal.node import faces
 from bergamotdeal.node import hub
+from bergamotdeal.node import membership as membership_task
+from bergamotdeal.node import observation
 from bergamotdeal.node import peer
+from bergamotdeal.node import presets as preset_task
 from bergamotdeal.node import server_link
+from bergamotdeal.node import status as node_status
+from bergamotdeal.node import status_report
+from bergamotdeal.presets import follower
 from bergamotdeal.presets import model as preset_model
+from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
+from bergamotdeal.store import core as store
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import metrics
 
 INCARNATION_BYTES = 16
 FLUSH_TIMEOUT_S = 2.0
@@ -25,6 +38,10 @@
 NO_EPOCH = -1
 
 
+class InvalidPresetError(Exception):
+    """The preset file named in the settings can't be used."""
+
+
 class Application:
     """A node: its tasks, wired to the call engine.
 
@@ -33,58 +50,48 @@
       reactor: The reactor.
     """
 
-    def __init__(
-        self, *, settings: settings_model.Settings, reactor
-    ) -> None:
+    def __init__(self, *, settings: settings_model.Settings, reactor) -> None:
         self._settings = settings
         self._reactor = reactor
         self._rng = random.SystemRandom()
-        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self.epoch = NO_EPOCH
-        self.preset = preset_model.Preset(name="none")
-        self._identity = membership.Member(
-            host_id=settings.node.host_id,
-            incarnation=self.incarnation,
-            data_centre=settings.node.data_centre,
-            region=settings.node.region,
-            address=settings.peer.address,
-            peer_port=settings.peer.port,
-            admin_port=settings.admin.port,
-        )
-        self._engine = call_engine.Engine(
-            identity=self._identity,
-            preset=self.preset,
-            epoch=NO_EPOCH,
-            # Routing and identifiers need speed here, not secrecy.
-            rng=random.Random(self._rng.getrandbits(64)),
+        self._started_at = reactor.seconds()
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._observation = observation.Observation(
+            settings=settings, reactor=reactor
         )
-        self.hub = hub.Hub(
+        self._recorder = self._observation.recorder
+        self._record = self._recorder.record
+        self._epoch = NO_EPOCH
+        self._preset = preset_model.Preset(name="none")
+        self._announced: messages.ServerAnnounced | None = None
+        self._engine = self._build_engine()
+        self._hub = hub.Hub(
             reactor=reactor,
             engine=self._engine,
             record=self._record,
-            share_crash_reports=self._share_crash_reports,
+            share_crash_reports=lambda effect: self._membership.deliver(effect),
         )
         self._server = server_link.ServerLinkTask(
-            reactor=reactor, post=self._post_from_server
+            reactor=reactor, post=self._server_posted
         )
-        self._peer = peer.PeerTask(
-            reactor=reactor,
+        self._peer = self._build_peer()
+        self._membership = self._build_membership()
+        self._presets = self._build_presets()
+        self._entry, self._egress = self._build_faces()
+        self._admin = admin.AdminTask(
+            node=self,
             host_id=settings.node.host_id,
-            incarnation=self.incarnation,
-            key=settings.peer.key.encode(),
-            rng=self._rng,
-            post=self.hub.post,
+            events=self._recorder.ring,
+            token=settings.admin.token,
             record=self._record,
-            serve_bulk=self._serve_bulk,
         )
-        self._entry, self._egress = self._build_faces()
         self._drain = drain.Drain(
             reactor=reactor,
             is_idle=self._engine.idle,
             on_started=self._drain_started,
             on_finished=self._drain_finished,
         )
-        self.hub.connect(
+        self._hub.connect(
             face_tasks=[self._entry, self._egress],
             peer_task=self._peer,
             server_task=self._server,
@@ -93,67 +100,264 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node knows the preset in force."""
-        return self.epoch > NO_EPOCH
+        return self._epoch > NO_EPOCH
 
     def start(self) -> None:
-        """Opens the faces."""
+        """Opens the faces and makes contact with the fleet."""
         settings = self._settings
-        self._peer.start(
-            address=settings.peer.address, port=settings.peer.port
+        self._observation.start()
+        self._note(
+            catalogue.EventCode.NODE_STARTED,
+            host=settings.node.host_id,
+            incarnation=self._incarnation,
         )
+        self._peer.start(address=settings.peer.address, port=settings.peer.port)
         self._server.start()
         for face, section in (
             (self._egress, settings.egress),
             (self._entry, settings.entry),
+            (self._admin, settings.admin),
         ):
             face.start(
                 reactor=self._reactor,
                 address=section.address,
                 port=section.port,
             )
+        self._membership.start(
+            peer_port=self._peer.port,
+            admin_port=status_report.reachable_admin_port(settings),
+        )
+        self._presets.start()
 
-    def begin_drain(self) -> None:
-        """Starts the graceful shutdown."""
+    # What the admin face asks.
+
+    def start_drain(self) -> None:
+        """Starts a graceful shutdown; a second call changes nothing."""
         self._drain.start()
 
+    def status(self, *, with_members: bool) -> node_status.NodeStatus:
+        """Returns the node's status.
+
+        Args:
+          with_members: Whether the fleet's members are wanted, too.
+        """
+        node = self._settings.node
+        members_by_id = self._membership.members_by_id() if with_members else {}
+        own = self._announced
+        return node_status.NodeStatus(
+            host_id=node.host_id,
+            incarnation=self._incarnation,
+            data_centre=node.data_centre,
+            region=node.region,
+            ready=self.is_ready,
+            not_ready_reason=self._presets.problem() or "",
+            draining=self._drain.started,
+            epoch=max(0, self._epoch),
+            preset_name=self._preset.name if self.is_ready else "",
+            uptime_s=self._reactor.seconds() - self._started_at,
+            resident_bytes=status_report.resident_bytes(),
+            server=status_report.server_status(
+                self._engine, server=own, preset=self._preset
+            ),
+            members=[
+                status_report.member_status(member)
+                for member in members_by_id.values()
+            ],
+            counters_by_name=self._recorder.metrics.totals(),
+        )
+
+    def offer_in_force(self, data: bytes) -> result.Result[int, str]:
+        """Takes the accepted in-force object that an operator hands over.
+
+        Args:
+          data: The object's encoded content.
+
+        Returns:
+          The epoch in force here now, or why the content can't be accepted.
+        """
+        return self._presets.offer(data)
+
+    # Assembly.
+
+    def _build_engine(self) -> call_engine.Engine:
+        settings = self._settings
+        identity = membership.Member(
+            host_id=settings.node.host_id,
+            incarnation=self._incarnation,
+            data_centre=settings.node.data_centre,
+            region=settings.node.region,
+            address=settings.peer.address,
+            peer_port=settings.peer.port,
+        )
+        return call_engine.Engine(
+            identity=identity,
+            preset=self._preset,
+            epoch=NO_EPOCH,
+            # Routing needs speed here, not secrecy.
+            rng=random.Random(self._rng.getrandbits(64)),
+        )
+
+    def _build_peer(self) -> peer.PeerTask:
+        server = bulk_server.BulkServer(
+            membership=lambda request: self._membership.serve(request),
+            presets=lambda request: self._presets.serve(request),
+        )
+        return peer.PeerTask(
+            reactor=self._reactor,
+            host_id=self._settings.node.host_id,
+            incarnation=self._incarnation,
+            key=self._settings.peer.key.encode(),
+            rng=self._rng,
+            post=self._peer_posted,
+            record=self._record,
+            serve_bulk=server.serve,
+            hybrid_clock=self._recorder.clock,
+        )
+
+    def _build_membership(self) -> membership_task.MembershipTask:
+        return membership_task.MembershipTask(
+            settings=self._settings,
+            incarnation=self._incarnation,
+            reactor=self._reactor,
+            post=self._membership_posted,
+            rng=random.Random(self._rng.getrandbits(64)),
+            request_bulk=self._peer.request_bulk,
+            on_epoch=lambda heard: self._presets.deliver(heard),
+            record=self._record,
+            count=self._recorder.metrics.count,
+        )
+
+    def _build_presets(self) -> preset_task.PresetTask:
+        return preset_task.PresetTask(
+            settings=self._settings,
+            reactor=self._reactor,
+            post=self._put_in_force,
+            rng=random.Random(self._rng.getrandbits(64)),
+            request_bulk=self._peer.request_bulk,
+            membership=self._membership,
+            store=self._build_store(),
+            initial=self._read_first_preset(),
+            record=self._record,
+        )
+
+    def _build_store(self) -> store.Store | None:
+        if not self._settings.store.address:
+            return None
+        # Nodes without a store save the memory of an HTTP client.
+        from bergamotdeal.store import http as store_http
+
+        counter = metrics.Counter.STORE_CALLS
+        return store_http.HttpStore(
+            settings=self._settings.store,
+            reactor=self._reactor,
+            count=lambda: self._recorder.metrics.count(counter),
+        )
+
     def _build_faces(self) -> tuple[faces.FaceTask, faces.FaceTask]:
         origin_ids = itertools.count(1)
         handler = announcements.AnnouncementHandler(
-            on_announced=self._server.announced, on_drain=self.begin_drain
-        )
-        entry = faces.FaceTask(
-            face=messages.Face.ENTRY,
-            post=self.hub.post,
-            is_ready=lambda: self.is_ready,
-            rng=self._rng,
-            origin_ids=origin_ids,
+            on_announced=self._server.announced, on_drain=self.start_drain
         )
-        egress = faces.FaceTask(
-            face=messages.Face.EGRESS,
-            post=self.hub.post,
-            is_ready=lambda: self.is_ready,
-            rng=self._rng,
-            origin_ids=origin_ids,
-            handle_own=handler.handle,
+        entry, egress = (
+            faces.FaceTask(
+                face=face,
+                post=self._hub.post,
+                is_ready=lambda: self.is_ready,
+                rng=random.Random(self._rng.getrandbits(64)),
+                origin_ids=origin_ids,
+                handle_own=handle_own,
+            )
+            for face, handle_own in (
+                (messages.Face.ENTRY, None),
+                (messages.Face.EGRESS, handler.handle),
+            )
         )
         return entry, egress
 
+    # What the tasks post.
+
+    def _membership_posted(self, event: messages.Event) -> None:
+        if isinstance(event, messages.MembersChanged):
+            self._peer.outgoing.members_changed(event.members_by_id)
+            self._presets.deliver(event)
+        self._hub.post(event)
+
+    def _peer_posted(self, event: messages.Event) -> None:
+        match event:
+            case messages.PeerAnswered(host_id=host_id, answer=answer):
+                self._hear_epoch(answer.epoch, host_id)
+            case messages.PeerCalled(link_id=link_id, call=call):
+                host_id = self._peer.host_of(link_id)
+                if host_id is not None:
+                    self._hear_epoch(call.epoch, host_id)
+        self._hub.post(event)
+
+    def _hear_epoch(self, epoch: int, host_id: str) -> None:
+        if epoch > self._epoch:
+            heard = follower.EpochHeard(epoch=epoch, host_id=host_id)
+            self._presets.deliver(heard)
+
+    def _server_posted(self, event: messages.Event) -> None:
+        match event:
+            case messages.ServerAnnounced():
+                self._announced = event
+                # Without a preset no call can be judged, so none may come.
+                if self.is_ready:
+                    self._publish_server(event)
+            case messages.ServerStopped() | messages.ServerSilent():
+                self._announced = None
+                self._note(catalogue.EventCode.SERVER_STOPPED)
+                self._publish_server(event)
+            case _:
+                self._hub.post(event)
+
+    def _publish_server(self, event: messages.Event) -> None:
+        self._hub.post(event)
+        self._membership.deliver(event)
+
+    # Presets.
+
+    def _read_first_preset(self) -> preset_model.Preset | None:
+        if not self._settings.preset.file:
+            return None
+        path = pathlib.Path(self._settings.preset.file)
+        parsed = preset_parser.parse(path.read_text(encoding="utf-8"))
+        if isinstance(parsed, result.Err):
+            problems = "; ".join(str(problem) for problem in parsed.err_value)
+            raise InvalidPresetError(f"{path}: {problems}")
+        return parsed.ok_value
+
+    def _put_in_force(self, event: messages.PresetInForce) -> None:
+        if event.epoch <= self._epoch:
+            return
+        was_ready = self.is_ready
+        self._epoch = event.epoch
+        self._preset = event.preset
+        self._hub.post(event)
+        if was_ready:
+            return
+        self._note(catalogue.EventCode.NODE_READY)
+        if self._announced is not None:
+            self._publish_server(self._announced)
+
+    # Drain and stop.
+
     def _drain_started(self) -> None:
-        self._record(
-            messages.Record(code=catalogue.EventCode.DRAIN_STARTED)
-        )
-        self.hub.post(messages.DrainStarted())
+        self._note(catalogue.EventCode.DRAIN_STARTED)
+        self._hub.post(messages.DrainStarted())
+        self._membership.deliver(messages.DrainStarted())
         self._entry.start_closing()
 
     def _drain_finished(self) -> None:
-        self._record(
-            messages.Record(code=catalogue.EventCode.DRAIN_FINISHED)
-        )
+        self._note(catalogue.EventCode.DRAIN_FINISHED)
         self._entry.stop()
         self._egress.stop()
         self._egress.start_closing()
-        self._peer.stop()
+        self._admin.stop()
         self._server.stop()
+        self._presets.stop()
+        self._membership.stop()
+        self._peer.stop()
         self._stop_when_flushed(self._reactor.seconds() + FLUSH_TIMEOUT_S)
 
     def _stop_when_flushed(self, deadline: float) -> None:
@@ -161,6 +365,33 @@
         if flushed or self._reactor.seconds() >= deadline:
             self._reactor.stop()
             return
-        self._reactor.callLater(
-            FLUSH_POLL_S, self._stop_when_flushed, deadline
-        )
+        self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
+
+    def _note(self, code: catalogue.EventCode, **fields) -> None:
+        self._record(messages.Record(code=code, fields=fields))
+
+
+def run(settings: settings_model.Settings) -> None:
+    """Runs a node until it has drained.
+
+    Args:
+      settings: The node's settings.
+
+    Raises:
+      InvalidPresetError: The preset file can't be used.
+      twisted.internet.error.CannotListenError: A port is taken.
+    """
+    # Importing the reactor installs it, which a library must not do.
+    from twisted.internet import reactor
+
+    application = Application(settings=settings, reactor=reactor)
+
+    def on_signal(number, frame) -> None:
+        del number, frame
+        reactor.callFromThread(application.start_drain)
+
+    application.start()
+    # The reactor's own handlers would stop it at once.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    reactor.run(installSignalHandlers=False)
--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -129,6 +129,21 @@
             case follower.EpochHeard() | follower.PresetHanded():
                 self._handle(message)
 
+    def offer(self, document: bytes) -> result.Result[int, str]:
+        """Takes the object in force that an operator's command hands over.
+
+        Args:
+          document: The object as the store accepted it.
+
+        Returns:
+          The epoch in force here now, or why the object can't be accepted.
+        """
+        decoded = in_force.decode(document)
+        if isinstance(decoded, result.Err):
+            return decoded
+        self._handle(follower.PresetHanded(document=document))
+        return result.Ok(self.epoch)
+
     def serve(self, request: gossip.PresetRequest) -> gossip.PresetResponse:
         """Answers another node's pull.
 
