--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -20,7 +20,7 @@
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
-from bergamotdeal.node import presets as presets_task
+from bergamotdeal.node import presets as preset_task
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
@@ -28,8 +28,9 @@
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
-from bergamotdeal.store import http as store_http
+from bergamotdeal.store import core as store
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import metrics
 
 INCARNATION_BYTES = 16
 FLUSH_TIMEOUT_S = 2.0
@@ -60,7 +61,8 @@
         )
         self._recorder = self._observation.recorder
         self._record = self._recorder.record
-        self._served = False
+        self._epoch = NO_EPOCH
+        self._preset = preset_model.Preset(name="none")
         self._announced: messages.ServerAnnounced | None = None
         self._engine = self._build_engine()
         self._hub = hub.Hub(
@@ -75,9 +77,6 @@
         self._peer = self._build_peer()
         self._membership = self._build_membership()
         self._presets = self._build_presets()
-        self._bulk_server = bulk_server.BulkServer(
-            membership=self._membership, presets=self._presets
-        )
         self._entry, self._egress = self._build_faces()
         self._admin = admin.AdminTask(
             node=self,
@@ -101,7 +100,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node knows the preset in force."""
-        return self._served
+        return self._epoch > NO_EPOCH
 
     def start(self) -> None:
         """Opens the faces and makes contact with the fleet."""
@@ -145,7 +144,6 @@
         node = self._settings.node
         members_by_id = self._membership.members_by_id() if with_members else {}
         own = self._announced
-        preset = self._presets.preset
         return node_status.NodeStatus(
             host_id=node.host_id,
             incarnation=self._incarnation,
@@ -154,12 +152,12 @@
             ready=self.is_ready,
             not_ready_reason=self._presets.problem() or "",
             draining=self._drain.started,
-            epoch=max(0, self._presets.epoch),
-            preset_name=preset.name if preset else "",
+            epoch=max(0, self._epoch),
+            preset_name=self._preset.name if self.is_ready else "",
             uptime_s=self._reactor.seconds() - self._started_at,
             resident_bytes=status_report.resident_bytes(),
             server=status_report.server_status(
-                self._engine, server=own, preset=preset
+                self._engine, server=own, preset=self._preset
             ),
             members=[
                 status_report.member_status(member)
@@ -177,8 +175,7 @@
         Returns:
           The epoch in force here now, or why the content can't be accepted.
         """
-        self._presets.deliver(presets_task.PresetHanded(document=data))
-        return result.Ok(max(0, self._presets.epoch))
+        return self._presets.offer(data)
 
     # Assembly.
 
@@ -194,13 +191,17 @@
         )
         return call_engine.Engine(
             identity=identity,
-            preset=preset_model.Preset(name="none"),
+            preset=self._preset,
             epoch=NO_EPOCH,
             # Routing needs speed here, not secrecy.
             rng=random.Random(self._rng.getrandbits(64)),
         )
 
     def _build_peer(self) -> peer.PeerTask:
+        server = bulk_server.BulkServer(
+            membership=lambda request: self._membership.serve(request),
+            presets=lambda request: self._presets.serve(request),
+        )
         return peer.PeerTask(
             reactor=self._reactor,
             host_id=self._settings.node.host_id,
@@ -208,9 +209,9 @@
             key=self._settings.peer.key.encode(),
             rng=self._rng,
             post=self._hub.post,
-            on_epoch=self._epoch_heard,
+            on_epoch=self._hear_epoch,
             record=self._record,
-            serve_bulk=lambda payload: self._bulk_server.serve(payload),
+            serve_bulk=server.serve,
             hybrid_clock=self._recorder.clock,
         )
 
@@ -224,26 +225,35 @@
             request_bulk=self._peer.request_bulk,
             on_epoch=lambda heard: self._presets.deliver(heard),
             record=self._record,
+            count=self._recorder.metrics.count,
         )
 
-    def _build_presets(self) -> presets_task.PresetTask:
-        store = None
-        if self._settings.store.address:
-            store = store_http.HttpStore(
-                settings=self._settings.store, reactor=self._reactor
-            )
-        return presets_task.PresetTask(
+    def _build_presets(self) -> preset_task.PresetTask:
+        return preset_task.PresetTask(
             settings=self._settings,
             reactor=self._reactor,
-            post=self._preset_posted,
+            post=self._put_in_force,
             rng=random.Random(self._rng.getrandbits(64)),
             request_bulk=self._peer.request_bulk,
             membership=self._membership,
-            store=store,
-            initial=self._first_preset(),
+            store=self._build_store(),
+            initial=self._read_first_preset(),
             record=self._record,
         )
 
+    def _build_store(self) -> store.Store | None:
+        if not self._settings.store.address:
+            return None
+        # Nodes without a store save the memory of an HTTP client.
+        from bergamotdeal.store import http as store_http
+
+        counter = metrics.Counter.STORE_CALLS
+        return store_http.HttpStore(
+            settings=self._settings.store,
+            reactor=self._reactor,
+            count=lambda: self._recorder.metrics.count(counter),
+        )
+
     def _build_faces(self) -> tuple[faces.FaceTask, faces.FaceTask]:
         origin_ids = itertools.count(1)
         handler = announcements.AnnouncementHandler(
@@ -273,11 +283,10 @@
             self._presets.deliver(event)
         self._hub.post(event)
 
-    def _epoch_heard(self, epoch: int, host_id: str) -> None:
-        if epoch > self._presets.epoch:
-            self._presets.deliver(
-                follower.EpochHeard(epoch=epoch, host_id=host_id)
-            )
+    def _hear_epoch(self, epoch: int, host_id: str) -> None:
+        if epoch > self._epoch:
+            heard = follower.EpochHeard(epoch=epoch, host_id=host_id)
+            self._presets.deliver(heard)
 
     def _server_posted(self, event: messages.Event) -> None:
         match event:
@@ -299,7 +308,7 @@
 
     # Presets.
 
-    def _first_preset(self) -> preset_model.Preset | None:
+    def _read_first_preset(self) -> preset_model.Preset | None:
         if not self._settings.preset.file:
             return None
         path = pathlib.Path(self._settings.preset.file)
@@ -309,9 +318,12 @@
             raise InvalidPresetError(f"{path}: {problems}")
         return parsed.ok_value
 
-    def _preset_posted(self, event: messages.PresetInForce) -> None:
-        was_ready = self._served
-        self._served = True
+    def _put_in_force(self, event: messages.PresetInForce) -> None:
+        if event.epoch <= self._epoch:
+            return
+        was_ready = self.is_ready
+        self._epoch = event.epoch
+        self._preset = event.preset
         self._hub.post(event)
         if was_ready:
             return
