Add adaptive limit, reserve, preemption and deadline estimate

The thresholds are now set from decaying sums: the capacity from completions per busy slot-second, the offered work from the arrivals and their mean hash, since late feedback lets through more or less than the threshold in force. A class keeps its threshold while less important ones still get slots. The limit adapts by trial: a lower limit is kept only when the throughput stays.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -1,9 +1,12 @@
 """The admission controller of one backend server."""
 
+import dataclasses
 import math
 
 from bergamotdeal.admission import core
+from bergamotdeal.admission import estimate
 from bergamotdeal.admission import hashing
+from bergamotdeal.admission import limit as limits
 from bergamotdeal.admission import waiting
 from bergamotdeal.admission import window
 from bergamotdeal.calls import core as calls
@@ -11,9 +14,19 @@
 from bergamotdeal.presets import model
 
 _TARGET_DEPTH_SHARE = 0.25
+_PEAK_DECAY = 0.95
+_URGENT_RUN_TIMES = 2.0
 _MS_PER_S = 1000.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Run:
+    job: core.Job
+    rank: int
+    share: float
+    started: float
+
+
 class Controller:
     """Decides which jobs run, wait and are refused.
 
@@ -35,8 +48,17 @@
         self._service_policy = service_policy
         self._class_count = class_count
         self._slots = slots
-        self._running_by_id: dict[int, core.Job] = {}
+        self._advanced = now
+        self._runs_by_id: dict[int, _Run] = {}
+        self._running_by_rank = [0] * class_count
+        self._first_class_peak = 0.0
         self._waiting = waiting.WaitingJobs()
+        self._run_time = estimate.RunTimeEstimate()
+        self._limit = limits.AdaptiveLimit(
+            slots=slots,
+            cold_start_s=service_policy.cold_start_ms / _MS_PER_S,
+            now=now,
+        )
         self._thresholds = window.RateThresholds(
             policy=policy, class_count=class_count, now=now
         )
@@ -53,21 +75,21 @@
           this job means that it waits.
         """
         if not self._policy.limits:
-            self._running_by_id[job.job_id] = job
-            return [core.Start(job_id=job.job_id)]
+            return [self._start(job, now)]
         verdicts = self.advance(now)
-        if self._limit() == 0:
-            kind = errors.ErrorKind.NO_SERVER
-            return [*verdicts, core.Refuse(job_id=job.job_id, kind=kind)]
+        if self._slots == 0:
+            return [*verdicts, _refuse(job, errors.ErrorKind.NO_SERVER)]
         rank = self._rank(job)
-        if self._share(job) >= self._thresholds.value(rank):
-            if not self._can_displace(rank):
-                return [*verdicts, _shed(job)]
-        else:
-            self._thresholds.count_arrival(rank)
+        share = self._share(job)
+        self._thresholds.count_arrival(rank, share)
+        shed = share >= self._thresholds.value(rank)
+        if shed and not self._can_displace(rank):
+            return [*verdicts, _refuse(job, errors.ErrorKind.SHED)]
+        if self._is_late(job, now):
+            return [*verdicts, self._refuse_late(job, now)]
         self._push(job)
         verdicts += self._serve(now)
-        verdicts += self._trim()
+        verdicts += self._trim(now)
         return verdicts
 
     def finish(
@@ -80,29 +102,36 @@
           now: Monotonic seconds.
           completed: Whether the run ended with a complete answer.
         """
-        if self._running_by_id.pop(job_id, None) is None:
+        run = self._runs_by_id.get(job_id)
+        if run is None:
             return []
+        self._count_time(now)
+        self._forget_run(run)
         if completed:
+            run_s = now - run.started
             self._thresholds.count_completion()
+            self._limit.count_run(run_s)
+            self._run_time.count(run_s)
         return self.advance(now)
 
     def withdraw(self, job_id: int, now: float) -> list[core.Verdict]:
         """Forgets a job whose caller no longer wants an answer."""
-        if self._waiting.remove(job_id) is None:
-            self._running_by_id.pop(job_id, None)
+        run = self._runs_by_id.get(job_id)
+        if run is not None:
+            self._count_time(now)
+            self._forget_run(run)
+        else:
+            self._waiting.remove(job_id)
         return self.advance(now)
 
     def advance(self, now: float) -> list[core.Verdict]:
         """Lets time pass: closes windows, drops late jobs, starts others."""
         if not self._policy.limits:
             return []
+        self._count_time(now)
         if self._thresholds.is_due(now):
-            self._thresholds.close_window(
-                now=now,
-                depth_by_rank=self._waiting.depth_by_rank(self._class_count),
-                target_depth=self._target_depth(),
-            )
-        return self._serve(now)
+            self._close_window(now)
+        return self._drop_late(now) + self._serve(now) + self._rescue(now)
 
     def set_slots(self, slots: int, now: float) -> list[core.Verdict]:
         """Takes the slots that the backend server announces.
@@ -113,13 +142,11 @@
           now: Monotonic seconds.
         """
         self._slots = slots
+        self._limit.set_slots(slots, now)
         if slots:
-            return self.advance(now)
+            return self.advance(now) + self._trim(now)
         kind = errors.ErrorKind.NO_SERVER
-        return [
-            core.Refuse(job_id=job.job_id, kind=kind)
-            for job in self._drop_all()
-        ]
+        return [_refuse(job, kind) for job in self._waiting.remove_all()]
 
     def set_policy(
         self,
@@ -130,26 +157,35 @@
         now: float,
     ) -> list[core.Verdict]:
         """Takes the policy of a new preset; jobs keep their ranks."""
+        self._count_time(now)
         self._policy = policy
         self._service_policy = service_policy
         self._class_count = class_count
-        self._thresholds.set_policy(
-            policy=policy, class_count=class_count, now=now
-        )
-        jobs = self._drop_all()
+        self._limit.set_cold_start(service_policy.cold_start_ms / _MS_PER_S)
+        self._thresholds.set_policy(policy=policy, class_count=class_count)
+        self._running_by_rank = [0] * class_count
+        for run in self._runs_by_id.values():
+            run.rank = self._rank(run.job)
+            self._running_by_rank[run.rank] += 1
+        jobs = self._waiting.remove_all()
         if not policy.limits:
-            self._running_by_id.update((job.job_id, job) for job in jobs)
-            return [core.Start(job_id=job.job_id) for job in jobs]
+            return [self._start(job, now) for job in jobs]
         for job in jobs:
             self._push(job)
-        return self.advance(now) + self._trim()
+        return self.advance(now) + self._trim(now)
 
     def next_wakeup(self) -> float | None:
         """Returns when to call ``advance``, or None when no job waits."""
-        if not len(self._waiting):
-            return None
         deadline = self._waiting.earliest_deadline()
-        return min(deadline, self._thresholds.window_end())
+        if deadline is None:
+            return None
+        times = [self._thresholds.window_end()]
+        if self._policy.check_deadlines:
+            times.append(deadline - self._run_time.value())
+        urgent = self._urgent_at(deadline)
+        if urgent > self._advanced and self._policy.class_order:
+            times.append(urgent)
+        return min(times)
 
     def threshold(self, class_rank: int) -> float:
         """Returns the share of request hashes admitted for a class."""
@@ -161,22 +197,52 @@
     def load(self) -> calls.Load:
         """Returns the load to report in answers."""
         return calls.Load(
-            running=len(self._running_by_id),
+            running=len(self._runs_by_id),
             queued=len(self._waiting),
-            limit=self._limit(),
+            limit=self._limit_now(self._advanced),
         )
 
-    def _limit(self) -> int:
-        return self._slots
+    def _limit_now(self, now: float) -> int:
+        return self._limit.value(
+            now,
+            adapt=self._policy.adapt_limit,
+            slow_start=self._policy.slow_start,
+        )
 
-    def _target_depth(self) -> float:
-        return max(1.0, _TARGET_DEPTH_SHARE * self._queue_bound())
+    def _limit_for(self, rank: int, now: float) -> int:
+        """Returns the running jobs at which a class gets no more slots."""
+        limit = self._limit_now(now)
+        if rank == 0:
+            return limit
+        reserved = math.ceil(self._policy.reserved_share * limit)
+        reserved = min(reserved, math.ceil(self._first_class_peak), limit - 1)
+        return limit - max(0, reserved - self._running_by_rank[0])
+
+    def _count_time(self, now: float) -> None:
+        slot_s = len(self._runs_by_id) * (now - self._advanced)
+        self._thresholds.count_busy(slot_s)
+        self._limit.count_busy(slot_s)
+        self._advanced = now
+
+    def _close_window(self, now: float) -> None:
+        self._run_time.update()
+        self._limit.update(now)
+        self._first_class_peak *= _PEAK_DECAY
+        limit = self._limit_now(now)
+        self._thresholds.close_window(
+            now=now,
+            limit=limit,
+            depth_by_rank=self._waiting.depth_by_rank(self._class_count),
+            target_depth=max(1.0, _TARGET_DEPTH_SHARE * self._bound(limit)),
+        )
 
-    def _queue_bound(self) -> int:
-        return math.ceil(self._policy.queue_slots_ratio * self._limit())
+    def _bound(self, limit: int) -> int:
+        return math.ceil(self._policy.queue_slots_ratio * limit)
 
     def _rank(self, job: core.Job) -> int:
-        return job.class_rank if self._policy.class_order else 0
+        if not self._policy.class_order:
+            return 0
+        return min(job.class_rank, self._class_count - 1)
 
     def _share(self, job: core.Job) -> float:
         if self._policy.consistent_hash:
@@ -187,40 +253,108 @@
         share = self._share(job) if self._policy.consistent_hash else 0.0
         self._waiting.push(job, rank=self._rank(job), share=share)
 
+    def _start(self, job: core.Job, now: float) -> core.Start:
+        rank = self._rank(job)
+        self._runs_by_id[job.job_id] = _Run(
+            job=job, rank=rank, share=self._share(job), started=now
+        )
+        self._running_by_rank[rank] += 1
+        if rank == 0:
+            peak = max(self._first_class_peak, self._running_by_rank[0])
+            self._first_class_peak = peak
+        self._thresholds.count_start(rank, now - job.arrived)
+        return core.Start(job_id=job.job_id)
+
+    def _forget_run(self, run: _Run) -> None:
+        del self._runs_by_id[run.job.job_id]
+        self._running_by_rank[run.rank] -= 1
+
     def _can_displace(self, rank: int) -> bool:
         last = self._waiting.last()
-        return last is not None and self._rank(last) > rank
+        if last is not None and self._rank(last) > rank:
+            return True
+        return self._can_preempt(rank)
+
+    def _can_preempt(self, rank: int) -> bool:
+        if not self._service_policy.accepts_cancellation:
+            return False
+        return any(self._running_by_rank[rank + 1 :])
+
+    def _is_late(self, job: core.Job, now: float) -> bool:
+        if not self._policy.check_deadlines:
+            return False
+        return job.deadline <= now + self._run_time.value()
+
+    def _refuse_late(self, job: core.Job, now: float) -> core.Refuse:
+        if job.deadline <= now:
+            return _refuse(job, errors.ErrorKind.DEADLINE_EXCEEDED)
+        return _refuse(job, errors.ErrorKind.SHED)
+
+    def _drop_late(self, now: float) -> list[core.Verdict]:
+        earliest = self._waiting.earliest_deadline()
+        if earliest is None or not self._policy.check_deadlines:
+            return []
+        if earliest > now + self._run_time.value():
+            return []
+        late = [job for job in self._waiting.jobs() if self._is_late(job, now)]
+        for job in late:
+            self._waiting.remove(job.job_id)
+        return [self._refuse_late(job, now) for job in late]
 
     def _serve(self, now: float) -> list[core.Verdict]:
         verdicts: list[core.Verdict] = []
         while (job := self._waiting.first()) is not None:
-            late = self._policy.check_deadlines and job.deadline <= now
-            if not late and len(self._running_by_id) >= self._limit():
+            limit = self._limit_for(self._rank(job), now)
+            if len(self._runs_by_id) >= limit:
                 break
             self._waiting.remove(job.job_id)
-            if late:
-                kind = errors.ErrorKind.DEADLINE_EXCEEDED
-                verdicts.append(core.Refuse(job_id=job.job_id, kind=kind))
-                continue
-            self._thresholds.count_wait(self._rank(job), now - job.arrived)
-            self._running_by_id[job.job_id] = job
-            verdicts.append(core.Start(job_id=job.job_id))
+            verdicts.append(self._start(job, now))
         return verdicts
 
-    def _trim(self) -> list[core.Verdict]:
+    def _trim(self, now: float) -> list[core.Verdict]:
+        """Brings the queue back to its bound.
+
+        The last job in the order leaves: it takes the slot of a less
+        important one that can be cancelled, or is refused.
+        """
         verdicts: list[core.Verdict] = []
-        while len(self._waiting) > self._queue_bound():
+        bound = self._bound(self._limit_now(now))
+        while len(self._waiting) > bound:
             job = self._waiting.last()
             self._waiting.remove(job.job_id)
-            verdicts.append(_shed(job))
+            if self._can_preempt(self._rank(job)):
+                verdicts.append(self._preempt(now))
+                verdicts.append(self._start(job, now))
+            else:
+                verdicts.append(_refuse(job, errors.ErrorKind.SHED))
         return verdicts
 
-    def _drop_all(self) -> list[core.Job]:
-        jobs = self._waiting.jobs()
-        for job in jobs:
-            self._waiting.remove(job.job_id)
-        return jobs
+    def _rescue(self, now: float) -> list[core.Verdict]:
+        """Preempts for jobs that would be late if they waited longer."""
+        earliest = self._waiting.earliest_deadline()
+        if earliest is None or now < self._urgent_at(earliest):
+            return []
+        verdicts: list[core.Verdict] = []
+        for job in self._waiting.jobs():
+            if not self._can_preempt(self._rank(job)):
+                break
+            if now >= self._urgent_at(job.deadline):
+                self._waiting.remove(job.job_id)
+                verdicts.append(self._preempt(now))
+                verdicts.append(self._start(job, now))
+        return verdicts
+
+    def _urgent_at(self, deadline: float) -> float:
+        return deadline - _URGENT_RUN_TIMES * self._run_time.value()
+
+    def _preempt(self, now: float) -> core.Preempt:
+        self._count_time(now)
+        run = max(
+            self._runs_by_id.values(), key=lambda each: (each.rank, each.share)
+        )
+        self._forget_run(run)
+        return core.Preempt(job_id=run.job.job_id)
 
 
-def _shed(job: core.Job) -> core.Refuse:
-    return core.Refuse(job_id=job.job_id, kind=errors.ErrorKind.SHED)
+def _refuse(job: core.Job, kind: errors.ErrorKind) -> core.Refuse:
+    return core.Refuse(job_id=job.job_id, kind=kind)
--- /dev/null
+++ b/bergamotdeal/admission/limit.py
@@ -0,0 +1,177 @@
+"""The concurrency limit in force at one backend server."""
+
+import dataclasses
+import math
+
+_MIN_SPAN_S = 0.5
+_MAX_SPAN_S = 3.0
+_SPAN_COMPLETIONS = 60
+_SATURATED_SHARE = 0.9
+_INFLATED_RATIO = 2.0
+_CALM_RATIO = 1.5
+_BASELINE_S = 30.0
+_STEP = 0.2
+_KEPT_THROUGHPUT = 0.9
+_GROWTH = 0.05
+_SUSPICION_S = 2.0
+_SUSPICION_COMPLETIONS = 240
+_FIRST_BACKOFF_S = 10.0
+_MAX_BACKOFF_S = 120.0
+_SLOW_START_SHARE = 0.1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Span:
+    started: float
+    completed: int = 0
+    run_s: float = 0.0
+    busy_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Trial:
+    limit_before: int
+    throughput_before: float
+
+
+class AdaptiveLimit:
+    """Keeps the concurrency at or below the announced slots.
+
+    Run times above the baseline may come from concurrency that is too high,
+    and then a lower limit costs no throughput; or from slow work, and then it
+    does. So a saturated server with inflated run times gets a lower limit on
+    trial, and the step is taken back when the throughput falls with it.
+    Reverted trials are repeated at growing distances.
+    """
+
+    def __init__(self, *, slots: int, cold_start_s: float, now: float):
+        self._slots = slots
+        self._cold_start_s = cold_start_s
+        self._adapted = slots
+        self._slow_start_began = now
+        self._span = _Span(started=now)
+        self._trial: _Trial | None = None
+        self._backoff_s = _FIRST_BACKOFF_S
+        self._next_trial = now
+        self._inflated_since: float | None = None
+        self._inflated_completions = 0
+        self._baselines = [math.inf, math.inf]
+        self._baseline_started = now
+
+    def value(self, now: float, *, adapt: bool, slow_start: bool) -> int:
+        """Returns the limit in force.
+
+        Args:
+          now: Monotonic seconds.
+          adapt: Whether the limit follows the run times.
+          slow_start: Whether a new server's limit grows with time.
+        """
+        limit = self._adapted if adapt else self._slots
+        if slow_start and self._cold_start_s > 0.0:
+            age = (now - self._slow_start_began) / self._cold_start_s
+            if age < 1.0:
+                share = max(_SLOW_START_SHARE, age)
+                limit = min(limit, math.ceil(self._slots * share))
+        return limit
+
+    def set_slots(self, slots: int, now: float) -> None:
+        """Takes announced slots; a server that was gone starts slowly."""
+        if slots == self._slots:
+            return
+        if self._slots == 0:
+            self._slow_start_began = now
+        full = self._adapted >= self._slots
+        self._adapted = slots if full else min(self._adapted, slots)
+        self._slots = slots
+        self._trial = None
+        self._span = _Span(started=now)
+
+    def set_cold_start(self, cold_start_s: float) -> None:
+        """Takes the time over which a new server's limit grows."""
+        self._cold_start_s = cold_start_s
+
+    def count_run(self, run_s: float) -> None:
+        """Counts a completed run and its time in seconds."""
+        self._span.completed += 1
+        self._span.run_s += run_s
+
+    def count_busy(self, slot_s: float) -> None:
+        """Adds to the time for which slots were in use, slot-seconds."""
+        self._span.busy_s += slot_s
+
+    def update(self, now: float) -> None:
+        """Adapts the limit when enough runs were seen."""
+        span = self._span
+        elapsed = now - span.started
+        enough = span.completed >= _SPAN_COMPLETIONS
+        if elapsed < (_MIN_SPAN_S if enough else _MAX_SPAN_S):
+            return
+        self._span = _Span(started=now)
+        if not span.completed:
+            return
+        mean_run_s = span.run_s / span.completed
+        throughput = span.completed / elapsed
+        busy_share = span.busy_s / (max(1, self._adapted) * elapsed)
+        if self._trial is not None:
+            self._judge(self._trial, throughput, busy_share, now)
+            return
+        baseline = self._note_baseline(mean_run_s, now)
+        inflated = mean_run_s > _INFLATED_RATIO * baseline
+        saturated = busy_share > _SATURATED_SHARE
+        suspected = self._note_inflation(
+            span, is_inflated=inflated and saturated
+        )
+        if suspected and now >= self._next_trial:
+            self._try_lower(throughput)
+        elif mean_run_s < _CALM_RATIO * baseline or not saturated:
+            self._grow(math.ceil(_GROWTH * self._adapted))
+        else:
+            self._grow(1)
+
+    def _note_inflation(self, span: _Span, *, is_inflated: bool) -> bool:
+        """Tells whether saturation with long run times has lasted."""
+        if not is_inflated:
+            self._inflated_since = None
+            self._inflated_completions = 0
+            return False
+        if self._inflated_since is None:
+            self._inflated_since = span.started
+        self._inflated_completions += span.completed
+        lasted = self._span.started - self._inflated_since
+        return (
+            lasted >= _SUSPICION_S
+            and self._inflated_completions >= _SUSPICION_COMPLETIONS
+        )
+
+    def _try_lower(self, throughput: float) -> None:
+        lower = max(1, math.floor(self._adapted * (1.0 - _STEP)))
+        if lower == self._adapted:
+            return
+        self._trial = _Trial(
+            limit_before=self._adapted, throughput_before=throughput
+        )
+        self._adapted = lower
+
+    def _judge(
+        self, trial: _Trial, throughput: float, busy_share: float, now: float
+    ) -> None:
+        self._trial = None
+        kept = throughput >= _KEPT_THROUGHPUT * trial.throughput_before
+        if kept and busy_share > _SATURATED_SHARE:
+            self._backoff_s = _FIRST_BACKOFF_S
+            self._next_trial = now
+            return
+        self._adapted = min(self._slots, trial.limit_before)
+        self._next_trial = now + self._backoff_s
+        self._backoff_s = min(_MAX_BACKOFF_S, 2.0 * self._backoff_s)
+
+    def _grow(self, step: int) -> None:
+        self._adapted = min(self._slots, self._adapted + step)
+
+    def _note_baseline(self, mean_run_s: float, now: float) -> float:
+        """Returns the lowest mean run time of the latest two periods."""
+        if now - self._baseline_started > _BASELINE_S:
+            self._baselines = [math.inf, self._baselines[0]]
+            self._baseline_started = now
+        self._baselines[0] = min(self._baselines[0], mean_run_s)
+        return min(self._baselines)
--- a/bergamotdeal/admission/waiting.py
+++ b/bergamotdeal/admission/waiting.py
@@ -17,6 +17,7 @@
         self._keys: list[_Key] = []
         self._jobs_by_id: dict[int, core.Job] = {}
         self._keys_by_id: dict[int, _Key] = {}
+        self._earliest: float | None = None
 
     def __len__(self) -> int:
         return len(self._keys)
@@ -34,6 +35,9 @@
         """
         key = (rank, share, job.arrived, job.job_id)
         bisect.insort(self._keys, key)
+        if self._earliest is not None or not self._jobs_by_id:
+            earliest = self._earliest or job.deadline
+            self._earliest = min(earliest, job.deadline)
         self._jobs_by_id[job.job_id] = job
         self._keys_by_id[job.job_id] = key
 
@@ -55,7 +59,10 @@
         if key is None:
             return None
         del self._keys[bisect.bisect_left(self._keys, key)]
-        return self._jobs_by_id.pop(job_id)
+        job = self._jobs_by_id.pop(job_id)
+        if job.deadline == self._earliest:
+            self._earliest = None
+        return job
 
     def depth_by_rank(self, class_count: int) -> list[int]:
         """Returns how many jobs of each rank wait."""
@@ -68,8 +75,18 @@
         """Returns the jobs in the order of service."""
         return [self._jobs_by_id[key[-1]] for key in self._keys]
 
+    def remove_all(self) -> list[core.Job]:
+        """Removes all jobs and returns them in the order of service."""
+        jobs = self.jobs()
+        self._keys.clear()
+        self._jobs_by_id.clear()
+        self._keys_by_id.clear()
+        self._earliest = None
+        return jobs
+
     def earliest_deadline(self) -> float | None:
         """Returns the earliest deadline of a waiting job, or None."""
-        if not self._jobs_by_id:
-            return None
-        return min(job.deadline for job in self._jobs_by_id.values())
+        if self._earliest is None and self._jobs_by_id:
+            jobs = self._jobs_by_id.values()
+            self._earliest = min(job.deadline for job in jobs)
+        return self._earliest
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -33,9 +33,7 @@
       reactor: The reactor.
     """
 
-    def __init__(
-        self, *, settings: settings_model.Settings, reactor
-    ) -> None:
+    def __init__(self, *, settings: settings_model.Settings, reactor) -> None:
         self._settings = settings
         self._reactor = reactor
         self._rng = random.SystemRandom()
@@ -98,9 +96,7 @@
     def start(self) -> None:
         """Opens the faces."""
         settings = self._settings
-        self._peer.start(
-            address=settings.peer.address, port=settings.peer.port
-        )
+        self._peer.start(address=settings.peer.address, port=settings.peer.port)
         self._server.start()
         for face, section in (
             (self._egress, settings.egress),
@@ -139,16 +135,12 @@
         return entry, egress
 
     def _drain_started(self) -> None:
-        self._record(
-            messages.Record(code=catalogue.EventCode.DRAIN_STARTED)
-        )
+        self._record(messages.Record(code=catalogue.EventCode.DRAIN_STARTED))
         self.hub.post(messages.DrainStarted())
         self._entry.start_closing()
 
     def _drain_finished(self) -> None:
-        self._record(
-            messages.Record(code=catalogue.EventCode.DRAIN_FINISHED)
-        )
+        self._record(messages.Record(code=catalogue.EventCode.DRAIN_FINISHED))
         self._entry.stop()
         self._egress.stop()
         self._egress.start_closing()
@@ -161,6 +153,4 @@
         if flushed or self._reactor.seconds() >= deadline:
             self._reactor.stop()
             return
-        self._reactor.callLater(
-            FLUSH_POLL_S, self._stop_when_flushed, deadline
-        )
+        self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
--- a/standins/study/__main__.py
+++ b/standins/study/__main__.py
@@ -16,8 +16,10 @@
 )
 def main(seeds: int, only: str, load: str) -> None:
     """Runs the study and prints one line per scenario."""
-    click.echo("| rule | goodput | wasted | recovery s | critical | calm |")
-    click.echo("|---|---|---|---|---|---|")
+    click.echo(
+        "| rule | goodput | wasted | held | recovery s | critical | calm |"
+    )
+    click.echo("|---|---|---|---|---|---|---|")
     for make in (scenarios.low, scenarios.high):
         if load not in ("both", make.__name__):
             continue
--- a/standins/study/model.py
+++ b/standins/study/model.py
@@ -33,6 +33,7 @@
       critical_share: Share of user requests in the first class.
       surge: Factor on the demand during the trigger.
       slowdown: Factor on the deepest service's work during the trigger.
+      warm_s: Time at the start that no figure counts, seconds.
       calm_s: Time before the trigger, seconds.
       trigger_s: Length of the trigger, seconds.
       after_s: Time after the trigger, seconds.
@@ -56,6 +57,7 @@
     critical_share: float = 0.2
     surge: float = 2.0
     slowdown: float = 3.0
+    warm_s: float = 2.0
     calm_s: float = 4.0
     trigger_s: float = 6.0
     after_s: float = 10.0
@@ -104,7 +106,10 @@
 
     Attributes:
       goodput: Completions in the trigger over what the chain could carry.
-      wasted: Share of slot time spent on calls whose answer was of no use.
+      wasted: Share of the servers' own work spent on calls whose answer was
+        of no use.
+      held: Share of slot time, waits for children included, that such calls
+        held.
       recovery_s: Time from the trigger's end until user requests complete as
         in calm and go on doing so, or None when that never came.
       critical: Share of critical user requests of the trigger that completed.
@@ -113,6 +118,7 @@
 
     goodput: float
     wasted: float
+    held: float
     recovery_s: float | None
     critical: float
     calm: float
