Keep a roster of each data centre in the store

A newcomer whose seeds are all gone had no first contact. Two hash-chosen nodes of each data centre keep eight addresses in roster/<data centre> by conditional update; a node that stays alone reads them.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -21,6 +21,7 @@
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
 from bergamotdeal.node import presets as preset_task
+from bergamotdeal.node import roster
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
@@ -76,7 +77,9 @@
         )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
+        self._store = self._build_store()
         self._presets = self._build_presets()
+        self._roster = self._build_roster()
         self._entry, self._egress = self._build_faces()
         self._admin = admin.AdminTask(
             node=self,
@@ -128,6 +131,8 @@
             admin_port=status_report.reachable_admin_port(settings),
         )
         self._presets.start()
+        if self._roster is not None:
+            self._roster.start()
 
     # What the admin face asks.
 
@@ -235,11 +240,22 @@
             rng=random.Random(self._rng.getrandbits(64)),
             request_bulk=self._peer.request_bulk,
             membership=self._membership,
-            store=self._build_store(),
+            store=self._store,
             initial=self._read_first_preset(),
             record=self._record,
         )
 
+    def _build_roster(self) -> roster.RosterTask | None:
+        if self._store is None:
+            return None
+        return roster.RosterTask(
+            settings=self._settings,
+            reactor=self._reactor,
+            rng=random.Random(self._rng.getrandbits(64)),
+            store=self._store,
+            membership=self._membership,
+        )
+
     def _build_store(self) -> store.Store | None:
         if not self._settings.store.address:
             return None
@@ -355,6 +371,8 @@
         self._egress.start_closing()
         self._admin.stop()
         self._server.stop()
+        if self._roster is not None:
+            self._roster.stop()
         self._presets.stop()
         self._membership.stop()
         self._peer.stop()
--- /dev/null
+++ b/bergamotdeal/node/roster.py
@@ -0,0 +1,151 @@
+"""The roster task: first contact through the store, and its upkeep."""
+
+import random
+import time
+
+import result
+from twisted.internet import defer
+
+from bergamotdeal.membership import roster
+from bergamotdeal.node import membership as membership_task
+from bergamotdeal.settings import model as settings_model
+from bergamotdeal.store import backoff
+from bergamotdeal.store import core as store_core
+
+JOIN_WAIT_S = 2.0
+CHECK_INTERVAL_S = 30.0
+VERIFY_INTERVAL_S = 600.0
+MAX_OTHER_ROSTERS = 3
+
+_NOT_FOUND = store_core.FailureKind.NOT_FOUND
+
+
+class RosterTask:
+    """Reads the rosters while alone, and writes its data centre's if chosen.
+
+    Args:
+      settings: The node's settings.
+      reactor: Twisted's reactor.
+      rng: Random source.
+      store: The platform's object API.
+      membership: The membership task.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: settings_model.Settings,
+        reactor,
+        rng: random.Random,
+        store: store_core.Store,
+        membership: membership_task.MembershipTask,
+    ) -> None:
+        self._node = settings.node
+        self._reactor = reactor
+        self._rng = rng
+        self._store = store
+        self._membership = membership
+        self._backoff = backoff.Backoff(rng=rng, shortest_s=JOIN_WAIT_S)
+        self._key = roster.key_for(settings.node.data_centre)
+        self._known: roster.Roster | None = None
+        self._verified = 0.0
+        self._timers: list = []
+        self._running = False
+
+    def start(self) -> None:
+        """Begins to look after first contact."""
+        self._running = True
+        self._later(self._backoff.next_wait(), self._join)
+        self._later(self._check_interval() / 4, self._check)
+
+    def stop(self) -> None:
+        """Ends the task."""
+        self._running = False
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+
+    def _later(self, delay_s: float, step) -> None:
+        if not self._running:
+            return
+        self._timers = [timer for timer in self._timers if timer.active()]
+        self._timers.append(self._reactor.callLater(delay_s, step))
+
+    def _check_interval(self) -> float:
+        return CHECK_INTERVAL_S * (0.5 + self._rng.random())
+
+    # --- First contact -----------------------------------------------------
+
+    def _join(self) -> None:
+        if self._membership.joined():
+            # Alone again after a long outage, the node is to look again.
+            self._later(CHECK_INTERVAL_S, self._join)
+            return
+        self._later(self._backoff.next_wait(), self._join)
+        self._read_rosters()
+
+    @defer.inlineCallbacks
+    def _read_rosters(self):
+        """Adds the contacts of the own data centre, else of some others."""
+        found = yield self._contacts(self._key)
+        if not found:
+            listed = yield self._store.list(roster.ROSTER_PREFIX)
+            keys = [entry.key for entry in listed.unwrap_or([])]
+            keys = [key for key in keys if key != self._key]
+            self._rng.shuffle(keys)
+            for key in keys[:MAX_OTHER_ROSTERS]:
+                found += yield self._contacts(key)
+        if found and self._running:
+            self._membership.add_seeds(found)
+
+    @defer.inlineCallbacks
+    def _contacts(self, key: str):
+        answer = yield self._store.get(key)
+        decoded = answer.map_err(lambda failure: failure.detail).and_then(
+            lambda stored: roster.decode(stored.value)
+        )
+        if isinstance(decoded, result.Err):
+            return ()
+        own = self._membership.members_by_id().get(self._node.host_id)
+        return tuple(
+            endpoint
+            for endpoint in decoded.ok_value.endpoints()
+            if own is None
+            or (endpoint.address, endpoint.port) != (own.address, own.peer_port)
+        )
+
+    # --- Upkeep ------------------------------------------------------------
+
+    def _check(self) -> None:
+        self._later(self._check_interval(), self._check)
+        members_by_id = self._membership.members_by_id()
+        if not roster.is_writer(
+            members_by_id, self._node.data_centre, self._node.host_id
+        ):
+            return
+        wanted = roster.wanted(members_by_id, self._node.data_centre)
+        age = time.monotonic() - self._verified
+        if wanted == self._known and age < VERIFY_INTERVAL_S:
+            return
+        self._update(wanted)
+
+    @defer.inlineCallbacks
+    def _update(self, wanted: roster.Roster):
+        """Writes the roster if the store holds another one."""
+        answer = yield self._store.get(self._key)
+        match answer:
+            case result.Ok(stored):
+                version = stored.version
+                held = roster.decode(stored.value).unwrap_or(None)
+            case result.Err(failure) if failure.kind is _NOT_FOUND:
+                version, held = store_core.NO_VERSION, None
+            case _:
+                return
+        if held != wanted:
+            written = yield self._store.put(
+                self._key, roster.encode(wanted), expected_version=version
+            )
+            if written.is_err():
+                return  # Another writer was first, or the next check retries.
+        self._known = wanted
+        self._verified = time.monotonic()
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -5,11 +5,11 @@
 """
 
 import dataclasses
-import hashlib
 import random
 
 import result
 
+from bergamotdeal.membership import choice
 from bergamotdeal.membership import core as membership
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.presets import in_force
@@ -20,6 +20,7 @@
 MAX_TELLERS = 16
 PULL_PATIENCE_S = 0.7
 PEER_WAIT_S = 1.0
+WATCH_DELAY_S = 2.0
 READ_RETRY_MIN_S = 0.5
 READ_RETRY_MAX_S = 30.0
 
@@ -181,6 +182,7 @@
         self._sections: tuple[gossip.Section, ...] = ()
         self._operation_id = ""
         self._watching = False
+        self._watch_at: float | None = None
         self._reading = False
         self._read_delay_s = READ_RETRY_MIN_S
         self._next_read = now + PEER_WAIT_S * (0.5 + rng.random())
@@ -217,6 +219,8 @@
         ]
         if self.epoch == NO_EPOCH and not self._reading:
             times.append(self._next_read)
+        if self._watch_at is not None:
+            times.append(self._watch_at)
         return min(times, default=None)
 
     def handle(self, event: Event, now: float) -> list[Effect]:
@@ -236,7 +240,7 @@
                 self._hear(event)
             case MembersKnown(members_by_id=members_by_id):
                 self._members_by_id = members_by_id
-                self._choose_watchers()
+                self._choose_watchers(now)
             case PullAnswered():
                 self._pulls_by_host.pop(event.host_id, None)
                 self._on_pulled(event.host_id, event.response)
@@ -347,6 +351,10 @@
         self._read_delay_s = min(2 * self._read_delay_s, READ_RETRY_MAX_S)
 
     def _advance(self, now: float) -> None:
+        if self._watch_at is not None and now >= self._watch_at:
+            self._watch_at = None
+            self._watching = True
+            self._effects.append(WatchStore(watch=True))
         if self.epoch > NO_EPOCH or self._reading or now < self._next_read:
             return
         if self._has_store:
@@ -363,13 +371,19 @@
         if self.epoch == NO_EPOCH:
             self._apply(INITIAL_EPOCH, self._initial, "")
 
-    def _choose_watchers(self) -> None:
-        watch = self._has_store and self._host_id in watchers(
+    def _choose_watchers(self, now: float) -> None:
+        """Watches once chosen for a while: a newcomer's view is still small."""
+        chosen = self._has_store and self._host_id in watchers(
             self._members_by_id, self._data_centre
         )
-        if watch != self._watching:
-            self._watching = watch
-            self._effects.append(WatchStore(watch=watch))
+        if chosen:
+            if not self._watching and self._watch_at is None:
+                self._watch_at = now + WATCH_DELAY_S
+            return
+        self._watch_at = None
+        if self._watching:
+            self._watching = False
+            self._effects.append(WatchStore(watch=False))
 
     def _apply(
         self, epoch: int, preset: model.Preset, operation_id: str
@@ -387,34 +401,21 @@
 
 
 def watchers(
-    members_by_id: dict[str, membership.Member],
-    data_centre: str,
-    *,
-    purpose: str = "watch",
-    count: int = WATCHERS_PER_DATA_CENTRE,
+    members_by_id: dict[str, membership.Member], data_centre: str
 ) -> frozenset[str]:
-    """Chooses the nodes that use the store on behalf of a data centre.
+    """Chooses the nodes that watch the store on behalf of a data centre.
 
     Args:
       members_by_id: Members as this node sees them.
       data_centre: The data centre.
-      purpose: What for; each purpose chooses other nodes.
-      count: Number of nodes.
 
     Returns:
-      Host ids by highest hash (rendezvous hashing, Thaler and Ravishankar,
-      1998), so that a change of members moves as few choices as it can.
+      Their host ids.
     """
-    live = [
-        member.host_id
-        for member in members_by_id.values()
-        if member.data_centre == data_centre
-        and member.state is membership.MemberState.ALIVE
-    ]
-    live.sort(key=lambda host_id: _weight(purpose, host_id), reverse=True)
-    return frozenset(live[:count])
-
-
-def _weight(purpose: str, host_id: str) -> bytes:
-    text = f"{purpose} {host_id}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    members = choice.by_hash(
+        members_by_id,
+        data_centre,
+        purpose="watch",
+        count=WATCHERS_PER_DATA_CENTRE,
+    )
+    return frozenset(member.host_id for member in members)
