--- a/bergamotdeal/node/outgoing.py
+++ b/bergamotdeal/node/outgoing.py
@@ -49,6 +49,7 @@
       reactor: The reactor.
       builder: Builds the links.
       post: Takes the events for the call engine.
+      on_epoch: Takes the epoch of each call and answer, and its host.
       record: Takes events for the time line.
       hybrid_clock: Stamps calls and answers, for the time line.
     """
@@ -59,12 +60,14 @@
         reactor,
         builder: peer_link.LinkBuilder,
         post: Callable[[calls.Event], None],
+        on_epoch: Callable[[int, str], None],
         record: Callable[[calls.Record], None],
         hybrid_clock: clock.HybridClock,
     ) -> None:
         self._reactor = reactor
         self._builder = builder
         self._post = post
+        self._on_epoch = on_epoch
         self._record = record
         self._clock = hybrid_clock
         self._members_by_id: dict[str, membership.Member] = {}
@@ -213,6 +216,7 @@
             case messages.AnswerFrame():
                 outgoing.sent.discard(frame.number)
                 self._clock.observe(frame.answer.stamp)
+                self._on_epoch(frame.answer.epoch, outgoing.host_id)
                 self._post(
                     calls.PeerAnswered(
                         host_id=outgoing.host_id,
