--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -20,7 +20,8 @@
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
-from bergamotdeal.node import presets as preset_task
+from bergamotdeal.node import presets as presets_task
+from bergamotdeal.node import roster as roster_task
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
@@ -28,7 +29,7 @@
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
-from bergamotdeal.store import core as store
+from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import metrics
 
@@ -61,8 +62,7 @@
         )
         self._recorder = self._observation.recorder
         self._record = self._recorder.record
-        self._epoch = NO_EPOCH
-        self._preset = preset_model.Preset(name="none")
+        self._served = False
         self._announced: messages.ServerAnnounced | None = None
         self._engine = self._build_engine()
         self._hub = hub.Hub(
@@ -76,7 +76,12 @@
         )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
+        self._store = self._build_store()
         self._presets = self._build_presets()
+        self._roster = self._build_roster()
+        self._bulk_server = bulk_server.BulkServer(
+            membership=self._membership, presets=self._presets
+        )
         self._entry, self._egress = self._build_faces()
         self._admin = admin.AdminTask(
             node=self,
@@ -100,7 +105,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node knows the preset in force."""
-        return self._epoch > NO_EPOCH
+        return self._served
 
     def start(self) -> None:
         """Opens the faces and makes contact with the fleet."""
@@ -128,6 +133,8 @@
             admin_port=status_report.reachable_admin_port(settings),
         )
         self._presets.start()
+        if self._roster is not None:
+            self._roster.start()
 
     # What the admin face asks.
 
@@ -144,6 +151,7 @@
         node = self._settings.node
         members_by_id = self._membership.members_by_id() if with_members else {}
         own = self._announced
+        preset = self._presets.preset
         return node_status.NodeStatus(
             host_id=node.host_id,
             incarnation=self._incarnation,
@@ -152,12 +160,12 @@
             ready=self.is_ready,
             not_ready_reason=self._presets.problem() or "",
             draining=self._drain.started,
-            epoch=max(0, self._epoch),
-            preset_name=self._preset.name if self.is_ready else "",
+            epoch=max(0, self._presets.epoch),
+            preset_name=preset.name if preset else "",
             uptime_s=self._reactor.seconds() - self._started_at,
             resident_bytes=status_report.resident_bytes(),
             server=status_report.server_status(
-                self._engine, server=own, preset=self._preset
+                self._engine, server=own, preset=preset
             ),
             members=[
                 status_report.member_status(member)
@@ -191,17 +199,13 @@
         )
         return call_engine.Engine(
             identity=identity,
-            preset=self._preset,
+            preset=preset_model.Preset(name="none"),
             epoch=NO_EPOCH,
             # Routing needs speed here, not secrecy.
             rng=random.Random(self._rng.getrandbits(64)),
         )
 
     def _build_peer(self) -> peer.PeerTask:
-        server = bulk_server.BulkServer(
-            membership=lambda request: self._membership.serve(request),
-            presets=lambda request: self._presets.serve(request),
-        )
         return peer.PeerTask(
             reactor=self._reactor,
             host_id=self._settings.node.host_id,
@@ -209,9 +213,9 @@
             key=self._settings.peer.key.encode(),
             rng=self._rng,
             post=self._hub.post,
-            on_epoch=self._hear_epoch,
+            on_epoch=self._epoch_heard,
             record=self._record,
-            serve_bulk=server.serve,
+            serve_bulk=lambda payload: self._bulk_server.serve(payload),
             hybrid_clock=self._recorder.clock,
         )
 
@@ -228,20 +232,31 @@
             count=self._recorder.metrics.count,
         )
 
-    def _build_presets(self) -> preset_task.PresetTask:
-        return preset_task.PresetTask(
+    def _build_presets(self) -> presets_task.PresetTask:
+        return presets_task.PresetTask(
             settings=self._settings,
             reactor=self._reactor,
-            post=self._put_in_force,
+            post=self._preset_posted,
             rng=random.Random(self._rng.getrandbits(64)),
             request_bulk=self._peer.request_bulk,
             membership=self._membership,
-            store=self._build_store(),
-            initial=self._read_first_preset(),
+            store=self._store,
+            initial=self._first_preset(),
             record=self._record,
         )
 
-    def _build_store(self) -> store.Store | None:
+    def _build_roster(self) -> roster_task.RosterTask | None:
+        if self._store is None:
+            return None
+        return roster_task.RosterTask(
+            settings=self._settings,
+            reactor=self._reactor,
+            rng=random.Random(self._rng.getrandbits(64)),
+            store=self._store,
+            membership=self._membership,
+        )
+
+    def _build_store(self) -> store_core.Store | None:
         if not self._settings.store.address:
             return None
         # Nodes without a store save the memory of an HTTP client.
@@ -283,10 +298,11 @@
             self._presets.deliver(event)
         self._hub.post(event)
 
-    def _hear_epoch(self, epoch: int, host_id: str) -> None:
-        if epoch > self._epoch:
-            heard = follower.EpochHeard(epoch=epoch, host_id=host_id)
-            self._presets.deliver(heard)
+    def _epoch_heard(self, epoch: int, host_id: str) -> None:
+        if epoch > self._presets.epoch:
+            self._presets.deliver(
+                follower.EpochHeard(epoch=epoch, host_id=host_id)
+            )
 
     def _server_posted(self, event: messages.Event) -> None:
         match event:
@@ -308,7 +324,7 @@
 
     # Presets.
 
-    def _read_first_preset(self) -> preset_model.Preset | None:
+    def _first_preset(self) -> preset_model.Preset | None:
         if not self._settings.preset.file:
             return None
         path = pathlib.Path(self._settings.preset.file)
@@ -318,12 +334,9 @@
             raise InvalidPresetError(f"{path}: {problems}")
         return parsed.ok_value
 
-    def _put_in_force(self, event: messages.PresetInForce) -> None:
-        if event.epoch <= self._epoch:
-            return
-        was_ready = self.is_ready
-        self._epoch = event.epoch
-        self._preset = event.preset
+    def _preset_posted(self, event: messages.PresetInForce) -> None:
+        was_ready = self._served
+        self._served = True
         self._hub.post(event)
         if was_ready:
             return
@@ -346,6 +359,8 @@
         self._egress.start_closing()
         self._admin.stop()
         self._server.stop()
+        if self._roster is not None:
+            self._roster.stop()
         self._presets.stop()
         self._membership.stop()
         self._peer.stop()
