--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -86,7 +86,7 @@
 
     def connectionMade(self) -> None:
         """Greets the other side."""
-        self.transport.setTcpNoDelay(True)
+        transport.send_small_writes_at_once(self.transport)
         self.last_received = self._seconds()
         self.send(self._hello)
 
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -66,7 +66,7 @@
 
     def connectionMade(self) -> None:
         """Sets the socket options of a new connection."""
-        self.transport.setTcpNoDelay(True)
+        transport.send_small_writes_at_once(self.transport)
 
     def send(self, run: messages.StartRun) -> None:
         """Hands a run over to the backend server.
--- /dev/null
+++ b/bergamotdeal/node/tests/test_faces.py
@@ -0,0 +1,223 @@
+"""The entry and egress faces answer bad input and go on."""
+
+import itertools
+import random
+
+import pytest
+from twisted.internet import testing
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.calls import messages
+from bergamotdeal.errors import core as errors
+from bergamotdeal.node import faces
+
+
+class Harness:
+    def __init__(self, face=messages.Face.ENTRY, ready=True):
+        self.events = []
+        self.task = faces.FaceTask(
+            face=face,
+            post=self.events.append,
+            is_ready=lambda: ready,
+            rng=random.Random(1),
+            origin_ids=itertools.count(1),
+        )
+        self.reactor = testing.MemoryReactorClock()
+        self.task.start(reactor=self.reactor, address="127.0.0.1", port=7000)
+        self.connect()
+
+    def connect(self):
+        factory = self.reactor.tcpServers[0][1]
+        self.channel = factory.buildProtocol(None)
+        self.channel.callLater = self.reactor.callLater
+        self.transport = testing.StringTransport()
+        self.channel.makeConnection(self.transport)
+
+    def send(self, data):
+        self.channel.dataReceived(data)
+        return self.response()
+
+    def response(self):
+        head, _, body = self.transport.value().partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers_by_name = dict(line.split(": ", 1) for line in lines[1:])
+        status = int(lines[0].split()[1]) if head else 0
+        return status, headers_by_name, body
+
+    def reply(self, origin_id, body=b"done"):
+        self.task.reply(
+            messages.ReplyToCaller(
+                origin_id=origin_id,
+                user_request_id="r-1",
+                answer=calls.Answer(
+                    outcome=errors.Outcome.COMPLETED, body=body, ticket=b"\xfft"
+                ),
+            )
+        )
+
+
+def request(target="/kitview/kits", *, method="GET", headers="", body=b""):
+    head = f"{method} {target} HTTP/1.1\r\nHost: x\r\n{headers}\r\n"
+    return head.encode() + body
+
+
+def test_call_is_posted_and_answered():
+    harness = Harness()
+    harness.send(
+        request(
+            "/kitview/kits?line=3",
+            method="POST",
+            headers="Bergamot-Request-Id: r-1\r\nBergamot-Deadline-Ms: 800\r\n"
+            "Bergamot-Attempt: 2\r\nContent-Length: 2\r\nX-Line: 3\r\n",
+            body=b"{}",
+        )
+    )
+    (event,) = harness.events
+    assert event.request == calls.Request(
+        service="kitview",
+        method="POST",
+        path="/kits?line=3",
+        headers=[("x-line", "3")],
+        body=b"{}",
+    )
+    assert (event.user_request_id, event.attempt) == ("r-1", 2)
+    assert event.deadline_ms == 800
+    harness.reply(event.origin_id)
+    status, headers_by_name, body = harness.response()
+    assert (status, body) == (200, b"done")
+    assert headers_by_name["bergamot-outcome"] == "completed"
+    assert faces.decode_ticket(headers_by_name["bergamot-ticket"]).ok_value == (
+        b"\xfft"
+    )
+
+
+def test_internal_headers_of_outside_callers_have_no_effect():
+    harness = Harness()
+    harness.send(
+        request(
+            headers="Bergamot-Context: run-1\r\nBergamot-Secret: 1\r\n"
+            "Idempotency-Key: k\r\n"
+        )
+    )
+    (event,) = harness.events
+    assert event.context == ""
+    assert event.idempotency_key == ""
+    assert event.request.headers == [("idempotency-key", "k")]
+
+
+def test_context_and_key_of_the_backend_server_count():
+    harness = Harness(face=messages.Face.EGRESS)
+    harness.send(
+        request(headers="Bergamot-Context: run-1\r\nIdempotency-Key: k\r\n")
+    )
+    (event,) = harness.events
+    assert (event.context, event.idempotency_key) == ("run-1", "k")
+
+
+BAD_REQUESTS = [
+    (b"NONSENSE\r\n\r\n", 400, "malformed-request"),
+    (b"GET  /a HTTP/1.1 x\r\n\r\n", 400, "malformed-request"),
+    (request("//"), 400, "malformed-request"),
+    (request("/" + "a" * 9000), 400, "malformed-request"),
+    (request(headers="Content-Length: x\r\n"), 400, "malformed-request"),
+    (
+        request(headers="Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"),
+        400,
+        "malformed-request",
+    ),
+    (
+        request(headers="Transfer-Encoding: chunked\r\n", body=b"zz\r\n"),
+        400,
+        "malformed-request",
+    ),
+    (request(headers="Bergamot-Deadline-Ms: 0\r\n"), 400, "header-invalid"),
+    (request(headers="Bergamot-Deadline-Ms: -1\r\n"), 400, "header-invalid"),
+    (request(headers="Bergamot-Attempt: x\r\n"), 400, "header-invalid"),
+    (request(headers="Bergamot-Ticket: %%\r\n"), 400, "header-invalid"),
+    (
+        request(headers=f"Bergamot-Request-Id: {'a' * 200}\r\n"),
+        400,
+        "header-invalid",
+    ),
+    (request(headers=f"X: {'a' * 40_000}\r\n"), 431, "headers-too-large"),
+    (
+        request(headers="".join(f"X{i}: {'a' * 90}\r\n" for i in range(400))),
+        431,
+        "headers-too-large",
+    ),
+    (request(headers="Content-Length: 99999999\r\n"), 413, "body-too-large"),
+    (
+        request(
+            headers="Transfer-Encoding: chunked\r\n",
+            body=b"fffff\r\n" + b"x" * 0xFFFFF + b"\r\nff\r\n" + b"x" * 255,
+        ),
+        413,
+        "body-too-large",
+    ),
+]
+
+
+@pytest.mark.parametrize(("data", "status", "kind"), BAD_REQUESTS)
+def test_bad_request_is_answered_and_the_face_goes_on(data, status, kind):
+    harness = Harness()
+    answered, headers_by_name, _ = harness.send(data)
+    assert answered == status
+    assert headers_by_name["bergamot-error"] == kind
+    assert harness.events == []
+    harness.connect()
+    harness.send(request())
+    assert len(harness.events) == 1
+
+
+@pytest.mark.parametrize(
+    "headers",
+    ["Bergamot-Attempt: 1\r\n", "Bergamot-Ticket: dA==\r\n"],
+)
+def test_bad_resend_is_never_answered_not_run(headers):
+    harness = Harness()
+    _, headers_by_name, _ = harness.send(
+        request(headers=headers + "Bergamot-Deadline-Ms: x\r\n")
+    )
+    assert headers_by_name["bergamot-outcome"] == "unknown"
+
+
+def test_node_without_a_preset_refuses():
+    harness = Harness(ready=False)
+    status, headers_by_name, _ = harness.send(request())
+    assert status == 503
+    assert headers_by_name["bergamot-error"] == "not-ready"
+    assert headers_by_name["bergamot-outcome"] == "not-run"
+
+
+def test_disconnected_caller_is_reported_once():
+    harness = Harness()
+    harness.send(request())
+    harness.channel.connectionLost(None)
+    harness.channel.connectionLost(None)
+    assert [type(event) for event in harness.events] == [
+        messages.CallArrived,
+        messages.CallerGone,
+    ]
+    harness.reply(1)
+    assert harness.transport.value() == b""
+
+
+def test_answers_follow_the_order_of_pipelined_requests():
+    harness = Harness()
+    harness.send(request() * 2)
+    assert len(harness.events) == 1
+    harness.reply(1, b"first")
+    assert len(harness.events) == 2
+    harness.reply(2, b"second")
+    data = harness.transport.value()
+    assert data.index(b"first") < data.index(b"second")
+
+
+def test_closing_face_closes_after_the_response_in_hand():
+    harness = Harness()
+    harness.send(request())
+    harness.task.start_closing()
+    assert not harness.transport.disconnecting
+    harness.reply(1)
+    assert harness.response()[1]["connection"] == "close"
+    assert harness.transport.disconnecting
--- /dev/null
+++ b/bergamotdeal/node/tests/test_server_connection.py
@@ -0,0 +1,142 @@
+"""An answer is delivered complete or not at all."""
+
+import pytest
+from twisted.internet import testing
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.calls import messages
+from bergamotdeal.node import server_connection
+
+LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Kit: 7\r\n\r\nhello"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+)
+UNBOUNDED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"
+
+
+class Harness:
+    def __init__(self, method="GET"):
+        self.events = []
+        self.idle = []
+        self.closed = []
+        self.connection = server_connection.ServerConnection(
+            on_idle=self.idle.append,
+            on_closed=self.closed.append,
+            post=self.events.append,
+        )
+        self.transport = testing.StringTransport()
+        self.connection.makeConnection(self.transport)
+        self.connection.send(
+            messages.StartRun(
+                run_id=4,
+                request=calls.Request(
+                    service="kitview",
+                    method=method,
+                    path="/kits",
+                    headers=[("accept", "*/*")],
+                    body=b"",
+                ),
+                user_request_id="r-1",
+                context="c-1",
+                deadline_ms=100,
+            )
+        )
+
+    def lose(self):
+        self.connection.connectionLost()
+
+
+@pytest.mark.parametrize("answer", [LENGTH, CHUNKED], ids=["length", "chunked"])
+def test_whole_answer_is_delivered(answer):
+    harness = Harness()
+    for byte in answer:
+        harness.connection.dataReceived(bytes([byte]))
+    (event,) = harness.events
+    assert isinstance(event, messages.RunAnswered)
+    assert (event.run_id, event.status, event.body) == (4, 200, b"hello")
+    assert harness.idle == [harness.connection]
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [LENGTH, CHUNKED, UNBOUNDED + b" "],
+    ids=["length", "chunked", "no length"],
+)
+def test_answer_cut_at_any_byte_is_never_delivered(answer):
+    for length in range(len(answer)):
+        harness = Harness()
+        harness.connection.dataReceived(answer[:length])
+        harness.lose()
+        (event,) = harness.events
+        assert isinstance(event, messages.RunFailed), length
+        assert event.failure in (
+            messages.RunFailure.LOST,
+            messages.RunFailure.INVALID,
+        )
+        assert harness.closed == [harness.connection]
+
+
+def test_bytes_after_the_answer_close_the_connection():
+    harness = Harness()
+    harness.connection.dataReceived(LENGTH + LENGTH)
+    (event,) = harness.events
+    assert event.body == b"hello"
+    assert harness.idle == []
+    assert harness.closed == [harness.connection]
+
+
+def test_unsolicited_bytes_close_an_idle_connection():
+    harness = Harness()
+    harness.connection.dataReceived(LENGTH)
+    harness.connection.dataReceived(LENGTH)
+    assert len(harness.events) == 1
+    assert harness.closed == [harness.connection]
+
+
+def test_too_large_answer_fails():
+    harness = Harness()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n"
+    harness.connection.dataReceived(head)
+    harness.connection.dataReceived(b"x" * 1_999_999)
+    (event,) = harness.events
+    assert event.failure is messages.RunFailure.TOO_LARGE
+
+
+def test_malformed_answer_fails():
+    harness = Harness()
+    harness.connection.dataReceived(b"SSH-2.0-OpenSSH\r\n")
+    (event,) = harness.events
+    assert event.failure is messages.RunFailure.INVALID
+
+
+def test_answer_to_head_has_no_body():
+    harness = Harness(method="HEAD")
+    harness.connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+    )
+    (event,) = harness.events
+    assert (event.status, event.body) == (200, b"")
+
+
+def test_interim_answer_is_not_final():
+    harness = Harness()
+    harness.connection.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert harness.events == []
+    harness.connection.dataReceived(LENGTH)
+    assert harness.events[0].status == 200
+
+
+def test_aborted_run_posts_nothing():
+    harness = Harness()
+    harness.connection.abort()
+    harness.lose()
+    assert harness.events == []
+
+
+def test_request_has_no_line_breaks_in_its_head():
+    harness = Harness()
+    run = harness.connection.run
+    run.request.headers = [("x", "a\r\nevil: 1")]
+    head = server_connection.render_request(run)
+    assert b"\r\nevil" not in head
--- a/bergamotdeal/node/transport.py
+++ b/bergamotdeal/node/transport.py
@@ -35,3 +35,13 @@
         and not transport.dataBuffer
         and not transport._tempDataBuffer
     )
+
+
+def send_small_writes_at_once(transport: interfaces.ITransport) -> None:
+    """Turns Nagle's algorithm off where there is one.
+
+    Args:
+      transport: A connected transport.
+    """
+    if interfaces.ITCPTransport.providedBy(transport):
+        transport.setTcpNoDelay(True)
