--- /dev/null
+++ b/bergamotdeal/node/tests/test_outgoing.py
@@ -0,0 +1,240 @@
+"""Outgoing links: what counts as handed over, and late answers."""
+
+import random
+
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.calls import messages
+from bergamotdeal.errors import core as errors
+from bergamotdeal.membership import core as membership
+from bergamotdeal.node import outgoing
+from bergamotdeal.node import peer_link
+from bergamotdeal.telemetry import clock
+from bergamotdeal.wire import messages as frames
+
+KEY = b"0123456789abcdef"
+TARGET = "orderline-1"
+
+
+class Target:
+    """The other end of one link."""
+
+    def __init__(self, incarnation="two"):
+        self.frames = []
+        builder = peer_link.LinkBuilder(
+            host_id=TARGET,
+            incarnation=incarnation,
+            key=KEY,
+            rng=random.Random(2),
+            seconds=lambda: 0.0,
+        )
+        self.link = builder.build(
+            is_dialer=False,
+            expected_host_id=None,
+            on_open=lambda _: None,
+            on_frame=lambda _, frame: self.frames.append(frame),
+            on_closed=lambda _: None,
+        )
+        self.transport = testing.StringTransport()
+        self.link.makeConnection(self.transport)
+
+
+class Harness:
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.events = []
+        self.epochs = []
+        builder = peer_link.LinkBuilder(
+            host_id="kitview-1",
+            incarnation="one",
+            key=KEY,
+            rng=random.Random(1),
+            seconds=self.reactor.seconds,
+        )
+        self.links = outgoing.OutgoingLinks(
+            reactor=self.reactor,
+            builder=builder,
+            post=self.events.append,
+            on_epoch=lambda epoch, host_id: self.epochs.append(epoch),
+            record=lambda _: None,
+            hybrid_clock=clock.HybridClock(wall_ms=lambda: 1),
+        )
+        self.see("two")
+
+    def see(self, incarnation):
+        member = membership.Member(
+            host_id=TARGET,
+            incarnation=incarnation,
+            data_centre="prai",
+            region="r",
+            address="127.0.0.2",
+            peer_port=7002,
+        )
+        self.links.members_changed({TARGET: member})
+
+    def call(self, number):
+        self.links.send_call(
+            messages.SendCall(
+                host_id=TARGET,
+                call=calls.Call(
+                    number=number,
+                    user_request_id="r-1",
+                    call_id="r-1",
+                    request=calls.Request(
+                        service="orderline",
+                        method="GET",
+                        path="/",
+                        headers=[],
+                        body=b"",
+                    ),
+                    deadline_ms=1000,
+                    epoch=3,
+                ),
+            )
+        )
+
+    @property
+    def dials(self):
+        return len(self.reactor.tcpClients)
+
+    def accept(self, incarnation="two"):
+        factory = self.reactor.tcpClients[-1][2]
+        link = factory.buildProtocol(None)
+        link.makeConnection(testing.StringTransport())
+        target = Target(incarnation)
+        self.exchange(link, target)
+        return link, target
+
+    def exchange(self, link, target):
+        while link.transport.value() or target.transport.value():
+            data = link.transport.value()
+            link.transport.clear()
+            target.link.dataReceived(data)
+            data = target.transport.value()
+            target.transport.clear()
+            link.dataReceived(data)
+
+    def fail_dial(self):
+        factory = self.reactor.tcpClients[-1][2]
+        reason = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, reason)
+
+    def tick(self, seconds):
+        for _ in range(round(seconds / 0.25)):
+            self.reactor.advance(0.25)
+            self.links.check(self.reactor.seconds())
+
+
+def failed(number, *, handed_over):
+    return messages.DispatchFailed(number=number, handed_over=handed_over)
+
+
+def answer(number):
+    return frames.AnswerFrame(
+        number=number,
+        user_request_id="r-1",
+        answer=calls.Answer(
+            outcome=errors.Outcome.COMPLETED, body=b"ok", epoch=5
+        ),
+    )
+
+
+def test_calls_wait_for_the_link_and_share_it():
+    harness = Harness()
+    harness.call(1)
+    harness.call(2)
+    assert harness.dials == 1
+    link, target = harness.accept()
+    assert [frame.call.number for frame in target.frames] == [1, 2]
+    target.link.send(answer(2))
+    harness.exchange(link, target)
+    assert harness.events[0].number == 2
+    assert harness.epochs == [5]
+
+
+def test_failed_dial_is_not_a_hand_over():
+    harness = Harness()
+    harness.call(1)
+    harness.fail_dial()
+    assert harness.events == [failed(1, handed_over=False)]
+
+
+def test_unknown_host_is_not_a_hand_over():
+    harness = Harness()
+    harness.links.members_changed({})
+    harness.call(1)
+    assert harness.events == [failed(1, handed_over=False)]
+
+
+def test_handshake_that_never_ends_is_not_a_hand_over():
+    harness = Harness()
+    harness.call(1)
+    factory = harness.reactor.tcpClients[-1][2]
+    link = factory.buildProtocol(None)
+    link.makeConnection(testing.StringTransport())
+    harness.tick(3)
+    assert harness.events == [failed(1, handed_over=False)]
+
+
+def test_lost_link_is_a_hand_over_of_what_was_written():
+    harness = Harness()
+    harness.call(1)
+    link, _ = harness.accept()
+    link.connectionLost()
+    assert harness.events == [failed(1, handed_over=True)]
+    harness.call(2)
+    assert harness.dials == 2
+
+
+def test_silent_link_is_replaced_and_never_says_not_run():
+    harness = Harness()
+    harness.call(1)
+    harness.accept()
+    harness.tick(3)
+    assert harness.events == [failed(1, handed_over=True)]
+    harness.call(2)
+    _, target = harness.accept()
+    assert [frame.call.number for frame in target.frames] == [2]
+
+
+def test_late_answer_of_a_replaced_link_is_not_delivered():
+    harness = Harness()
+    harness.call(1)
+    old, target = harness.accept()
+    harness.tick(3)
+    harness.events.clear()
+    target.link.send(answer(1))
+    old.dataReceived(target.transport.value())
+    assert harness.events == []
+
+
+def test_link_to_an_earlier_incarnation_is_closed():
+    harness = Harness()
+    harness.call(1)
+    link, _ = harness.accept("two")
+    harness.see("three")
+    assert link.state is peer_link.LinkState.CLOSED
+    assert harness.events == [failed(1, handed_over=True)]
+
+
+def test_cancel_before_the_link_opens_sends_nothing():
+    harness = Harness()
+    harness.call(1)
+    harness.links.send_cancel(messages.SendCancel(host_id=TARGET, number=1))
+    _, target = harness.accept()
+    assert target.frames == []
+
+
+def test_unused_link_is_closed():
+    harness = Harness()
+    harness.call(1)
+    link, target = harness.accept()
+    target.link.send(answer(1))
+    harness.exchange(link, target)
+    for _ in range(300):
+        harness.tick(0.25)
+        harness.exchange(link, target)
+    assert len(harness.links) == 0
