Keep what waits when a paused node is paused again in the test fleet

Cause: a second pause dropped the events that waited for the first one, and a caller then waited for ever. Change: a pause of a paused node changes nothing. Conclusion: the fault was the stand-in's.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -135,7 +135,9 @@
 
     def pause_node(self, host_id: str) -> None:
         """Stops a node's process; what arrives waits."""
-        self.nodes_by_id[host_id].held = []
+        node = self.nodes_by_id[host_id]
+        if node.held is None:
+            node.held = []
 
     def resume_node(self, host_id: str) -> None:
         """Continues a paused node with all that has waited."""
