Look for the failed call only when an event failed

Cause: the engine looked up the call of each event before handling it, in case the handling raised. Change: handlers by event type; the failed call is searched afterwards.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -62,13 +62,18 @@
         """Whether every caller has its answer."""
         return not self._exchanges_by_origin
 
-    def exchange_of(self, event: messages.Event) -> exchanges.Exchange | None:
-        """Returns the open exchange that an event concerns, or None."""
+    def find(self, event: messages.Event) -> exchanges.Exchange | None:
+        """Returns the unanswered exchange that an event concerned, or None.
+
+        It is for events that failed midway and looks at every exchange.
+        """
         match event:
             case messages.CallArrived() | messages.CallerGone():
                 return self._exchanges_by_origin.get(event.origin_id)
             case messages.PeerAnswered() | messages.DispatchFailed():
-                return self._exchanges_by_number.get(event.number)
+                for exchange in self._exchanges_by_origin.values():
+                    if exchange.last_number == event.number:
+                        return exchange
         return None
 
     def arrive(self, event: messages.CallArrived) -> None:
@@ -229,6 +234,7 @@
         self._last_number += 1
         number = self._last_number
         exchange.number = number
+        exchange.last_number = number
         exchange.host_id = host_id
         exchange.carried = exchange.allowance.take_share()
         exchange.sent_at = state.now
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -1,6 +1,7 @@
 """The call engine: events in, effects out."""
 
 import collections
+from collections.abc import Callable
 import random
 import traceback
 
@@ -85,6 +86,17 @@
             send_answer=self._send_answer,
             abandon_children=self._dispatcher.abandon_children,
         )
+        self._handlers_by_type: dict[type, Callable] = {
+            messages.CallArrived: self._dispatcher.arrive,
+            messages.PeerAnswered: self._dispatcher.answered,
+            messages.DispatchFailed: self._dispatcher.failed,
+            messages.PeerCalled: self._handle_call,
+            messages.RunAnswered: self._executor.run_answered,
+            messages.RunFailed: self._executor.run_failed,
+            messages.TimePassed: self._handle_time,
+            messages.MembersChanged: self._handle_members,
+            messages.PresetInForce: self._handle_preset,
+        }
 
     def handle(
         self, event: messages.Event, now: float
@@ -122,38 +134,33 @@
         return self._dispatcher.idle() and self._executor.idle()
 
     def _handle_safely(self, event: messages.Event) -> None:
-        exchange = self._dispatcher.exchange_of(event)
-        run = self._executor.run_of(event)
         try:
-            self._handle(event)
+            handler = self._handlers_by_type.get(type(event))
+            (handler or self._handle_change)(event)
         except Exception:
-            self._state.record(
-                catalogue.EventCode.CALL_FAILED_INTERNALLY,
-                trace=traceback.format_exc(),
-            )
-            self._answer_failed(event, exchange, run)
+            self._record_failure()
+            self._answer_failed(event)
 
-    def _answer_failed(
-        self,
-        event: messages.Event,
-        exchange: exchanges.Exchange | None,
-        run: runs.Run | None,
-    ) -> None:
+    def _record_failure(self) -> None:
+        self._state.record(
+            catalogue.EventCode.CALL_FAILED_INTERNALLY,
+            trace=traceback.format_exc(),
+        )
+
+    def _answer_failed(self, event: messages.Event) -> None:
         """Answers the call whose handling raised an exception."""
-        exchange = exchange or self._dispatcher.exchange_of(event)
-        run = run or self._executor.run_of(event)
+        exchange = self._dispatcher.find(event)
+        run = self._executor.find(event)
+        if exchange is None and run is None:
+            self._answer_unopened(event)
+            return
         try:
             if exchange is not None:
                 self._dispatcher.fail(exchange)
             if run is not None:
                 self._executor.fail(run)
         except Exception:
-            self._state.record(
-                catalogue.EventCode.CALL_FAILED_INTERNALLY,
-                trace=traceback.format_exc(),
-            )
-        if exchange is None and run is None:
-            self._answer_unopened(event)
+            self._record_failure()
 
     def _answer_unopened(self, event: messages.Event) -> None:
         """Answers a call that failed before it was taken up."""
@@ -177,35 +184,23 @@
             case messages.PeerCalled():
                 self._send_answer(event.link_id, event.call, answer)
 
-    def _handle(self, event: messages.Event) -> None:
+    def _handle_call(self, event: messages.PeerCalled) -> None:
+        self._executor.arrive(event.link_id, event.call)
+
+    def _handle_members(self, event: messages.MembersChanged) -> None:
+        self._state.members_by_id = event.members_by_id
+        self._router.update_members(event.members_by_id)
+
+    def _handle_change(self, event: messages.Event) -> None:
+        """Handles what is rare: ends of callers and links, server, drain."""
+        apply = self._executor.apply
         match event:
-            case messages.CallArrived():
-                self._dispatcher.arrive(event)
             case messages.CallerGone():
                 self._dispatcher.caller_gone(event.origin_id)
-            case messages.PeerAnswered():
-                self._dispatcher.answered(event)
-            case messages.DispatchFailed():
-                self._dispatcher.failed(event)
-            case messages.PeerCalled():
-                self._executor.arrive(event.link_id, event.call)
             case messages.PeerCancelled():
                 self._executor.cancelled(event.link_id, event.number)
             case messages.PeerLinkClosed():
                 self._executor.link_closed(event.link_id)
-            case messages.RunAnswered():
-                self._executor.run_answered(event)
-            case messages.RunFailed():
-                self._executor.run_failed(event)
-            case messages.TimePassed():
-                self._pass_time()
-            case _:
-                self._handle_change(event)
-
-    def _handle_change(self, event: messages.Event) -> None:
-        """Handles what concerns the node and not one call."""
-        apply = self._executor.apply
-        match event:
             case messages.ServerAnnounced():
                 apply(self._server.announced(event.service, event.slots))
             case messages.ServerStopped():
@@ -214,15 +209,10 @@
                 apply(self._server.silent())
             case messages.DrainStarted():
                 self._state.draining = True
-            case messages.MembersChanged():
-                self._state.members_by_id = event.members_by_id
-                self._router.update_members(event.members_by_id)
-            case messages.PresetInForce():
-                self._put_in_force(event)
             case messages.QuarantineHeard():
                 self._server.hear(event.reports)
 
-    def _put_in_force(self, event: messages.PresetInForce) -> None:
+    def _handle_preset(self, event: messages.PresetInForce) -> None:
         state = self._state
         if event.epoch <= state.epoch:
             return
@@ -234,16 +224,13 @@
         self._ticketing.preset_changed()
         self._executor.apply(self._server.preset_changed())
 
-    def _pass_time(self) -> None:
+    def _handle_time(self, _event: messages.TimePassed) -> None:
         state = self._state
         while (item := state.timers.pop_due(state.now)) is not None:
             try:
                 self._expire(item)
             except Exception:
-                state.record(
-                    catalogue.EventCode.CALL_FAILED_INTERNALLY,
-                    trace=traceback.format_exc(),
-                )
+                self._record_failure()
                 self._fail_expired(item)
         self._executor.apply(self._server.advance())
 
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -33,6 +33,7 @@
       minting: Whether the dispatch in flight only asks for a ticket.
       ticket_is_own: Whether this node got the ticket on the caller's behalf.
       number: Number of the dispatch in flight, zero without one.
+      last_number: Number of the last dispatch, zero before the first.
       host_id: Host that the last dispatch went to.
       carried: Tokens that the dispatch in flight took along.
       sent_at: Time of the last dispatch, monotonic seconds.
@@ -61,6 +62,7 @@
     minting: bool = False
     ticket_is_own: bool = False
     number: int = 0
+    last_number: int = 0
     host_id: str = ""
     carried: int = 0
     sent_at: float = 0.0
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -67,8 +67,11 @@
         """Whether every call is answered and every run has ended."""
         return self._table.idle()
 
-    def run_of(self, event: messages.Event) -> runs.Run | None:
-        """Returns the open run that an event concerns, or None."""
+    def find(self, event: messages.Event) -> runs.Run | None:
+        """Returns the unanswered run that an event concerned, or None.
+
+        It is for events that failed midway and looks at every run.
+        """
         match event:
             case messages.PeerCalled():
                 key = (event.link_id, event.call.number)
@@ -77,6 +80,9 @@
                 key = (event.link_id, event.number)
                 return self._table.runs_by_call.get(key)
             case messages.RunAnswered() | messages.RunFailed():
+                for run in self._table.runs_by_call.values():
+                    if run.run_id == event.run_id:
+                        return run
                 return self._table.runs_by_id.get(event.run_id)
         return None
 
