Add the caller library with a blocking client

Cause: a caller of a non-repeatable request has to ask for a ticket, keep it over resends and wait as told; each caller would write this again. Change: caller.core decides on the sendings without I/O; caller.blocking carries them out on http.client.

--- a/bergamotdeal/caller/__init__.py
+++ b/bergamotdeal/caller/__init__.py
@@ -1,1 +1,3 @@
-"""Client library for callers."""
+"""Client library for callers of the fleet."""
+
+__all__ = ["blocking", "core"]
