--- a/bergamotdeal/calls/core.py
+++ b/bergamotdeal/calls/core.py
@@ -64,6 +64,10 @@
       depth: Number of calls above this one.
       epoch: Epoch of the configuration in force at the origin.
       stamp: Stamp of the origin's hybrid logical clock, set by its peer face.
+      needs_ticket: Whether the origin's preset lets the request run only
+        under a ticket.
+      only_repeatable: Whether a call above may be sent again after its answer
+        was lost, so that nothing below may be non-repeatable.
     """
 
     number: int
@@ -79,6 +83,8 @@
     depth: int = 0
     epoch: int = 0
     stamp: int = 0
+    needs_ticket: bool = False
+    only_repeatable: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/wire/codec.py
+++ b/bergamotdeal/wire/codec.py
@@ -137,6 +137,8 @@
     builder.depth = call.depth
     builder.epoch = call.epoch
     builder.stamp = call.stamp
+    builder.needsTicket = call.needs_ticket
+    builder.onlyRepeatable = call.only_repeatable
 
 
 def _read_call(reader) -> calls.Call:
@@ -160,6 +162,8 @@
         depth=reader.depth,
         epoch=reader.epoch,
         stamp=reader.stamp,
+        needs_ticket=reader.needsTicket,
+        only_repeatable=reader.onlyRepeatable,
     )
 
 
