--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -21,6 +21,7 @@
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
 from bergamotdeal.node import presets as presets_task
+from bergamotdeal.node import roster as roster_task
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
@@ -28,8 +29,9 @@
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
-from bergamotdeal.store import http as store_http
+from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import metrics
 
 INCARNATION_BYTES = 16
 FLUSH_TIMEOUT_S = 2.0
@@ -74,7 +76,9 @@
         )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
+        self._store = self._build_store()
         self._presets = self._build_presets()
+        self._roster = self._build_roster()
         self._bulk_server = bulk_server.BulkServer(
             membership=self._membership, presets=self._presets
         )
@@ -129,6 +133,8 @@
             admin_port=status_report.reachable_admin_port(settings),
         )
         self._presets.start()
+        if self._roster is not None:
+            self._roster.start()
 
     # What the admin face asks.
 
@@ -177,8 +183,7 @@
         Returns:
           The epoch in force here now, or why the content can't be accepted.
         """
-        self._presets.deliver(presets_task.PresetHanded(document=data))
-        return result.Ok(max(0, self._presets.epoch))
+        return self._presets.offer(data)
 
     # Assembly.
 
@@ -224,14 +229,10 @@
             request_bulk=self._peer.request_bulk,
             on_epoch=lambda heard: self._presets.deliver(heard),
             record=self._record,
+            count=self._recorder.metrics.count,
         )
 
     def _build_presets(self) -> presets_task.PresetTask:
-        store = None
-        if self._settings.store.address:
-            store = store_http.HttpStore(
-                settings=self._settings.store, reactor=self._reactor
-            )
         return presets_task.PresetTask(
             settings=self._settings,
             reactor=self._reactor,
@@ -239,11 +240,35 @@
             rng=random.Random(self._rng.getrandbits(64)),
             request_bulk=self._peer.request_bulk,
             membership=self._membership,
-            store=store,
+            store=self._store,
             initial=self._first_preset(),
             record=self._record,
         )
 
+    def _build_roster(self) -> roster_task.RosterTask | None:
+        if self._store is None:
+            return None
+        return roster_task.RosterTask(
+            settings=self._settings,
+            reactor=self._reactor,
+            rng=random.Random(self._rng.getrandbits(64)),
+            store=self._store,
+            membership=self._membership,
+        )
+
+    def _build_store(self) -> store_core.Store | None:
+        if not self._settings.store.address:
+            return None
+        # Nodes without a store save the memory of an HTTP client.
+        from bergamotdeal.store import http as store_http
+
+        counter = metrics.Counter.STORE_CALLS
+        return store_http.HttpStore(
+            settings=self._settings.store,
+            reactor=self._reactor,
+            count=lambda: self._recorder.metrics.count(counter),
+        )
+
     def _build_faces(self) -> tuple[faces.FaceTask, faces.FaceTask]:
         origin_ids = itertools.count(1)
         handler = announcements.AnnouncementHandler(
@@ -334,6 +359,8 @@
         self._egress.start_closing()
         self._admin.stop()
         self._server.stop()
+        if self._roster is not None:
+            self._roster.stop()
         self._presets.stop()
         self._membership.stop()
         self._peer.stop()
