Add the preset commands

Cause: operators write presets and switch between them. The shared options name nodes and the store.

--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -3,7 +3,7 @@
 import collections
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import settings
 from hypothesis import strategies
 
@@ -126,7 +126,7 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(
+@hypothesis.given(
     seed=strategies.integers(0, 2**32),
     allowance=strategies.integers(0, 5),
     below=strategies.booleans(),
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import settings
 from hypothesis import strategies
 
@@ -107,7 +107,7 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(seed=strategies.integers(0, 2**32))
+@hypothesis.given(seed=strategies.integers(0, 2**32))
 def test_no_caller_is_told_anything_false(seed):
     rng = random.Random(seed)
     made = build(rng)
--- a/bergamotdeal/cli/fleet.py
+++ b/bergamotdeal/cli/fleet.py
@@ -50,13 +50,30 @@
     Returns:
       The status of the first node that answers, with its members.
     """
+    found = find_status(target)
+    if isinstance(found, result.Err):
+        raise failure(found.err_value)
+    return found.ok_value
+
+
+def find_status(
+    target: options.Target,
+) -> result.Result[node_status.NodeStatus, list[node_client.NodeError]]:
+    """Asks the given nodes in turn for the fleet.
+
+    Args:
+      target: Nodes that the operator named.
+
+    Returns:
+      The status of the first node that answers, or each node's error.
+    """
     errors = []
     for endpoint in target.endpoints:
         asked = client(target, endpoint).status(with_members=True)
         if isinstance(asked, result.Ok):
-            return asked.ok_value
+            return asked
         errors.append(asked.err_value)
-    raise failure(errors)
+    return result.Err(errors)
 
 
 def client(
--- a/bergamotdeal/cli/main.py
+++ b/bergamotdeal/cli/main.py
@@ -69,6 +69,7 @@
         "completion": ("bergamotdeal.cli.completion", "completion"),
         "drain": ("bergamotdeal.cli.drain", "drain"),
         "node": ("bergamotdeal.cli.node", "node"),
+        "preset": ("bergamotdeal.cli.preset", "preset"),
         "settings": ("bergamotdeal.cli.settings", "settings"),
         "status": ("bergamotdeal.cli.status", "status"),
         "timeline": ("bergamotdeal.cli.timeline", "timeline"),
--- a/bergamotdeal/cli/options.py
+++ b/bergamotdeal/cli/options.py
@@ -4,11 +4,11 @@
 import dataclasses
 import functools
 import os
+from typing import Any
 
 import click
 import result
 
-from bergamotdeal.cli import exit_codes
 from bergamotdeal.cli import files
 from bergamotdeal.cli import node_client
 from bergamotdeal.settings import model
@@ -16,6 +16,9 @@
 
 NODE_VARIABLE = "BERGAMOTDEAL_NODE"
 TOKEN_VARIABLE = "BERGAMOTDEAL_TOKEN"
+STORE_VARIABLE = "BERGAMOTDEAL_STORE"
+STORE_TOKEN_VARIABLE = "BERGAMOTDEAL_STORE_TOKEN"
+STORE_CALLS_PER_MINUTE = 600
 SETTINGS_VARIABLE = "BERGAMOTDEAL_SETTINGS"
 
 
@@ -34,37 +37,88 @@
     timeout_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Given:
+    """What the shared options hold."""
+
+    nodes: tuple[str, ...]
+    token_file: str | None
+    timeout_s: float
+    store: str | None
+    store_token_file: str | None
+    settings: model.Settings | None
+
+
 def with_target(command: Callable) -> Callable:
-    """Adds the options that name nodes; the command takes a ``Target``.
+    """Adds the options that name nodes.
 
     Args:
       command: A command function whose first argument is the target.
     """
 
-    @click.option(
-        "--node",
-        "nodes",
-        multiple=True,
-        envvar=NODE_VARIABLE,
-        metavar="ADDRESS:PORT",
-        help=f"Admin face of any node; may be repeated. [{NODE_VARIABLE}]",
-    )
-    @click.option(
+    @_node_options
+    @_settings_option
+    @functools.wraps(command)
+    def wrapped(*arguments, **values):
+        given = _take(values)
+        return command(_read_target(given), *arguments, **values)
+
+    return wrapped
+
+
+def with_store(command: Callable) -> Callable:
+    """Adds the options that name the store.
+
+    Args:
+      command: A command function whose first argument is the store's settings.
+    """
+
+    @_store_options
+    @_settings_option
+    @functools.wraps(command)
+    def wrapped(*arguments, **values):
+        given = _take(values)
+        return command(_read_store(given), *arguments, **values)
+
+    return wrapped
+
+
+def with_store_and_target(command: Callable) -> Callable:
+    """Adds the options that name the store and, if wanted, nodes.
+
+    Args:
+      command: A command function whose first two arguments are the store's
+        settings and the target, which is None when no node is named.
+    """
+
+    @_store_options
+    @_node_options
+    @_settings_option
+    @functools.wraps(command)
+    def wrapped(*arguments, **values):
+        given = _take(values)
+        named = given.nodes or (given.settings and given.settings.admin.port)
+        target = _read_target(given) if named else None
+        return command(_read_store(given), target, *arguments, **values)
+
+    return wrapped
+
+
+def _settings_option(command: Callable) -> Callable:
+    return click.option(
         "--settings",
         "settings_path",
         envvar=SETTINGS_VARIABLE,
         metavar="FILE",
         help=(
-            "Settings of the node on this host, in place of --node. "
+            "Settings of the node on this host; they name node and store. "
             f"[{SETTINGS_VARIABLE}]"
         ),
-    )
-    @click.option(
-        "--token-file",
-        metavar="FILE",
-        help=f"File with the admin token. [{TOKEN_VARIABLE}: the token itself]",
-    )
-    @click.option(
+    )(command)
+
+
+def _node_options(command: Callable) -> Callable:
+    command = click.option(
         "--timeout",
         "timeout_s",
         type=click.FloatRange(min=0.1, max=600),
@@ -72,20 +126,50 @@
         show_default=True,
         metavar="SECONDS",
         help="Time to wait for one node.",
-    )
-    @functools.wraps(command)
-    def wrapped(
-        *arguments,
-        nodes: tuple[str, ...],
-        settings_path: str | None,
-        token_file: str | None,
-        timeout_s: float,
-        **values,
-    ):
-        target = _read_target(nodes, settings_path, token_file, timeout_s)
-        return command(target, *arguments, **values)
+    )(command)
+    command = click.option(
+        "--token-file",
+        metavar="FILE",
+        help=f"File with the admin token. [{TOKEN_VARIABLE}: the token itself]",
+    )(command)
+    return click.option(
+        "--node",
+        "nodes",
+        multiple=True,
+        envvar=NODE_VARIABLE,
+        metavar="ADDRESS:PORT",
+        help=f"Admin face of any node; may be repeated. [{NODE_VARIABLE}]",
+    )(command)
 
-    return wrapped
+
+def _store_options(command: Callable) -> Callable:
+    command = click.option(
+        "--store-token-file",
+        metavar="FILE",
+        help=(
+            "File with the store's token. "
+            f"[{STORE_TOKEN_VARIABLE}: the token itself]"
+        ),
+    )(command)
+    return click.option(
+        "--store",
+        envvar=STORE_VARIABLE,
+        metavar="ADDRESS:PORT",
+        help=f"The platform's object API. [{STORE_VARIABLE}]",
+    )(command)
+
+
+def _take(values: dict[str, Any]) -> _Given:
+    """Takes the shared options out of a command's values."""
+    path = values.pop("settings_path")
+    return _Given(
+        nodes=values.pop("nodes", ()),
+        token_file=values.pop("token_file", None),
+        timeout_s=values.pop("timeout_s", node_client.DEFAULT_TIMEOUT_S),
+        store=values.pop("store", None),
+        store_token_file=values.pop("store_token_file", None),
+        settings=files.read_settings(path) if path else None,
+    )
 
 
 json_option = click.option(
@@ -93,40 +177,56 @@
 )
 
 
-def _read_target(
-    nodes: tuple[str, ...],
-    settings_path: str | None,
-    token_file: str | None,
-    timeout_s: float,
-) -> Target:
-    token = os.environ.get(TOKEN_VARIABLE, "")
-    if token_file:
-        token = files.read_text(token_file).strip()
-    endpoints = [_read_endpoint(node) for node in nodes]
-    if not endpoints and settings_path:
-        settings = files.read_settings(settings_path)
-        if not settings.admin.port:
-            raise files.failure(
-                exit_codes.ExitCode.USAGE,
-                f"{settings_path}: [admin] port is chosen at the node's "
-                "start; name it by --node",
-            )
-        endpoints = [
-            model.Endpoint(
-                address=settings.admin.address, port=settings.admin.port
+def _read_target(given: _Given) -> Target:
+    token = _read_token(given.token_file, TOKEN_VARIABLE)
+    endpoints = [_read_endpoint(node, "--node") for node in given.nodes]
+    if not endpoints and given.settings is not None:
+        admin = given.settings.admin
+        if not admin.port:
+            raise click.UsageError(
+                "the settings let the kernel choose the admin port; name the "
+                "node by --node"
             )
-        ]
-        token = token or settings.admin.token
+        endpoints = [model.Endpoint(address=admin.address, port=admin.port)]
+        token = token or admin.token
     if not endpoints:
         raise click.UsageError(
             f"name a node by --node, --settings or {NODE_VARIABLE}"
         )
-    return Target(endpoints=tuple(endpoints), token=token, timeout_s=timeout_s)
+    return Target(
+        endpoints=tuple(endpoints), token=token, timeout_s=given.timeout_s
+    )
+
+
+def _read_store(given: _Given) -> model.StoreSection:
+    token = _read_token(given.store_token_file, STORE_TOKEN_VARIABLE)
+    if given.store:
+        endpoint = _read_endpoint(given.store, "--store")
+        address, port = endpoint.address, endpoint.port
+    elif given.settings is not None and given.settings.store.address:
+        address, port = given.settings.store.address, given.settings.store.port
+        token = token or given.settings.store.token
+    else:
+        raise click.UsageError(
+            f"name the store by --store, --settings or {STORE_VARIABLE}"
+        )
+    return model.StoreSection(
+        address=address,
+        port=port,
+        token=token,
+        calls_per_minute=STORE_CALLS_PER_MINUTE,
+    )
+
+
+def _read_token(path: str | None, variable: str) -> str:
+    if path:
+        return files.read_text(path).strip()
+    return os.environ.get(variable, "")
 
 
-def _read_endpoint(text: str) -> model.Endpoint:
+def _read_endpoint(text: str, option: str) -> model.Endpoint:
     match parser.parse_endpoint(text):
         case result.Ok(endpoint):
             return endpoint
         case result.Err(message):
-            raise click.BadParameter(message, param_hint="--node")
+            raise click.BadParameter(message, param_hint=option)
--- /dev/null
+++ b/bergamotdeal/cli/preset.py
@@ -0,0 +1,225 @@
+"""The commands for presets."""
+
+import dataclasses
+import difflib
+import os
+import pathlib
+
+import click
+import msgspec
+import result
+
+from bergamotdeal.cli import exit_codes
+from bergamotdeal.cli import files
+from bergamotdeal.cli import options
+from bergamotdeal.cli import store_session
+from bergamotdeal.cli import switching
+from bergamotdeal.presets import library
+from bergamotdeal.presets import model
+from bergamotdeal.presets import parser
+from bergamotdeal.settings import model as settings_model
+from bergamotdeal.store import core as store
+
+IN_FORCE = "in-force"
+
+
+@click.group()
+def preset() -> None:
+    """Write presets and switch between them."""
+
+
+@preset.command()
+@click.argument("path", metavar="FILE")
+def check(path: str) -> None:
+    """Check a preset file."""
+    read = read_preset(path)
+    services, routes = len(read.services_by_name), len(read.routes)
+    click.echo(
+        f"{path}: valid preset {read.name}, {services} services, "
+        f"{routes} routes"
+    )
+
+
+@preset.command("list")
+@options.json_option
+@options.with_store
+def list_presets(settings: settings_model.StoreSection, *, as_json: bool):
+    """List the stored presets; a star marks the one in force."""
+    names, current = store_session.ask(settings, _names_and_current)
+    if as_json:
+        document = {"presets": names, "in_force": current}
+        click.echo(msgspec.json.encode(document))
+        return
+    for name in names:
+        mark = "*" if name == current else " "
+        click.echo(f"{mark} {name}")
+
+
+@preset.command()
+@click.argument("name")
+@options.json_option
+@options.with_store
+def show(settings: settings_model.StoreSection, *, name: str, as_json: bool):
+    """Show a stored preset, or the one that is IN-FORCE."""
+    found = store_session.ask(settings, _load_operation([name]))[name]
+    if as_json:
+        click.echo(msgspec.json.encode(found))
+    else:
+        click.echo(parser.render(found), nl=False)
+
+
+@preset.command()
+@click.argument("path", metavar="FILE")
+@options.with_store
+def put(settings: settings_model.StoreSection, *, path: str) -> None:
+    """Store the preset in FILE; the preset in force stays as it is."""
+    read = read_preset(path)
+
+    async def put_preset(object_store: store.Store, _) -> result.Result:
+        return await library.put(object_store, read)
+
+    version = store_session.ask(settings, put_preset)
+    click.echo(f"preset {read.name} stored, version {version}")
+
+
+@preset.command()
+@click.argument("old")
+@click.argument("new")
+@options.with_store
+def diff(settings: settings_model.StoreSection, *, old: str, new: str):
+    """Compare two presets: a stored name, in-force, or a file's path."""
+    texts = []
+    presets_by_name = {n: read_preset(n) for n in (old, new) if _is_path(n)}
+    stored = [name for name in (old, new) if not _is_path(name)]
+    if stored:
+        operation = _load_operation(stored)
+        presets_by_name |= store_session.ask(settings, operation)
+    for name in (old, new):
+        read = presets_by_name[name]
+        texts.append(_comparable_lines(read))
+    for line in difflib.unified_diff(*texts, fromfile=old, tofile=new):
+        click.echo(line, nl=False)
+
+
+@preset.command()
+@options.json_option
+@options.with_store
+def history(settings: settings_model.StoreSection, *, as_json: bool) -> None:
+    """Show the last switches, newest first."""
+
+    async def read(object_store: store.Store, _) -> result.Result:
+        return await library.read_in_force(object_store)
+
+    current = store_session.ask(settings, read)
+    switches = list(reversed(current.history))
+    if as_json:
+        click.echo(msgspec.json.encode(switches))
+        return
+    for switch in switches:
+        click.echo(
+            f"{switch.epoch:6}  {switch.preset_name:24}  "
+            f"{switch.operator:16}  {switch.operation_id}"
+        )
+
+
+@preset.command("switch")
+@click.argument("name")
+@click.option(
+    "--operation-id",
+    metavar="ID",
+    help="Id that an earlier run printed; running it again is safe.",
+)
+@click.option(
+    "--operator",
+    default=lambda: os.environ.get("USER", "unknown"),
+    metavar="NAME",
+    help="Who switches.  [default: the user's name]",
+)
+@click.option(
+    "--wait",
+    "wait_s",
+    type=click.FloatRange(min=0, max=3600),
+    metavar="SECONDS",
+    help="Wait until every host has it in force, for this long at most.",
+)
+@options.json_option
+@options.with_store_and_target
+def switch_preset(
+    settings: settings_model.StoreSection,
+    target: options.Target | None,
+    *,
+    name: str,
+    operation_id: str | None,
+    operator: str,
+    wait_s: float | None,
+    as_json: bool,
+) -> None:
+    """Put the stored preset NAME in force everywhere."""
+    if wait_s is not None and target is None:
+        raise click.UsageError("--wait needs a node; name one by --node")
+    report = switching.switch_preset(
+        settings,
+        target,
+        name=name,
+        operation_id=operation_id,
+        operator=operator,
+        wait_s=wait_s,
+    )
+    click.echo(report.as_json() if as_json else report.as_text())
+    if report.exit_code is not exit_codes.ExitCode.OK:
+        raise SystemExit(int(report.exit_code))
+
+
+def read_preset(path: str) -> model.Preset:
+    """Returns a preset file's content, or ends the command.
+
+    Args:
+      path: Path of the INI file.
+    """
+    read = parser.parse(files.read_text(path))
+    if isinstance(read, result.Err):
+        raise files.problems_failure(path, read.err_value)
+    return read.ok_value
+
+
+def _load_operation(names: list[str]) -> store_session.Operation:
+    async def load(object_store: store.Store, _) -> result.Result:
+        presets_by_name = {}
+        for name in names:
+            if name == IN_FORCE:
+                found = await library.read_in_force(object_store)
+                found = found.map(lambda current: current.preset)
+            else:
+                found = await library.get(object_store, name)
+            if isinstance(found, result.Err):
+                return found
+            presets_by_name[name] = found.ok_value
+        return result.Ok(presets_by_name)
+
+    return load
+
+
+async def _names_and_current(
+    object_store: store.Store, _
+) -> result.Result[tuple[list[str], str], store.Failure]:
+    names = await library.names(object_store)
+    if isinstance(names, result.Err):
+        return names
+    current = await library.read_in_force(object_store)
+    match current:
+        case result.Ok(in_force):
+            return result.Ok((names.ok_value, in_force.preset.name))
+        case result.Err(f) if f.kind is store.FailureKind.NOT_FOUND:
+            return result.Ok((names.ok_value, ""))
+    return current
+
+
+def _comparable_lines(read: model.Preset) -> list[str]:
+    # The store keeps services by name; a file has them in any order.
+    services = dict(sorted(read.services_by_name.items()))
+    ordered = dataclasses.replace(read, services_by_name=services)
+    return parser.render(ordered).splitlines(keepends=True)
+
+
+def _is_path(name: str) -> bool:
+    return name == "-" or "/" in name or pathlib.Path(name).suffix == ".ini"
--- a/tests/test_conventions.py
+++ b/tests/test_conventions.py
@@ -19,6 +19,8 @@
     ("fork", "forkpty", "popen", "posix_spawn", "spawnv", "system")
 )
 PROCESS_ATTRIBUTES = frozenset(("spawnProcess", "ProcessPoolExecutor"))
+# Twisted puts the installed reactor in the module's place.
+OBJECTS_AS_MODULES = frozenset(("twisted.internet.reactor",))
 # Twisted's channel builds its requests itself, by position.
 POSITIONAL_CONSTRUCTORS = frozenset(("Exchange",))
 
@@ -37,6 +39,8 @@
 
 
 def _is_module(dotted):
+    if dotted in OBJECTS_AS_MODULES:
+        return True
     try:
         return importlib.util.find_spec(dotted) is not None
     except ModuleNotFoundError:
