--- a/bergamotdeal/node/bulk_server.py
+++ b/bergamotdeal/node/bulk_server.py
@@ -1,31 +1,28 @@
-"""Answers bulk requests of other nodes."""
+"""Answers the bulk requests of other nodes."""
+
+from collections.abc import Callable
 
 import result
 
 from bergamotdeal.membership import messages
-from bergamotdeal.node import membership as membership_task
-from bergamotdeal.node import presets as preset_task
 from bergamotdeal.wire import gossip
 
+Serve = Callable[[messages.Bulk], messages.Bulk]
+
 
-class MalformedRequestError(Exception):
-    """A bulk request can't be read, or is none."""
+class MalformedBulkError(Exception):
+    """A bulk request can't be decoded or has no answer."""
 
 
 class BulkServer:
-    """Hands each bulk request to the task that it is for.
+    """Decodes each request and asks the task that it is for.
 
     Args:
-      membership: The membership task.
-      presets: The preset task.
+      membership: Answers the anti-entropy requests.
+      presets: Answers the requests for the preset in force.
     """
 
-    def __init__(
-        self,
-        *,
-        membership: membership_task.MembershipTask,
-        presets: preset_task.PresetTask,
-    ) -> None:
+    def __init__(self, *, membership: Serve, presets: Serve) -> None:
         self._membership = membership
         self._presets = presets
 
@@ -39,17 +36,18 @@
           The encoded response.
 
         Raises:
-          MalformedRequestError: The payload holds no request.
+          MalformedBulkError: The request can't be answered.
         """
-        match gossip.decode_bulk(payload):
-            case result.Ok(messages.PresetRequest() as request):
-                answer = self._presets.serve(request)
-            case result.Ok(
-                messages.SyncRequest() | messages.SyncPush() as request
-            ):
-                answer = self._membership.serve(request)
-            case result.Ok(other):
-                raise MalformedRequestError(type(other).__name__)
-            case result.Err(reason):
-                raise MalformedRequestError(reason)
-        return gossip.encode_bulk(answer)
+        decoded = gossip.decode_bulk(payload)
+        if isinstance(decoded, result.Err):
+            raise MalformedBulkError(decoded.err_value)
+        return gossip.encode_bulk(self._answer(decoded.ok_value))
+
+    def _answer(self, request: messages.Bulk) -> messages.Bulk:
+        match request:
+            case messages.SyncRequest() | messages.SyncPush():
+                return self._membership(request)
+            case messages.PresetRequest():
+                return self._presets(request)
+            case _:
+                raise MalformedBulkError("not a request")
