--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -4,7 +4,6 @@
 import random
 
 import hypothesis
-from hypothesis import settings
 from hypothesis import strategies
 
 from bergamotdeal.calls.tests import scenarios
@@ -125,7 +124,7 @@
     return sum(count - 1 for count in attempts.values())
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
 @hypothesis.given(
     seed=strategies.integers(0, 2**32),
     allowance=strategies.integers(0, 5),
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -3,7 +3,6 @@
 import random
 
 import hypothesis
-from hypothesis import settings
 from hypothesis import strategies
 
 from bergamotdeal.calls import core
@@ -106,7 +105,7 @@
     return made
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
 @hypothesis.given(seed=strategies.integers(0, 2**32))
 def test_no_caller_is_told_anything_false(seed):
     rng = random.Random(seed)
