--- a/bergamotdeal/cli/switching.py
+++ b/bergamotdeal/cli/switching.py
@@ -83,7 +83,7 @@
             total = count + len(self.missing_by_host)
             lines.append(
                 f"in force on {count} of {total} hosts after "
-                f"{self.spread_s:.1f} s"
+                f"{self.spread_s:.2f} s"
             )
             lines += [
                 f"missing: {host}: {reason}"
