--- a/bergamotdeal/membership/tests/test_roster.py
+++ b/bergamotdeal/membership/tests/test_roster.py
@@ -1,6 +1,6 @@
 """What the roster holds, who writes it, and what is read from it."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 
 from bergamotdeal.membership import core
@@ -53,7 +53,7 @@
     assert wanted.endpoints()[0].port == 7
 
 
-@given(st.binary(max_size=200))
+@hypothesis.given(st.binary(max_size=200))
 def test_nonsense_is_refused(data):
     roster.decode(data)
     assert roster.decode(b'{"contacts":[{"port":70000}]}').is_err()
