--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -11,7 +11,6 @@
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
-from bergamotdeal.membership import messages as gossip_messages
 from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
 from bergamotdeal.node import bulk_server
@@ -21,19 +20,22 @@
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
+from bergamotdeal.node import presets as preset_task
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
+from bergamotdeal.presets import follower
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model as settings_model
+from bergamotdeal.store import core as store
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import metrics
 
 INCARNATION_BYTES = 16
 FLUSH_TIMEOUT_S = 2.0
 FLUSH_POLL_S = 0.01
 NO_EPOCH = -1
-NO_PRESET_REASON = "no preset in force is known"
 
 
 class InvalidPresetError(Exception):
@@ -74,6 +76,7 @@
         )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
+        self._presets = self._build_presets()
         self._entry, self._egress = self._build_faces()
         self._admin = admin.AdminTask(
             node=self,
@@ -124,8 +127,7 @@
             peer_port=self._peer.port,
             admin_port=status_report.reachable_admin_port(settings),
         )
-        if settings.preset.file:
-            self._read_first_preset()
+        self._presets.start()
 
     # What the admin face asks.
 
@@ -148,7 +150,7 @@
             data_centre=node.data_centre,
             region=node.region,
             ready=self.is_ready,
-            not_ready_reason="" if self.is_ready else NO_PRESET_REASON,
+            not_ready_reason=self._presets.problem() or "",
             draining=self._drain.started,
             epoch=max(0, self._epoch),
             preset_name=self._preset.name if self.is_ready else "",
@@ -173,8 +175,7 @@
         Returns:
           The epoch in force here now, or why the content can't be accepted.
         """
-        del data
-        return result.Err("not supported")
+        return self._presets.offer(data)
 
     # Assembly.
 
@@ -199,7 +200,7 @@
     def _build_peer(self) -> peer.PeerTask:
         server = bulk_server.BulkServer(
             membership=lambda request: self._membership.serve(request),
-            presets=self._serve_presets,
+            presets=lambda request: self._presets.serve(request),
         )
         return peer.PeerTask(
             reactor=self._reactor,
@@ -208,6 +209,7 @@
             key=self._settings.peer.key.encode(),
             rng=self._rng,
             post=self._hub.post,
+            on_epoch=self._hear_epoch,
             record=self._record,
             serve_bulk=server.serve,
             hybrid_clock=self._recorder.clock,
@@ -221,7 +223,35 @@
             post=self._membership_posted,
             rng=random.Random(self._rng.getrandbits(64)),
             request_bulk=self._peer.request_bulk,
+            on_epoch=lambda heard: self._presets.deliver(heard),
             record=self._record,
+            count=self._recorder.metrics.count,
+        )
+
+    def _build_presets(self) -> preset_task.PresetTask:
+        return preset_task.PresetTask(
+            settings=self._settings,
+            reactor=self._reactor,
+            post=self._put_in_force,
+            rng=random.Random(self._rng.getrandbits(64)),
+            request_bulk=self._peer.request_bulk,
+            membership=self._membership,
+            store=self._build_store(),
+            initial=self._read_first_preset(),
+            record=self._record,
+        )
+
+    def _build_store(self) -> store.Store | None:
+        if not self._settings.store.address:
+            return None
+        # Nodes without a store save the memory of an HTTP client.
+        from bergamotdeal.store import http as store_http
+
+        counter = metrics.Counter.STORE_CALLS
+        return store_http.HttpStore(
+            settings=self._settings.store,
+            reactor=self._reactor,
+            count=lambda: self._recorder.metrics.count(counter),
         )
 
     def _build_faces(self) -> tuple[faces.FaceTask, faces.FaceTask]:
@@ -250,8 +280,14 @@
     def _membership_posted(self, event: messages.Event) -> None:
         if isinstance(event, messages.MembersChanged):
             self._peer.outgoing.members_changed(event.members_by_id)
+            self._presets.deliver(event)
         self._hub.post(event)
 
+    def _hear_epoch(self, epoch: int, host_id: str) -> None:
+        if epoch > self._epoch:
+            heard = follower.EpochHeard(epoch=epoch, host_id=host_id)
+            self._presets.deliver(heard)
+
     def _server_posted(self, event: messages.Event) -> None:
         match event:
             case messages.ServerAnnounced():
@@ -272,15 +308,15 @@
 
     # Presets.
 
-    def _read_first_preset(self) -> None:
+    def _read_first_preset(self) -> preset_model.Preset | None:
+        if not self._settings.preset.file:
+            return None
         path = pathlib.Path(self._settings.preset.file)
         parsed = preset_parser.parse(path.read_text(encoding="utf-8"))
         if isinstance(parsed, result.Err):
             problems = "; ".join(str(problem) for problem in parsed.err_value)
             raise InvalidPresetError(f"{path}: {problems}")
-        self._put_in_force(
-            messages.PresetInForce(epoch=0, preset=parsed.ok_value)
-        )
+        return parsed.ok_value
 
     def _put_in_force(self, event: messages.PresetInForce) -> None:
         if event.epoch <= self._epoch:
@@ -289,23 +325,12 @@
         self._epoch = event.epoch
         self._preset = event.preset
         self._hub.post(event)
-        self._note(
-            catalogue.EventCode.PRESET_IN_FORCE,
-            name=event.preset.name,
-            epoch=event.epoch,
-        )
         if was_ready:
             return
         self._note(catalogue.EventCode.NODE_READY)
         if self._announced is not None:
             self._publish_server(self._announced)
 
-    def _serve_presets(
-        self, request: gossip_messages.Bulk
-    ) -> gossip_messages.Bulk:
-        del request
-        raise bulk_server.MalformedBulkError("no preset task")
-
     # Drain and stop.
 
     def _drain_started(self) -> None:
@@ -321,6 +346,7 @@
         self._egress.start_closing()
         self._admin.stop()
         self._server.stop()
+        self._presets.stop()
         self._membership.stop()
         self._peer.stop()
         self._stop_when_flushed(self._reactor.seconds() + FLUSH_TIMEOUT_S)
--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -29,27 +29,26 @@
     engine: call_engine.Engine,
     *,
     server: messages.ServerAnnounced | None,
-    preset: preset_model.Preset,
+    preset: preset_model.Preset | None,
 ) -> status.ServerStatus | None:
     """Returns the status of the local backend server.
 
     Args:
       engine: The call engine.
       server: The announced server, or None.
-      preset: The preset in force.
+      preset: The preset in force, or None.
     """
     if server is None:
         return None
     load = engine.load()
+    classes = preset.classes if preset else ()
     return status.ServerStatus(
         service=server.service,
         slots=server.slots,
         running=load.running if load else 0,
         queued=load.queued if load else 0,
         limit=load.limit if load else 0,
-        thresholds_by_class={
-            name: engine.threshold(name) for name in preset.classes
-        },
+        thresholds_by_class={name: engine.threshold(name) for name in classes},
     )
 
 
