--- a/standins/judged.py
+++ b/standins/judged.py
@@ -23,6 +23,8 @@
 SLOTS = 4
 SERVICE_S = 0.02
 BODY_BYTES = 50
+SHED_STATUS = 503
+_SHED_S = 0.001
 _STRIKE_CHECK_S = 2 * fleet_link.LATENCY_S
 
 BROWSE_PATH = "/kits"
@@ -91,7 +93,13 @@
                 service=service, method="POST", prefix="/", deadline_ms=2000
             )
         )
-    return model.Preset(name=name, routes=tuple(routes), **options)
+    policy = model.ServicePolicy(shed_status=SHED_STATUS)
+    return model.Preset(
+        name=name,
+        routes=tuple(routes),
+        services_by_name=dict.fromkeys(services, policy),
+        **options,
+    )
 
 
 class JudgedFleet:
@@ -107,6 +115,7 @@
       entries: The ledger.
       now: Time in monotonic seconds.
       slow_by_service: Factor on the service time by service.
+      shed_share: Share of requests that servers refuse without a run.
       crashing: Effects that end each server which runs them.
       silenced: Pairs of hosts whose open links swallow all frames.
       struck: Steps at which a hook was called, with the host.
@@ -124,6 +133,7 @@
         self.entries: list[ledger.Entry] = []
         self.slow_by_service: dict[str, float] = {}
         self.crashing: set[str] = set()
+        self.shed_share = 0.0
         self.silenced: set[frozenset[str]] = set()
         self.struck: list[tuple[Step, str]] = []
         self.on_crash: Strike = _ignore
@@ -242,6 +252,13 @@
 
     def _see_call(self, frame: fleet_link.Frame, call: core.Call) -> None:
         self._see_epoch(frame.source, call.epoch)
+        self.entries.append(
+            ledger.Dispatched(
+                at=self.now,
+                label=label_of(call.request),
+                has_ticket=bool(call.ticket),
+            )
+        )
         key = call.user_request_id
         service = call.request.service
         self._reach(Step.BEFORE_ADMISSION, key, service, frame.target)
@@ -297,6 +314,9 @@
         label: ledger.Label,
     ):
         key = label.root.partition("#")[0]
+        if self.rng.random() < self.shed_share:
+            yield fleet_model.Work(seconds=_SHED_S)
+            return fleet_model.Response(status=SHED_STATUS)
         run_id = self._note_run(host_id, start, label)
         if label.effect in self.crashing or key in self.crashing:
             self.after(0.001, lambda: self.on_crash(host_id))
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -171,6 +171,22 @@
     label: Label
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Dispatched:
+    """A tap between two nodes saw a call pass.
+
+    Attributes:
+      at: Monotonic seconds.
+      label: Label of the request.
+      has_ticket: Whether it presents a ticket; the sending that fetches the
+        ticket is no re-send of the one that presents it.
+    """
+
+    at: float
+    label: Label
+    has_ticket: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunStarted:
     """A backend server started to run a request.
@@ -294,6 +310,7 @@
     Sent
     | Answered
     | GaveUp
+    | Dispatched
     | RunStarted
     | RunEnded
     | HostUp
@@ -311,6 +328,7 @@
         Sent,
         Answered,
         GaveUp,
+        Dispatched,
         RunStarted,
         RunEnded,
         HostUp,
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -87,6 +87,13 @@
         *run(0.3, "a", HOLD_AGAIN),
         answer(0.5, HOLD_AGAIN),
     ],
+    "ticket fetched, then presented": [
+        sent(0, HOLD),
+        *[
+            ledger.Dispatched(at=i / 10, label=HOLD, has_ticket=i > 0)
+            for i in range(5)
+        ],
+    ],
     "browse shed first": many(30, "critical", 0) + many(30, "browse", 10),
     "drain": [
         sent(0, R),
@@ -95,6 +102,13 @@
         answer(0.3, R),
         ledger.DrainEnded(at=0.4, host_id="h1", exit_code=0),
     ],
+    "drain of a host with a request past its deadline": [
+        sent(0, R),
+        *run(0.1, "a", R, completed=False),
+        ledger.DrainAsked(at=0.15, host_id="h1"),
+        answer(0.2, R, "unknown", error="deadline-exceeded"),
+        ledger.DrainEnded(at=0.3, host_id="h1", exit_code=0),
+    ],
     "drain of a host whose server died": [
         sent(0, R),
         *run(0.1, "a", R, completed=False),
@@ -144,6 +158,16 @@
             ],
         ],
     ),
+    "allowance exceeded by calls that never ran": (
+        Promise.RETRIES_BOUNDED,
+        [
+            sent(0, R),
+            *[
+                ledger.Dispatched(at=i, label=R, has_ticket=False)
+                for i in range(5)
+            ],
+        ],
+    ),
     "critical shed more": (
         Promise.BROWSE_SHED_FIRST,
         many(30, "critical", 5) + many(30, "browse", 1),
