--- a/bergamotdeal/membership/roster.py
+++ b/bergamotdeal/membership/roster.py
@@ -62,18 +62,31 @@
     members = choice.by_hash(
         members_by_id, data_centre, purpose="roster", count=ROSTER_SIZE
     )
-    contacts = [
-        Contact(
-            host_id=member.host_id,
-            address=member.address,
-            port=member.peer_port,
-        )
-        for member in members
-    ]
+    contacts = [_contact(member) for member in members]
     contacts.sort(key=lambda contact: contact.host_id)
     return Roster(contacts=tuple(contacts))
 
 
+def with_newcomer(held: Roster, member: core.Member) -> Roster:
+    """Returns a roster to which a node that knows no other adds itself.
+
+    Args:
+      held: What the store holds; its oldest contact leaves a full roster.
+      member: The node's own record.
+    """
+    own = _contact(member)
+    if own in held.contacts:
+        return held
+    others = [c for c in held.contacts if c.host_id != member.host_id]
+    return Roster(contacts=(*others[-(ROSTER_SIZE - 1) :], own))
+
+
+def _contact(member: core.Member) -> Contact:
+    return Contact(
+        host_id=member.host_id, address=member.address, port=member.peer_port
+    )
+
+
 def is_writer(
     members_by_id: dict[str, core.Member], data_centre: str, host_id: str
 ) -> bool:
--- a/bergamotdeal/membership/tests/fleet.py
+++ b/bergamotdeal/membership/tests/fleet.py
@@ -41,6 +41,7 @@
         self.passes: Callable[[str, str], bool] = lambda source, target: True
         self._held_by_id: dict[str, list] = {}
         self._queue: list = []
+        self._wakeups: list[tuple[float, int, str]] = []
         self._order = itertools.count()
         for index in range(size):
             self.add(f"host-{index}")
@@ -87,6 +88,7 @@
             return
         node = self.cores_by_id[host_id]
         self._carry_out(host_id, node.handle(event, self.now))
+        self._schedule(host_id)
 
     def pause(self, host_id: str) -> None:
         self.paused.add(host_id)
@@ -95,6 +97,7 @@
         self.paused.discard(host_id)
         for event in self._held_by_id.pop(host_id, []):
             self.tell(host_id, event)
+        self._schedule(host_id)
 
     def run(self, seconds: float) -> None:
         end = self.now + seconds
@@ -113,12 +116,7 @@
         return self.now - start
 
     def _step(self, end: float) -> bool:
-        running = [
-            (node.next_wakeup(), host_id)
-            for host_id, node in self.cores_by_id.items()
-            if host_id not in self.stopped and host_id not in self.paused
-        ]
-        wake_at, host_id = min(running)
+        wake_at = self._next_wakeup()
         if self._queue and self._queue[0][0] <= min(wake_at, end):
             self.now, _, target, event = heapq.heappop(self._queue)
             if callable(event):
@@ -129,9 +127,24 @@
         if wake_at > end:
             return False
         self.now = max(self.now, wake_at)
+        _, _, host_id = heapq.heappop(self._wakeups)
         self.tell(host_id, messages.TimePassed())
         return True
 
+    def _next_wakeup(self) -> float:
+        """Drops wake-ups that no longer hold, and returns the first one."""
+        while self._wakeups:
+            at, _, host_id = self._wakeups[0]
+            gone = host_id in self.stopped or host_id in self.paused
+            if not gone and at == self.cores_by_id[host_id].next_wakeup():
+                return at
+            heapq.heappop(self._wakeups)
+        return float("inf")
+
+    def _schedule(self, host_id: str) -> None:
+        at = self.cores_by_id[host_id].next_wakeup()
+        heapq.heappush(self._wakeups, (at, next(self._order), host_id))
+
     def _later(self, target: str, event) -> None:
         at = self.now + LATENCY_S
         heapq.heappush(self._queue, (at, next(self._order), target, event))
@@ -171,6 +184,7 @@
                 node = self.cores_by_id[target]
                 answer, effects = node.serve(effect.bulk, self.now)
                 self._carry_out(target, effects)
+                self._schedule(target)
                 event = messages.SyncAnswered(
                     endpoint=effect.endpoint, answer=answer
                 )
--- a/bergamotdeal/membership/tests/test_roster.py
+++ b/bergamotdeal/membership/tests/test_roster.py
@@ -1,6 +1,6 @@
 """What the roster holds, who writes it, and what is read from it."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 
 from bergamotdeal.membership import core
@@ -47,13 +47,24 @@
     assert len(writers) == roster.WRITERS_PER_DATA_CENTRE
 
 
+def test_lone_node_adds_itself_and_drops_nobody_needed():
+    known = members(9)
+    held = roster.wanted(members(30), "odori")
+    alone = known["host-2"]
+    added = roster.with_newcomer(held, alone)
+    assert len(added.contacts) == roster.ROSTER_SIZE
+    assert added.contacts[:-1] == held.contacts[1:]
+    assert added.contacts[-1].host_id == "host-2"
+    assert roster.with_newcomer(added, alone) == added
+
+
 def test_round_trip():
     wanted = roster.wanted(members(9), "kotoni")
     assert roster.decode(roster.encode(wanted)).unwrap() == wanted
     assert wanted.endpoints()[0].port == 7
 
 
-@given(st.binary(max_size=200))
+@hypothesis.given(st.binary(max_size=200))
 def test_nonsense_is_refused(data):
     roster.decode(data)
     assert roster.decode(b'{"contacts":[{"port":70000}]}').is_err()
--- a/bergamotdeal/node/roster.py
+++ b/bergamotdeal/node/roster.py
@@ -56,7 +56,7 @@
         """Begins to look after first contact."""
         self._running = True
         self._later(self._backoff.next_wait(), self._join)
-        self._later(self._check_interval() / 4, self._check)
+        self._later(JOIN_WAIT_S * (0.5 + self._rng.random()), self._check)
 
     def stop(self) -> None:
         """Ends the task."""
@@ -123,24 +123,35 @@
             members_by_id, self._node.data_centre, self._node.host_id
         ):
             return
-        wanted = roster.wanted(members_by_id, self._node.data_centre)
+        wanted = None
+        if self._membership.joined():
+            wanted = roster.wanted(members_by_id, self._node.data_centre)
         age = time.monotonic() - self._verified
-        if wanted == self._known and age < VERIFY_INTERVAL_S:
+        fresh = age < VERIFY_INTERVAL_S
+        if wanted is not None and wanted == self._known and fresh:
             return
         self._update(wanted)
 
     @defer.inlineCallbacks
-    def _update(self, wanted: roster.Roster):
-        """Writes the roster if the store holds another one."""
+    def _update(self, wanted: roster.Roster | None):
+        """Writes the roster if the store holds another one.
+
+        Args:
+          wanted: What it is to hold, or None while this node is alone: then
+            it only adds itself.
+        """
         answer = yield self._store.get(self._key)
         match answer:
             case result.Ok(stored):
                 version = stored.version
-                held = roster.decode(stored.value).unwrap_or(None)
+                held = roster.decode(stored.value).unwrap_or(roster.Roster())
             case result.Err(failure) if failure.kind is _NOT_FOUND:
-                version, held = store_core.NO_VERSION, None
+                version, held = store_core.NO_VERSION, roster.Roster()
             case _:
                 return
+        if wanted is None:
+            own = self._membership.members_by_id()[self._node.host_id]
+            wanted = roster.with_newcomer(held, own)
         if held != wanted:
             written = yield self._store.put(
                 self._key, roster.encode(wanted), expected_version=version
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -243,7 +243,7 @@
     assert started == follower.WATCHERS_PER_DATA_CENTRE
 
 
-@given(
+@hypothesis.given(
     st.lists(
         st.tuples(st.sampled_from(["hand", "store", "pull"]), st.integers(1, 9))
     )
@@ -270,7 +270,7 @@
     assert target.epoch == max((e for _, e in arrivals), default=-1)
 
 
-@given(st.binary(max_size=100))
+@hypothesis.given(st.binary(max_size=100))
 def test_handed_nonsense_is_rejected(data):
     target = node()
     effects = target.handle(follower.PresetHanded(document=data), 0.0)
--- a/bergamotdeal/presets/tests/test_switch.py
+++ b/bergamotdeal/presets/tests/test_switch.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 import result
@@ -178,7 +178,7 @@
 FAULTS = st.sampled_from(["none", "none", "before", "after"])
 
 
-@given(
+@hypothesis.given(
     st.lists(st.tuples(st.integers(0, 2), FAULTS), max_size=60),
     st.integers(0, 9),
 )
--- a/standins/store.py
+++ b/standins/store.py
@@ -28,6 +28,7 @@
       lose_writes: Number of writes whose answers are lost from now on.
       refuse_writes: Number of writes that are lost before they take effect.
       drop_watches: Whether waiting watches are dropped, once.
+      mute_watches: Whether waiting watches are not told of writes.
       calls_per_s: Calls answered in each second, or zero for any number.
     """
 
@@ -36,6 +37,7 @@
     lose_writes: int = 0
     refuse_writes: int = 0
     drop_watches: bool = False
+    mute_watches: bool = False
     calls_per_s: int = 0
 
 
@@ -166,6 +168,8 @@
             request.transport.abortConnection()
         else:
             self.answer(request, http.HTTPStatus.OK, version=version)
+        if self.behaviour.mute_watches:
+            return
         for watch in self._watches_by_key.pop(key, []):
             watch.timer.cancel()
             self.answer(watch.request, http.HTTPStatus.OK, value, version)
