--- a/bergamotdeal/membership/tests/test_roster.py
+++ b/bergamotdeal/membership/tests/test_roster.py
@@ -47,6 +47,17 @@
     assert len(writers) == roster.WRITERS_PER_DATA_CENTRE
 
 
+def test_lone_node_adds_itself_and_drops_nobody_needed():
+    known = members(9)
+    held = roster.wanted(members(30), "odori")
+    alone = known["host-2"]
+    added = roster.with_newcomer(held, alone)
+    assert len(added.contacts) == roster.ROSTER_SIZE
+    assert added.contacts[:-1] == held.contacts[1:]
+    assert added.contacts[-1].host_id == "host-2"
+    assert roster.with_newcomer(added, alone) == added
+
+
 def test_round_trip():
     wanted = roster.wanted(members(9), "kotoni")
     assert roster.decode(roster.encode(wanted)).unwrap() == wanted
