--- a/tests/mutations/test_mutants.py
+++ b/tests/mutations/test_mutants.py
@@ -143,13 +143,13 @@
 
 
 def apply_any_epoch(patch):
-    apply = call_engine.Engine._put_in_force
+    apply = call_engine.Engine._handle_preset
 
     def unguarded(self, event):
         self._state.epoch = 0
         apply(self, event)
 
-    patch.setattr(call_engine.Engine, "_put_in_force", unguarded)
+    patch.setattr(call_engine.Engine, "_handle_preset", unguarded)
 
 
 MUTANTS = {
