--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -3,8 +3,7 @@
 import collections
 import random
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies
 
 from bergamotdeal.calls.tests import scenarios
@@ -125,8 +124,8 @@
     return sum(count - 1 for count in attempts.values())
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
-@given(
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(
     seed=strategies.integers(0, 2**32),
     allowance=strategies.integers(0, 5),
     below=strategies.booleans(),
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -2,8 +2,7 @@
 
 import random
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies
 
 from bergamotdeal.calls import core
@@ -106,8 +105,8 @@
     return made
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
-@given(seed=strategies.integers(0, 2**32))
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(seed=strategies.integers(0, 2**32))
 def test_no_caller_is_told_anything_false(seed):
     rng = random.Random(seed)
     made = build(rng)
