--- a/bergamotdeal/calls/tests/test_fleet_bookings.py
+++ b/bergamotdeal/calls/tests/test_fleet_bookings.py
@@ -1,4 +1,4 @@
-"""A backend server's own non-repeatable calls."""
+"""Non-repeatable calls that a backend server makes."""
 
 from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
