Send timings and gauges, count calls and outcomes

Cause: the metrics' catalogue held names that nothing set. Change: node.timed_engine times calls and runs and counts peer calls; node.gauges sets gauges from the node's status with each tenth flush; the recorder counts calls by face and answers by outcome; names without a source are gone. node.observation and node.app gain the wiring (two calls). Conclusion: each name has a source now.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -25,6 +25,7 @@
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
+from bergamotdeal.node import timed_engine
 from bergamotdeal.presets import follower
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.presets import parser as preset_parser
@@ -67,7 +68,9 @@
         self._engine = self._build_engine()
         self._hub = hub.Hub(
             reactor=reactor,
-            engine=self._engine,
+            engine=timed_engine.TimedEngine(
+                engine=self._engine, counts=self._recorder.metrics
+            ),
             record=self._record,
             share_crash_reports=lambda effect: self._membership.deliver(effect),
         )
@@ -110,7 +113,9 @@
     def start(self) -> None:
         """Opens the faces and makes contact with the fleet."""
         settings = self._settings
-        self._observation.start()
+        self._observation.start(
+            read_status=lambda: self.status(with_members=True)
+        )
         self._note(
             catalogue.EventCode.NODE_STARTED,
             host=settings.node.host_id,
--- a/bergamotdeal/node/observation.py
+++ b/bergamotdeal/node/observation.py
@@ -1,18 +1,27 @@
 """The node's recorder, log and metrics, and how they are set up."""
 
+from collections.abc import Callable
 import random
 import sys
 import time
+import traceback
 
 from twisted.internet import task
 
+from bergamotdeal.calls import messages
+from bergamotdeal.node import gauges
+from bergamotdeal.node import status as node_status
 from bergamotdeal.settings import model as settings_model
+from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import clock
 from bergamotdeal.telemetry import log
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.telemetry import recorder
 from bergamotdeal.telemetry import ring
 
+MS_PER_S = 1000
+FLUSHES_PER_GAUGES = 10
+
 
 class Observation:
     """Records what the node decides and sends its metrics.
@@ -41,15 +50,51 @@
                 monotonic=reactor.seconds,
             ),
         )
+        self._reactor = reactor
+        self._flush_due = 0.0
         self._flush = task.LoopingCall(self._flush_metrics)
         self._flush.clock = reactor
+        self._flushes = 0
+        self._read_status: Callable[[], node_status.NodeStatus] | None = None
+
+    def start(
+        self, *, read_status: Callable[[], node_status.NodeStatus]
+    ) -> None:
+        """Starts sending metrics.
 
-    def start(self) -> None:
-        """Starts sending metrics."""
+        Args:
+          read_status: Returns the node's status with its members.
+        """
+        self._read_status = read_status
+        self._flush_due = self._reactor.seconds() + metrics.FLUSH_INTERVAL_S
         self._flush.start(metrics.FLUSH_INTERVAL_S, now=False)
 
     def _flush_metrics(self) -> None:
-        self.recorder.metrics.flush(self._client)
+        counts = self.recorder.metrics
+        lag_s = max(0.0, self._reactor.seconds() - self._flush_due)
+        # A pause leaves out the flushes that were due in it.
+        intervals = 1 + lag_s // metrics.FLUSH_INTERVAL_S
+        self._flush_due += intervals * metrics.FLUSH_INTERVAL_S
+        counts.time(metrics.Timing.LOOP_LAG_MS, lag_s * MS_PER_S)
+        is_due = self._flushes % FLUSHES_PER_GAUGES == 0
+        self._flushes += 1
+        if is_due and self._client is not None:
+            self._set_gauges()
+        counts.flush(self._client)
+
+    def _set_gauges(self) -> None:
+        try:
+            status = self._read_status()
+        except Exception:
+            # A failure here must not end the flushes.
+            self.recorder.record(
+                messages.Record(
+                    code=catalogue.EventCode.CALL_FAILED_INTERNALLY,
+                    fields={"trace": traceback.format_exc()},
+                )
+            )
+            return
+        gauges.set_gauges(self.recorder.metrics, status)
 
 
 def _wall_ms() -> int:
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -4,6 +4,7 @@
 flush a second sends them in a few datagrams.
 """
 
+from collections.abc import Mapping
 import enum
 import random
 
@@ -51,7 +52,6 @@
     PEER_LINKS_CLOSED = "peer.links_closed"
     PEER_REJECTED = "peer.rejected"
     PEER_MALFORMED = "peer.malformed"
-    PEER_BYTES_SENT = "peer.bytes_sent"
     GOSSIP_BYTES_SENT = "gossip.bytes_sent"
     GOSSIP_DATAGRAMS_SENT = "gossip.datagrams_sent"
     GOSSIP_DATAGRAMS_DROPPED = "gossip.datagrams_dropped"
@@ -68,8 +68,8 @@
     EPOCH = "presets.epoch"
     MEMBERS_ALIVE = "membership.alive"
     MEMBERS_SUSPECT = "membership.suspect"
+    MEMBERS_DRAINING = "membership.draining"
     MEMBERS_DEAD = "membership.dead"
-    TICKETS_KEPT = "tickets.kept"
     RESIDENT_BYTES = "process.resident_bytes"
 
 
@@ -78,8 +78,6 @@
 
     CALL_MS = "calls.time"
     RUN_MS = "runs.time"
-    QUEUE_MS = "admission.queue_time"
-    STORE_MS = "store.time"
     LOOP_LAG_MS = "process.loop_lag"
 
 
@@ -120,6 +118,33 @@
 }
 
 
+_COUNTERS_BY_FACE = {
+    "entry": Counter.CALLS_ENTRY,
+    "egress": Counter.CALLS_EGRESS,
+}
+_COUNTERS_BY_OUTCOME = {
+    "completed": Counter.OUTCOME_COMPLETED,
+    "not-run": Counter.OUTCOME_NOT_RUN,
+    "unknown": Counter.OUTCOME_UNKNOWN,
+}
+
+
+def counter_of(
+    code: catalogue.EventCode, fields_by_name: Mapping[str, object]
+) -> Counter | None:
+    """Returns the counter that an event raises, or None.
+
+    Args:
+      code: The event's number.
+      fields_by_name: Values for the event's message.
+    """
+    if code is catalogue.EventCode.CALL_ARRIVED:
+        return _COUNTERS_BY_FACE.get(fields_by_name.get("face"))
+    if code is catalogue.EventCode.CALL_ANSWERED:
+        return _COUNTERS_BY_OUTCOME.get(fields_by_name.get("outcome"))
+    return COUNTERS_BY_CODE.get(code)
+
+
 class Samples:
     """A uniform sample of the timings since the last flush.
 
@@ -155,16 +180,23 @@
         self._rng = rng
         self._counts_by_counter: dict[Counter, int] = dict.fromkeys(Counter, 0)
         self._totals_by_counter: dict[Counter, int] = dict.fromkeys(Counter, 0)
-        self._values_by_gauge: dict[Gauge, float] = {}
+        self._gauges_by_name: dict[str, float] = {}
         self._samples_by_timing = {t: Samples(rng=rng) for t in Timing}
 
     def count(self, counter: Counter, amount: int = 1) -> None:
         """Raises a counter."""
         self._counts_by_counter[counter] += amount
 
-    def gauge(self, gauge: Gauge, value: float) -> None:
-        """Sets a gauge."""
-        self._values_by_gauge[gauge] = value
+    def gauge(self, gauge: Gauge, value: float, *, label: str = "") -> None:
+        """Sets a gauge, which is sent once.
+
+        Args:
+          gauge: The gauge.
+          value: Its value now.
+          label: Last part of the name where one gauge has several values.
+        """
+        name = f"{gauge.value}.{label}" if label else gauge.value
+        self._gauges_by_name[name] = value
 
     def time(self, timing: Timing, milliseconds: float) -> None:
         """Adds a timing."""
@@ -190,14 +222,15 @@
             if count:
                 self._totals_by_counter[counter] += count
                 self._counts_by_counter[counter] = 0
+        self._gauges_by_name.clear()
         self._samples_by_timing = {t: Samples(rng=self._rng) for t in Timing}
 
     def _send(self, pipeline: statsd.client.base.StatsClientBase) -> None:
         for counter, count in self._counts_by_counter.items():
             if count:
                 pipeline.incr(counter.value, count)
-        for gauge, value in self._values_by_gauge.items():
-            pipeline.gauge(gauge.value, value)
+        for name, value in self._gauges_by_name.items():
+            pipeline.gauge(name, value)
         for timing, samples in self._samples_by_timing.items():
             if samples.count:
                 pipeline.incr(f"{timing.value}.count", samples.count)
--- a/bergamotdeal/telemetry/recorder.py
+++ b/bergamotdeal/telemetry/recorder.py
@@ -45,7 +45,7 @@
             fields_by_name=entry.fields,
         )
         self.ring.add(event)
-        counter = metrics.COUNTERS_BY_CODE.get(entry.code)
+        counter = metrics.counter_of(entry.code, entry.fields)
         if counter is not None:
             self.metrics.count(counter)
         if self._event_log is not None:
