Write the operators' pages and the catalogues

Cause: operators had no pages; catalogues could drift from the code. Change: docs/operators (install, settings, presets, drain, overload, store outage, time line, exit codes), docs/events.md, metrics.md, errors.md, settings.md, telemetry.md, cli.md. `make pages` writes the tables of events, errors and exit codes; tests compare each page with the code, parse every documented command line and follow every link. The node command words a taken port and a bad preset file; settings check reads the preset file. Conclusion: after adding an event or an error kind, run make pages.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: setup demo test format lint check unit measure soak binary clean
+.PHONY: setup demo test format lint check unit measure soak binary pages clean
 
 setup: $(STAMP)
 
@@ -41,5 +41,9 @@
 binary: setup
 	$(BIN)/python -m tools.build_binary
 
+# Writes the tables of the catalogue pages from the code.
+pages: setup
+	$(BIN)/python -m tools.build_pages
+
 clean:
 	rm -rf build dist
--- a/bergamotdeal/cli/files.py
+++ b/bergamotdeal/cli/files.py
@@ -7,6 +7,8 @@
 import result
 
 from bergamotdeal.cli import exit_codes
+from bergamotdeal.presets import model as preset_model
+from bergamotdeal.presets import parser as preset_parser
 from bergamotdeal.settings import model
 from bergamotdeal.settings import parser
 from bergamotdeal.utils import ini
@@ -52,6 +54,18 @@
     return read.ok_value
 
 
+def read_preset(path: str) -> preset_model.Preset:
+    """Returns a preset file's content, or ends the command.
+
+    Args:
+      path: Path of the INI file.
+    """
+    read = preset_parser.parse(read_text(path))
+    if isinstance(read, result.Err):
+        raise problems_failure(path, read.err_value)
+    return read.ok_value
+
+
 def problems_failure(path: str, problems: list[ini.Problem]) -> SystemExit:
     """Reports the problems of a file and returns the exception to raise.
 
--- a/bergamotdeal/cli/node.py
+++ b/bergamotdeal/cli/node.py
@@ -2,6 +2,7 @@
 
 import click
 
+from bergamotdeal.cli import exit_codes
 from bergamotdeal.cli import files
 
 
@@ -17,6 +18,17 @@
     """Run the node beside a backend server."""
     settings = files.read_settings(path)
     # The reactor and the protocols load here alone, not with --help.
+    from twisted.internet import error
+
     from bergamotdeal.node import app
 
-    app.run(settings)
+    try:
+        app.run(settings)
+    except (app.InvalidPresetError, OSError) as failed:
+        raise files.failure(
+            exit_codes.ExitCode.INVALID, f"{path}: [preset] file: {failed}"
+        ) from None
+    except error.CannotListenError as failed:
+        raise files.failure(
+            exit_codes.ExitCode.FAILED, f"{path}: {failed}"
+        ) from None
--- a/bergamotdeal/cli/preset.py
+++ b/bergamotdeal/cli/preset.py
@@ -32,7 +32,7 @@
 @click.argument("path", metavar="FILE")
 def check(path: str) -> None:
     """Check a preset file."""
-    read = read_preset(path)
+    read = files.read_preset(path)
     services, routes = len(read.services_by_name), len(read.routes)
     click.echo(
         f"{path}: valid preset {read.name}, {services} services, "
@@ -73,7 +73,7 @@
 @options.with_store
 def put(settings: settings_model.StoreSection, *, path: str) -> None:
     """Store the preset in FILE; the preset in force stays as it is."""
-    read = read_preset(path)
+    read = files.read_preset(path)
 
     async def put_preset(object_store: store.Store, _) -> result.Result:
         return await library.put(object_store, read)
@@ -89,7 +89,9 @@
 def diff(settings: settings_model.StoreSection, *, old: str, new: str):
     """Compare two presets: a stored name, in-force, or a file's path."""
     texts = []
-    presets_by_name = {n: read_preset(n) for n in (old, new) if _is_path(n)}
+    presets_by_name = {
+        n: files.read_preset(n) for n in (old, new) if _is_path(n)
+    }
     stored = [name for name in (old, new) if not _is_path(name)]
     if stored:
         operation = _load_operation(stored)
@@ -170,18 +172,6 @@
         raise SystemExit(int(report.exit_code))
 
 
-def read_preset(path: str) -> model.Preset:
-    """Returns a preset file's content, or ends the command.
-
-    Args:
-      path: Path of the INI file.
-    """
-    read = parser.parse(files.read_text(path))
-    if isinstance(read, result.Err):
-        raise files.problems_failure(path, read.err_value)
-    return read.ok_value
-
-
 def _load_operation(names: list[str]) -> store_session.Operation:
     async def load(object_store: store.Store, _) -> result.Result:
         presets_by_name = {}
--- a/bergamotdeal/cli/settings.py
+++ b/bergamotdeal/cli/settings.py
@@ -15,4 +15,6 @@
 def check(path: str) -> None:
     """Check a settings file without starting a node."""
     read = files.read_settings(path)
+    if read.preset.file:
+        files.read_preset(read.preset.file)
     click.echo(f"{path}: valid settings of host {read.node.host_id}")
--- a/bergamotdeal/cli/tests/test_main.py
+++ b/bergamotdeal/cli/tests/test_main.py
@@ -1,3 +1,5 @@
+import pathlib
+import socket
 import subprocess
 import sys
 
@@ -7,6 +9,8 @@
 from bergamotdeal.cli import exit_codes
 from bergamotdeal.cli import main
 
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
 
 def _run(*arguments):
     return testing.CliRunner().invoke(main.main, list(arguments))
@@ -60,6 +64,41 @@
     assert "can't be read" in run.output
 
 
+def test_settings_check_reads_the_preset_file_too(settings_path, tmp_path):
+    preset = tmp_path / "preset.ini"
+    preset.write_text("[preset]\nname = Bad Name\n")
+    text = settings_path.read_text()
+    settings_path.write_text(f"{text}[preset]\nfile = {preset}\n")
+    run = _run("settings", "check", str(settings_path))
+    assert run.exit_code == exit_codes.ExitCode.INVALID
+    assert f"{preset}: [preset] name" in run.output
+
+
+def test_a_node_without_its_preset_file_says_so(settings_path, tmp_path):
+    text = settings_path.read_text()
+    missing = tmp_path / "none.ini"
+    settings_path.write_text(f"{text}[preset]\nfile = {missing}\n")
+    run = _run("node", "--settings", str(settings_path))
+    assert run.exit_code == exit_codes.ExitCode.INVALID
+    assert "[preset] file: " in run.output
+    assert "none.ini" in run.output
+
+
+def test_a_node_whose_port_is_taken_says_so(settings_path):
+    preset = EXAMPLES / "lintasan" / "ordinary.ini"
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        text = settings_path.read_text()
+        settings_path.write_text(
+            f"{text}port = {port}\n[preset]\nfile = {preset}\n"
+        )
+        run = _run("node", "--settings", str(settings_path))
+    assert run.exit_code == exit_codes.ExitCode.FAILED
+    assert f"127.0.0.1:{port}" in run.output
+
+
 def test_every_exit_code_has_a_meaning():
     assert set(exit_codes.MEANINGS_BY_CODE) == set(exit_codes.ExitCode)
 
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -21,8 +21,9 @@
     "error": ERROR,
 }
 
-_LEVELS_BY_CODE = {
+LEVELS_BY_CODE = {
     catalogue.EventCode.CALL_FAILED_INTERNALLY: ERROR,
+    catalogue.EventCode.TASK_FAILED: ERROR,
     catalogue.EventCode.REQUEST_QUARANTINED: WARNING,
     catalogue.EventCode.PRESET_REJECTED: WARNING,
     catalogue.EventCode.STORE_UNAVAILABLE: WARNING,
@@ -39,7 +40,7 @@
       event: The event; without a level of its own it is logged at debug
         when it belongs to a request, else at info.
     """
-    level = _LEVELS_BY_CODE.get(event.code)
+    level = LEVELS_BY_CODE.get(event.code)
     if level is not None:
         return level
     return DEBUG if event.user_request_id else INFO
--- /dev/null
+++ b/tests/test_catalogue_pages.py
@@ -0,0 +1,83 @@
+"""The catalogue pages agree with the code."""
+
+import re
+
+import pytest
+
+from bergamotdeal.settings import model
+from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import metrics
+from tools import build_pages
+
+DOCS = build_pages.ROOT / "docs"
+SOURCES = [
+    path.read_text()
+    for path in (build_pages.ROOT / "bergamotdeal").rglob("*.py")
+    if "tests" not in path.parts and path.name != "metrics.py"
+]
+
+
+@pytest.mark.parametrize(
+    "page", ["events.md", "errors.md", "operators/exit-codes.md"]
+)
+def test_tables_are_as_in_the_code(page):
+    path = DOCS / page
+    assert path in list(build_pages.pages())
+    text = path.read_text()
+    assert build_pages.with_tables(text) == text, "run make pages"
+
+
+def test_a_stale_table_is_found():
+    path = DOCS / "events.md"
+    stale = path.read_text().replace("| 300 |", "| 299 |")
+    assert build_pages.with_tables(stale) == path.read_text()
+
+
+def test_every_metric_is_on_its_page_once():
+    text = (DOCS / "metrics.md").read_text()
+    written = re.findall(r"^\| `([a-z_.]+)(?:\.<class>)?` \|", text, re.M)
+    kinds = (metrics.Counter, metrics.Gauge, metrics.Timing)
+    assert sorted(written) == sorted(m.value for k in kinds for m in k)
+
+
+def _is_set_somewhere(metric):
+    name = f"{type(metric).__name__}.{metric.name}"
+    return any(re.search(rf"\b{name}\b", text) for text in SOURCES)
+
+
+def test_every_metric_has_a_source():
+    counted = {
+        metrics.counter_of(code, fields)
+        for code in catalogue.EventCode
+        for fields in (
+            {},
+            {"face": "entry"},
+            {"face": "egress"},
+            {"outcome": "completed"},
+            {"outcome": "not-run"},
+            {"outcome": "unknown"},
+        )
+    }
+    kinds = (metrics.Counter, metrics.Gauge, metrics.Timing)
+    missing = [
+        metric.value
+        for kind in kinds
+        for metric in kind
+        if metric not in counted and not _is_set_somewhere(metric)
+    ]
+    assert missing == []
+
+
+def test_every_setting_is_on_its_page():
+    text = (DOCS / "operators" / "settings.md").read_text()
+    written = re.findall(r"^\| `([a-z_]+)` \|", text, re.M)
+    sections = re.findall(r"^## `\[([a-z]+)\]`", text, re.M)
+    assert (sections, written) == _settings_names()
+
+
+def _settings_names():
+    settings = model.Settings.__dataclass_fields__
+    names = []
+    for field in settings.values():
+        names += field.type.__dataclass_fields__
+    return list(settings), names
--- /dev/null
+++ b/tests/test_documented_commands.py
@@ -0,0 +1,79 @@
+"""Every command line in the documents is one that the program accepts."""
+
+import re
+import shlex
+
+import click
+import pytest
+
+from bergamotdeal.cli import main
+from tools import build_pages
+
+PAGES = [
+    *sorted((build_pages.ROOT / "docs").rglob("*.md")),
+    build_pages.ROOT / "README.md",
+]
+_BLOCK_LINE = re.compile(r"^ {4,}(?:\$ )?(bergamotdeal [^|;\n]*)", re.M)
+_INLINE = re.compile(r"`(bergamotdeal [^`<>]+)`")
+
+
+def _lines(text):
+    text = text.replace("\\\n", " ")
+    for found in (*_BLOCK_LINE.findall(text), *_INLINE.findall(text)):
+        yield found.partition("  #")[0].strip()
+
+
+def _parse(line):
+    """Parses a command line to its end without running the command."""
+    words = shlex.split(line.replace("\n", " "))[1:]
+    command = main.main
+    context = click.Context(command, info_name="bergamotdeal")
+    while isinstance(command, click.Group) and words:
+        if words[0].startswith("--"):
+            return command.make_context("bergamotdeal", words)
+        name, command, words = command.resolve_command(context, words)
+        context = click.Context(command, info_name=name, parent=context)
+    if isinstance(command, click.Group):
+        return context
+    return command.make_context(context.info_name, words, parent=context)
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda path: path.name)
+def test_commands_are_accepted(page):
+    for line in _lines(page.read_text()):
+        try:
+            _parse(line)
+        except click.exceptions.Exit as ended:
+            assert ended.exit_code == 0, line
+        except click.UsageError as error:
+            pytest.fail(f"{line}: {error.format_message()}")
+
+
+def test_enough_commands_are_found():
+    found = [line for page in PAGES for line in _lines(page.read_text())]
+    assert len(found) > 20
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "bergamotdeal nonsense",
+        "bergamotdeal status --flet",
+        "bergamotdeal preset switch",
+        "bergamotdeal drain a b",
+    ],
+)
+def test_a_wrong_command_is_found(line):
+    with pytest.raises(click.UsageError):
+        _parse(line)
+
+
+def test_links_between_pages_lead_somewhere():
+    broken = []
+    for page in PAGES:
+        for target in re.findall(
+            r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text()
+        ):
+            if not (page.parent / target).exists():
+                broken.append(f"{page.name}: {target}")
+    assert broken == []
