Record changes of limit, thresholds and announcements

Cause: SERVER_ANNOUNCED, THRESHOLD_CHANGED and LIMIT_CHANGED stood in the catalogue without a source, and an overload left no trace between requests. Change: node.change_watch looks at the status once a second and records a limit that moved by a tenth, a threshold that moved by 0.05 or reached or left 1.0; node.app records an announcement that differs from the last. Conclusion: at most one event a second for the limit and for each class.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -113,9 +113,7 @@
     def start(self) -> None:
         """Opens the faces and makes contact with the fleet."""
         settings = self._settings
-        self._observation.start(
-            read_status=lambda: self.status(with_members=True)
-        )
+        self._observation.start(read_status=self.status)
         self._note(
             catalogue.EventCode.NODE_STARTED,
             host=settings.node.host_id,
@@ -312,6 +310,12 @@
     def _server_posted(self, event: messages.Event) -> None:
         match event:
             case messages.ServerAnnounced():
+                if event != self._announced:
+                    self._note(
+                        catalogue.EventCode.SERVER_ANNOUNCED,
+                        service=event.service,
+                        slots=event.slots,
+                    )
                 self._announced = event
                 # Without a preset no call can be judged, so none may come.
                 if self.is_ready:
--- a/bergamotdeal/node/observation.py
+++ b/bergamotdeal/node/observation.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from bergamotdeal.calls import messages
+from bergamotdeal.node import change_watch
 from bergamotdeal.node import gauges
 from bergamotdeal.node import status as node_status
 from bergamotdeal.settings import model as settings_model
@@ -55,15 +56,16 @@
         self._flush = task.LoopingCall(self._flush_metrics)
         self._flush.clock = reactor
         self._flushes = 0
-        self._read_status: Callable[[], node_status.NodeStatus] | None = None
+        self._read_status: Callable[..., node_status.NodeStatus] | None = None
+        self._changes = change_watch.ChangeWatch(record=self.recorder.record)
 
     def start(
-        self, *, read_status: Callable[[], node_status.NodeStatus]
+        self, *, read_status: Callable[..., node_status.NodeStatus]
     ) -> None:
         """Starts sending metrics.
 
         Args:
-          read_status: Returns the node's status with its members.
+          read_status: Returns the node's status; takes ``with_members``.
         """
         self._read_status = read_status
         self._flush_due = self._reactor.seconds() + metrics.FLUSH_INTERVAL_S
@@ -76,25 +78,30 @@
         intervals = 1 + lag_s // metrics.FLUSH_INTERVAL_S
         self._flush_due += intervals * metrics.FLUSH_INTERVAL_S
         counts.time(metrics.Timing.LOOP_LAG_MS, lag_s * MS_PER_S)
-        is_due = self._flushes % FLUSHES_PER_GAUGES == 0
+        self._look_at_status()
         self._flushes += 1
-        if is_due and self._client is not None:
-            self._set_gauges()
         counts.flush(self._client)
 
-    def _set_gauges(self) -> None:
+    def _look_at_status(self) -> None:
+        is_due = self._flushes % FLUSHES_PER_GAUGES == 0
+        wants_gauges = is_due and self._client is not None
         try:
-            status = self._read_status()
+            status = self._read_status(with_members=wants_gauges)
         except Exception:
             # A failure here must not end the flushes.
             self.recorder.record(
                 messages.Record(
-                    code=catalogue.EventCode.CALL_FAILED_INTERNALLY,
-                    fields={"trace": traceback.format_exc()},
+                    code=catalogue.EventCode.TASK_FAILED,
+                    fields={
+                        "task": "observation",
+                        "trace": traceback.format_exc(),
+                    },
                 )
             )
             return
-        gauges.set_gauges(self.recorder.metrics, status)
+        self._changes.look(status.server)
+        if wants_gauges:
+            gauges.set_gauges(self.recorder.metrics, status)
 
 
 def _wall_ms() -> int:
