Pass on only what is news to others, and blame the right incarnation

A newcomer that learnt the whole fleet by one comparison of views queued every record as a rumour: in a fleet of 80 it sent 11 kB/s for the 10 s after its join.

--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -42,7 +42,7 @@
     spread_interval_s: float = 0.2
     spread_fanout: int = 3
     pause_s: float = 2.5
-    welcome_datagrams: int = 4
+    welcome_datagrams: int = 1
     bounds: suspicion.Bounds = dataclasses.field(
         default_factory=suspicion.Bounds
     )
@@ -230,8 +230,7 @@
             self._probe_indirectly(probe)
         if now >= probe.ends_at:
             self._prober.probe = None
-            self._suspicion.probed(acked=False)
-            self._suspect(probe.host_id, now)
+            self._suspect(probe, now)
 
     def _advance_suspicions(self, now: float) -> None:
         entries = self._knowledge.view.others(worst=Health.DEAD)
@@ -253,6 +252,7 @@
         self._prober.probe = prober.Probe(
             number=number,
             host_id=target,
+            incarnation=self._knowledge.view.entry(target).record.incarnation,
             indirect_at=now + self._timing.indirect_after_s,
             ends_at=now + self._timing.probe_interval_s,
         )
@@ -282,12 +282,14 @@
         for helper in self._rng.sample(helpers, count):
             self._send(_endpoint(helper.record), request)
 
-    def _suspect(self, host_id: str, now: float) -> None:
-        entry = self._knowledge.view.entry(host_id)
-        if entry is None or entry.health is not Health.ALIVE:
+    def _suspect(self, probe: prober.Probe, now: float) -> None:
+        entry = self._knowledge.view.entry(probe.host_id)
+        if entry is None or entry.record.incarnation != probe.incarnation:
             return
-        self._judge(entry.record, Health.SUSPECT, now)
-        self._ping(host_id, self._prober.number())
+        self._suspicion.probed(acked=False)
+        if entry.health is Health.ALIVE:
+            self._judge(entry.record, Health.SUSPECT, now)
+            self._ping(probe.host_id, self._prober.number())
 
     def _judge(self, record: core.Member, health: Health, now: float) -> None:
         self._knowledge.merge_verdict(knowledge.verdict_on(record, health), now)
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -11,6 +11,9 @@
 
 Health = messages.Health
 
+MAX_RUMOURS_FROM_SYNC = 16
+"""Entries of one comparison of views that are passed on as rumours."""
+
 
 class Knowledge:
     """A view whose changes are queued as rumours.
@@ -71,13 +74,20 @@
           health: Health in the view of the node that sent the record.
           now: Monotonic seconds.
         """
+        if self._take_in(record, health, now):
+            self._pass_on(record, health)
+
+    def _take_in(self, record: core.Member, health: Health, now: float) -> bool:
         is_new = self.view.entry(record.host_id) is None
         if not self.view.merge_record(record, health, now):
-            return
+            return False
+        self._note_change(record.host_id, is_new=is_new)
+        return True
+
+    def _pass_on(self, record: core.Member, health: Health) -> None:
         self.queue.add(messages.RecordRumour(member=record))
         if health is not Health.ALIVE:
             self.queue.add(verdict_on(record, health))
-        self._note_change(record.host_id, is_new=is_new)
 
     def merge_verdict(
         self, verdict: messages.VerdictRumour, now: float
@@ -153,14 +163,20 @@
           entries: The entries; one about this node itself is refuted.
           now: Monotonic seconds.
         """
+        news: list[messages.KnownMember] = []
         for entry in entries:
             member = entry.member
             if member.host_id != self.own.host_id:
-                self.merge_record(member, entry.health, now)
+                if self._take_in(member, entry.health, now):
+                    news.append(entry)
                 continue
             if entry.health is not Health.ALIVE:
                 self.refute(member.state_number, now)
             self.refute_record(member, now)
+        # A newcomer learns the whole fleet at once; to it alone that is news.
+        if len(news) <= MAX_RUMOURS_FROM_SYNC:
+            for entry in news:
+                self._pass_on(entry.member, entry.health)
 
 
 def verdict_on(record: core.Member, health: Health) -> messages.VerdictRumour:
--- a/bergamotdeal/membership/prober.py
+++ b/bergamotdeal/membership/prober.py
@@ -21,6 +21,7 @@
     Attributes:
       number: Number of the ping.
       host_id: Member that is probed.
+      incarnation: Its incarnation; a later one is not to be blamed.
       indirect_at: Monotonic seconds of the indirect probes, or None once they
         were sent.
       ends_at: Monotonic seconds at which the member becomes suspect.
@@ -28,6 +29,7 @@
 
     number: int
     host_id: str
+    incarnation: str
     indirect_at: float | None
     ends_at: float
 
--- a/bergamotdeal/membership/rumours.py
+++ b/bergamotdeal/membership/rumours.py
@@ -1,7 +1,8 @@
 """The rumours that a node still passes on, and the bytes they may take.
 
 Each rumour is sent a number of times that grows with the logarithm of the
-fleet, least often sent ones first, as in SWIM (Das, Gupta, Motivala, 2002).
+fleet, as in SWIM (Das, Gupta, Motivala, 2002): least often sent ones first,
+and the newest first among those.
 """
 
 import dataclasses
@@ -164,9 +165,8 @@
         chosen = list(first)
         room -= sum(rumour_bytes(rumour) for rumour in first)
         max_sends = _SENDS_FACTOR * math.ceil(math.log10(fleet_size + 1))
-        candidates = sorted(
-            self._queued_by_subject.items(), key=lambda item: item[1].sends
-        )
+        newest_first = reversed(list(self._queued_by_subject.items()))
+        candidates = sorted(newest_first, key=lambda item: item[1].sends)
         for subject, queued in candidates:
             if queued.size > room:
                 continue
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -250,6 +250,17 @@
     assert rates[1] < 2_000
 
 
+def test_newcomer_does_not_repeat_the_whole_fleet():
+    """Old members are news to it alone, and it must not pass them on."""
+    fleet = joined(1, size=80)
+    fleet.run(30)
+    fleet.add("newcomer")
+    fleet.run_until(fleet.complete, within_s=10)
+    before = fleet.bytes_by_id["newcomer"]
+    fleet.run(10)
+    assert (fleet.bytes_by_id["newcomer"] - before) / 10 < 2_000
+
+
 def test_bytes_stay_bounded_while_everything_changes():
     fleet = joined(1, size=40)
     before = dict(fleet.bytes_by_id)
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -18,6 +18,7 @@
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.wire import gossip as codec
 
+PUBLISH_DELAY_S = 0.02
 _MS_PER_S = 1000
 _MAX_ANNOUNCED = 2**32 - 1
 
@@ -86,6 +87,7 @@
         self._gossip: gossip.Gossip | None = None
         self._port = None
         self._timer = None
+        self._publishing = None
 
     def start(self, *, peer_port: int, admin_port: int = 0) -> int:
         """Binds the socket and makes first contact.
@@ -135,8 +137,9 @@
         if self._port is None:
             return defer.succeed(None)
         self._handle(messages.Left())
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._publishing):
+            if timer is not None and timer.active():
+                timer.cancel()
         port, self._port = self._port, None
         return defer.maybeDeferred(port.stopListening)
 
@@ -262,10 +265,14 @@
                     self._post(calls.QuarantineHeard(reports=list(reports)))
                 case messages.Note(code=code, fields=fields):
                     self._record(calls.Record(code=code, fields=fields))
-        if changed:
-            self._publish()
+        if changed and self._publishing is None:
+            # Many members may change at once, and each copy holds them all.
+            self._publishing = self._reactor.callLater(
+                PUBLISH_DELAY_S, self._publish
+            )
 
     def _publish(self) -> None:
+        self._publishing = None
         members_by_id = self._gossip.members_by_id()
         self._post(calls.MembersChanged(members_by_id=members_by_id))
 
