Strike only the chosen key's writes in the store stand-in

Since nodes write rosters, a lost answer could strike one of theirs: the test of the lost answer counted 4 writes in place of 1. The stand-in takes the key to strike and counts writes by key.

--- a/standins/store.py
+++ b/standins/store.py
@@ -27,6 +27,7 @@
       slow_s: Time before each answer, in seconds.
       lose_writes: Number of writes whose answers are lost from now on.
       refuse_writes: Number of writes that are lost before they take effect.
+      write_key: Key of the writes that are lost, or empty for any.
       drop_watches: Whether waiting watches are dropped, once.
       mute_watches: Whether waiting watches are not told of writes.
       calls_per_s: Calls answered in each second, or zero for any number.
@@ -36,6 +37,7 @@
     slow_s: float = 0.0
     lose_writes: int = 0
     refuse_writes: int = 0
+    write_key: str = ""
     drop_watches: bool = False
     mute_watches: bool = False
     calls_per_s: int = 0
@@ -67,6 +69,7 @@
         self._calls_in_second = 0
         self.behaviour = Behaviour()
         self.counts_by_operation: dict[str, int] = {}
+        self.puts_by_key: dict[str, int] = {}
         self.writes_by_key: dict[str, int] = {}
 
     def control(self, changes: dict) -> None:
@@ -78,6 +81,7 @@
     def report(self) -> dict:
         return {
             "counts_by_operation": self.counts_by_operation,
+            "puts_by_key": self.puts_by_key,
             "writes_by_key": self.writes_by_key,
             "versions_by_key": {k: v for k, (v, _) in self._values()},
             "waiting": sum(len(w) for w in self._watches_by_key.values()),
@@ -144,7 +148,9 @@
             self.answer(request, http.HTTPStatus.OK, value, version)
 
     def put(self, request: server.Request, key: str) -> None:
-        if self.behaviour.refuse_writes > 0:
+        self.puts_by_key[key] = self.puts_by_key.get(key, 0) + 1
+        struck = self.behaviour.write_key in ("", key)
+        if struck and self.behaviour.refuse_writes > 0:
             self.behaviour.refuse_writes -= 1
             request.transport.abortConnection()
             return
@@ -163,7 +169,7 @@
         version += 1
         self._values_by_key[key] = (version, value)
         self.writes_by_key[key] = self.writes_by_key.get(key, 0) + 1
-        if self.behaviour.lose_writes > 0:
+        if struck and self.behaviour.lose_writes > 0:
             self.behaviour.lose_writes -= 1
             request.transport.abortConnection()
         else:
--- a/tests/integration/test_fleet_presets.py
+++ b/tests/integration/test_fleet_presets.py
@@ -66,12 +66,12 @@
 
 
 def test_answer_lost_after_the_write_is_accepted_once(fleet):
-    fleet.control_store(lose_writes=1)
+    fleet.control_store(lose_writes=1, write_key="in-force")
     outcome = fleet.operator("peak").switch()
     assert isinstance(outcome, switch.Accepted)
     report = fleet.store_report()
     assert report["writes_by_key"]["in-force"] == 1
-    assert report["counts_by_operation"]["put"] == 1
+    assert report["puts_by_key"]["in-force"] == 1
     again = fleet.operator("peak", operation_id=outcome.operation_id)
     assert again.switch() == outcome
     assert fleet.store_report()["writes_by_key"]["in-force"] == 1
