--- a/bergamotdeal/calls/tests/test_fleet_bookings.py
+++ b/bergamotdeal/calls/tests/test_fleet_bookings.py
@@ -1,4 +1,4 @@
-"""Non-repeatable calls that a backend server makes."""
+"""A backend server's own non-repeatable calls."""
 
 from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
