Charge every repeated frame of a ticketed call to the allowance

Cause: a second ticket was paid for with one token, though it is asked for and used: two repeated frames. Change: it costs two tokens; the property counts frames by call and phase. Conclusion: repeated frames of every kind stay within the allowance.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -365,7 +365,9 @@
         max_losses = state.preset.quarantine.deaths
         if not truth.may_resend(exchange, answer, max_losses=max_losses):
             return False
-        if exchange.allowance.tokens < 1 or exchange.deadline <= state.now:
+        # Another ticket is asked for and used: two frames are sent again.
+        cost = 2 if exchange.ticket else 1
+        if exchange.allowance.tokens < cost or exchange.deadline <= state.now:
             return False
         exchange.tried |= {exchange.host_id}
         exchange.ticket = b""
@@ -375,7 +377,7 @@
             return False
         if not self._budget.try_resend(exchange.request.service):
             return False
-        exchange.allowance.spend()
+        exchange.allowance.spend(cost)
         exchange.resends += 1
         state.record(
             _CODES.CALL_RETRIED,
--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -111,17 +111,14 @@
 
 
 def count_resends(made):
-    """Counts the attempts beyond the first one of each call.
+    """Counts the frames that repeat an earlier one of the same call.
 
-    One attempt at a non-repeatable call asks for a ticket and uses it.
+    Asking for a ticket and using it are different frames.
     """
     dispatches = collections.Counter(
         (call.call_id, bool(call.ticket)) for _, _, call in made.calls_sent
     )
-    attempts = {}
-    for (call_id, _), count in dispatches.items():
-        attempts[call_id] = max(attempts.get(call_id, 0), count)
-    return sum(count - 1 for count in attempts.values())
+    return sum(count - 1 for count in dispatches.values())
 
 
 @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
--- a/bergamotdeal/retries/allowance.py
+++ b/bergamotdeal/retries/allowance.py
@@ -29,15 +29,18 @@
         self.tokens -= share
         return share
 
-    def spend(self) -> bool:
-        """Uses one token for a re-send.
+    def spend(self, count: int) -> bool:
+        """Uses tokens for re-sends.
+
+        Args:
+          count: One for each frame that repeats an earlier one.
 
         Returns:
-          Whether there was a token.
+          Whether there were enough; if not, none is used.
         """
-        if self.tokens < 1:
+        if self.tokens < count:
             return False
-        self.tokens -= 1
+        self.tokens -= count
         return True
 
     def put_back(self, tokens_left: int, *, carried: int) -> None:
