Keep refused and unused tickets for a minute only

Cause: each ticket had a record until its expiry, ten minutes by default. A minute of overload that refuses tickets, or callers that only ask for them, would have filled the table and refused all such requests for ten minutes. Change: a ticket names the latest time of its first use, a minute from issue; refused and unused ones are forgotten then, unused ones also when room is needed.

--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -208,7 +208,8 @@
                 self._set_timer(run, run.deadline)
             case table.Replay(answer=answer):
                 self._end_unrun(run, dataclasses.replace(answer))
-            case table.Reject(kind=kind):
+            case table.Reject(kind=kind, may_run_later=may_run_later):
+                run.call.may_have_run |= may_run_later
                 self._refuse(run, kind)
 
     def _refusal(self, run: runs.Run) -> _KINDS | None:
--- a/bergamotdeal/calls/ticketing.py
+++ b/bergamotdeal/calls/ticketing.py
@@ -71,7 +71,7 @@
         answer = core.error_answer(
             _KINDS.TICKET_REQUIRED, may_have_run=run.may_have_run or used
         )
-        answer.ticket = record.encoded
+        answer.ticket = self._table.encoded(record)
         return answer
 
     def present(self, run: runs.Run) -> table.Verdict:
--- a/bergamotdeal/tickets/core.py
+++ b/bergamotdeal/tickets/core.py
@@ -9,7 +9,7 @@
 from bergamotdeal.calls import core as calls
 
 _VERSION = 1
-_HEAD = struct.Struct(">B16sQQBB")
+_HEAD = struct.Struct(">B16sQQQBB")
 MAC_BYTES = 16
 MAX_TICKET_BYTES = _HEAD.size + 2 * 64 + MAC_BYTES
 _FINGERPRINT_BYTES = 16
@@ -24,7 +24,10 @@
       host_id: Host of the node that issued it.
       incarnation: That node's incarnation, in hex.
       serial: Number that the incarnation gave to no other ticket.
-      expires_ms: Expiry by the node's own monotonic clock, in milliseconds.
+      use_by_ms: Time by which its request must have arrived, in milliseconds
+        of the node's own monotonic clock.
+      expires_ms: Time up to which its answer can be asked for, by the same
+        clock.
       mac: Authentication code that only the incarnation can check.
     """
 
@@ -32,6 +35,7 @@
     host_id: str
     incarnation: str
     serial: int
+    use_by_ms: int
     expires_ms: int
     mac: bytes = b""
 
@@ -43,6 +47,7 @@
             _VERSION,
             bytes.fromhex(self.incarnation),
             self.serial,
+            self.use_by_ms,
             self.expires_ms,
             len(service),
             len(host_id),
@@ -65,9 +70,15 @@
     """
     if not _HEAD.size + MAC_BYTES <= len(data) <= MAX_TICKET_BYTES:
         return result.Err("wrong length")
-    version, incarnation, serial, expires_ms, service_size, host_size = (
-        _HEAD.unpack_from(data)
-    )
+    (
+        version,
+        incarnation,
+        serial,
+        use_by_ms,
+        expires_ms,
+        service_size,
+        host_size,
+    ) = _HEAD.unpack_from(data)
     if version != _VERSION:
         return result.Err("unknown version")
     host_at = _HEAD.size + service_size
@@ -84,6 +95,7 @@
         host_id=host_id,
         incarnation=incarnation.hex(),
         serial=serial,
+        use_by_ms=use_by_ms,
         expires_ms=expires_ms,
         mac=data[mac_at:],
     )
--- a/bergamotdeal/tickets/mint.py
+++ b/bergamotdeal/tickets/mint.py
@@ -25,19 +25,23 @@
         self._incarnation = incarnation
         self._key = key
 
-    def issue(self, *, service: str, serial: int, expires_ms: int) -> bytes:
+    def issue(
+        self, *, service: str, serial: int, use_by_ms: int, expires_ms: int
+    ) -> bytes:
         """Returns an encoded ticket.
 
         Args:
           service: Service that the request calls.
           serial: Number that was used for no other ticket.
-          expires_ms: Expiry, in milliseconds of this node's clock.
+          use_by_ms: Latest first use, in milliseconds of this node's clock.
+          expires_ms: Expiry, in milliseconds of the same clock.
         """
         ticket = core.Ticket(
             service=service,
             host_id=self._host_id,
             incarnation=self._incarnation,
             serial=serial,
+            use_by_ms=use_by_ms,
             expires_ms=expires_ms,
         )
         signed_part = ticket.signed_part()
--- a/bergamotdeal/tickets/table.py
+++ b/bergamotdeal/tickets/table.py
@@ -1,12 +1,15 @@
 """The tickets that one incarnation has issued and what became of them.
 
-A ticket's record is kept until the ticket expires, so that no used ticket is
-ever taken for an unused one. When the table is full, no ticket is issued.
+A ticket whose request was handed over or refused is remembered for as long as
+it could still be presented, so it is never taken for an unused one. A ticket
+that was never presented needs no record to be valid; its record only lets a
+second sending find it, and is the first to go when the table is full.
 """
 
 import collections
 import dataclasses
 import enum
+import hashlib
 
 import result
 
@@ -16,8 +19,12 @@
 from bergamotdeal.tickets import core
 from bergamotdeal.tickets import mint
 
+FIRST_USE_MS = 60_000
+"""Time from issue within which a ticket must be used first."""
+
 _KINDS = errors.ErrorKind
 _MS_PER_S = 1000
+_REQUEST_KEY_BYTES = 16
 
 
 class TicketState(enum.Enum):
@@ -35,18 +42,20 @@
 
     Attributes:
       serial: The ticket's serial.
-      encoded: The ticket itself, to issue it again for the same request.
-      expires_ms: Its expiry, in milliseconds of the node's clock.
-      request_key: Call id and fingerprint for which it was issued.
+      service: Service that its request calls.
+      use_by_ms: Latest first use, in milliseconds of the node's clock.
+      expires_ms: Its expiry, by the same clock.
+      request_key: Digest of the call id and the request that it is for.
       state: What became of it.
       fingerprint: Fingerprint of its first use, empty before.
       answer: The answer to replay, None when it is not kept.
     """
 
     serial: int
-    encoded: bytes
+    service: str
+    use_by_ms: int
     expires_ms: int
-    request_key: tuple[str, str]
+    request_key: bytes = b""
     state: TicketState = TicketState.ISSUED
     fingerprint: str = ""
     answer: calls.Answer | None = None
@@ -75,12 +84,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Reject:
-    """The ticket gives no right to run the request."""
+    """The ticket gives no right to run the request.
+
+    Attributes:
+      kind: The reason.
+      may_run_later: Whether a later sending may run under the ticket still.
+    """
 
     kind: errors.ErrorKind
+    may_run_later: bool = False
 
 
 Verdict = Run | Join | Replay | Reject
+_Records = collections.OrderedDict[int, Record]
 
 
 class Table:
@@ -95,17 +111,18 @@
         self._policy = policy
         self._issuer = issuer
         self._last_serial = 0
-        self._records_by_serial: dict[int, Record] = {}
-        self._records_by_request: dict[tuple[str, str], Record] = {}
+        # Each in order of issue: all records up to the latest first use, the
+        # unused ones among them, and the used ones after that time.
+        self._young: _Records = collections.OrderedDict()
+        self._unused: _Records = collections.OrderedDict()
+        self._old: _Records = collections.OrderedDict()
+        self._records_by_request: dict[bytes, Record] = {}
         self._answered: collections.deque[Record] = collections.deque()
         self._answer_bytes = 0
-        # In order of issue; a shorter lifetime from a new preset only makes
-        # the records behind a longer one wait for it.
-        self._by_expiry: collections.deque[Record] = collections.deque()
 
     def __len__(self) -> int:
         """Returns the number of records."""
-        return len(self._records_by_serial)
+        return len(self._young) + len(self._old)
 
     def set_policy(self, policy: model.TicketPolicy) -> None:
         """Applies a new policy to the tickets that are issued from now on."""
@@ -125,30 +142,37 @@
         Returns:
           The ticket's record, or None when the table is full.
         """
-        self._expire(now)
-        request_key = (call_id, core.fingerprint(request))
+        now_ms = int(now * _MS_PER_S)
+        self._expire(now_ms)
+        request_key = _request_key(call_id, request)
         record = self._records_by_request.get(request_key)
-        if record is not None and not self._is_spent(record, now):
+        if record is not None and record.state is not TicketState.BURNT:
             return record
-        if len(self._records_by_serial) >= self._policy.table_size:
+        if not self._make_room():
             return None
         self._last_serial += 1
-        expires_ms = int(now * _MS_PER_S) + self._policy.lifetime_ms
+        lifetime_ms = self._policy.lifetime_ms
         record = Record(
             serial=self._last_serial,
-            encoded=self._issuer.issue(
-                service=request.service,
-                serial=self._last_serial,
-                expires_ms=expires_ms,
-            ),
-            expires_ms=expires_ms,
+            service=request.service,
+            use_by_ms=now_ms + min(FIRST_USE_MS, lifetime_ms),
+            expires_ms=now_ms + lifetime_ms,
             request_key=request_key,
         )
-        self._records_by_serial[record.serial] = record
+        self._young[record.serial] = record
+        self._unused[record.serial] = record
         self._records_by_request[request_key] = record
-        self._by_expiry.append(record)
         return record
 
+    def encoded(self, record: Record) -> bytes:
+        """Returns the ticket of a record, as callers present it."""
+        return self._issuer.issue(
+            service=record.service,
+            serial=record.serial,
+            use_by_ms=record.use_by_ms,
+            expires_ms=record.expires_ms,
+        )
+
     def present(
         self, encoded: bytes, request: calls.Request, now: float
     ) -> Verdict:
@@ -164,28 +188,24 @@
                 pass
             case result.Err(kind):
                 return Reject(kind=kind)
-        if now * _MS_PER_S >= ticket.expires_ms:
+        now_ms = int(now * _MS_PER_S)
+        self._expire(now_ms)
+        if now_ms >= ticket.expires_ms:
             return Reject(kind=_KINDS.TICKET_EXPIRED)
-        record = self._records_by_serial.get(ticket.serial)
-        if record is None:
-            return Reject(kind=_KINDS.TICKET_LOST)
         if ticket.service != request.service:
             return Reject(kind=_KINDS.TICKET_MISMATCH)
-        request_fingerprint = core.fingerprint(request)
-        if record.fingerprint not in ("", request_fingerprint):
+        record = self._young.get(ticket.serial) or self._old.get(ticket.serial)
+        if record is None or record.state is TicketState.ISSUED:
+            return self._use(ticket, record, request, now_ms)
+        if record.state is TicketState.BURNT:
+            return Reject(kind=_KINDS.TICKET_BURNT)
+        if record.fingerprint != core.fingerprint(request):
             return Reject(kind=_KINDS.TICKET_MISMATCH)
-        match record.state:
-            case TicketState.BURNT:
-                return Reject(kind=_KINDS.TICKET_BURNT)
-            case TicketState.DONE:
-                if record.answer is None:
-                    return Reject(kind=_KINDS.ANSWER_GONE)
-                return Replay(answer=record.answer)
-            case TicketState.ACTIVE:
-                return Join(record=record)
-        record.fingerprint = request_fingerprint
-        record.state = TicketState.ACTIVE
-        return Run(record=record)
+        if record.state is TicketState.ACTIVE:
+            return Join(record=record)
+        if record.answer is None:
+            return Reject(kind=_KINDS.ANSWER_GONE)
+        return Replay(answer=record.answer)
 
     def release(self, record: Record) -> None:
         """Gives a ticket back whose request was withdrawn before it ran.
@@ -194,6 +214,8 @@
         travels may use the ticket.
         """
         record.state = TicketState.ISSUED
+        if record.serial in self._young:
+            self._unused[record.serial] = record
 
     def burn(self, record: Record) -> None:
         """Makes sure that a refused request never runs under its ticket."""
@@ -207,13 +229,80 @@
           answer: The final answer, to be replayed.
         """
         record.state = TicketState.DONE
-        if record.serial not in self._records_by_serial:
+        if record.serial not in self._young and record.serial not in self._old:
             return  # It expired meanwhile and can't be presented again.
         record.answer = answer
         self._answered.append(record)
         self._answer_bytes += _size_of(answer)
         self._drop_answers()
 
+    def _use(
+        self,
+        ticket: core.Ticket,
+        record: Record | None,
+        request: calls.Request,
+        now_ms: int,
+    ) -> Verdict:
+        """Lets the request of an unused ticket run."""
+        if now_ms >= ticket.use_by_ms:
+            return Reject(kind=_KINDS.TICKET_EXPIRED)
+        if record is None:
+            # Only records of unused tickets go before their latest first use.
+            if not self._make_room():
+                return Reject(kind=_KINDS.TICKET_TABLE_FULL, may_run_later=True)
+            record = Record(
+                serial=ticket.serial,
+                service=ticket.service,
+                use_by_ms=ticket.use_by_ms,
+                expires_ms=ticket.expires_ms,
+            )
+            self._young[record.serial] = record
+        self._unused.pop(record.serial, None)
+        record.fingerprint = core.fingerprint(request)
+        record.state = TicketState.ACTIVE
+        return Run(record=record)
+
+    def _make_room(self) -> bool:
+        """Makes sure that a record can be added; False when it can't."""
+        if len(self) < self._policy.table_size:
+            return True
+        if not self._unused:
+            return False
+        serial, record = self._unused.popitem(last=False)
+        del self._young[serial]
+        self._forget_request(record)
+        return True
+
+    def _expire(self, now_ms: int) -> None:
+        """Forgets the tickets that can't be presented any more.
+
+        A record behind one with a longer time waits for it, which only keeps
+        it longer than needed.
+        """
+        while self._young:
+            serial, record = next(iter(self._young.items()))
+            if record.use_by_ms > now_ms:
+                break
+            del self._young[serial]
+            self._unused.pop(serial, None)
+            if record.state in (TicketState.ACTIVE, TicketState.DONE):
+                self._old[serial] = record
+            else:
+                self._forget_request(record)
+        while self._old:
+            serial, record = next(iter(self._old.items()))
+            if record.expires_ms > now_ms:
+                break
+            del self._old[serial]
+            self._drop_answer(record)
+            self._forget_request(record)
+        while self._answered and self._answered[0].answer is None:
+            self._answered.popleft()
+
+    def _forget_request(self, record: Record) -> None:
+        if self._records_by_request.get(record.request_key) is record:
+            del self._records_by_request[record.request_key]
+
     def _drop_answers(self) -> None:
         while self._answer_bytes > self._policy.answer_bytes:
             self._drop_answer(self._answered.popleft())
@@ -223,23 +312,13 @@
             self._answer_bytes -= _size_of(record.answer)
             record.answer = None
 
-    def _is_spent(self, record: Record, now: float) -> bool:
-        if record.state is TicketState.BURNT:
-            return True
-        # An active one may outlive its expiry; it can't be presented again.
-        return now * _MS_PER_S >= record.expires_ms
-
-    def _expire(self, now: float) -> None:
-        """Forgets the records of expired tickets."""
-        now_ms = now * _MS_PER_S
-        while self._by_expiry and self._by_expiry[0].expires_ms <= now_ms:
-            record = self._by_expiry.popleft()
-            self._drop_answer(record)
-            del self._records_by_serial[record.serial]
-            if self._records_by_request.get(record.request_key) is record:
-                del self._records_by_request[record.request_key]
-        while self._answered and self._answered[0].answer is None:
-            self._answered.popleft()
+
+def _request_key(call_id: str, request: calls.Request) -> bytes:
+    digest = hashlib.blake2b(
+        core.fingerprint(request).encode(), digest_size=_REQUEST_KEY_BYTES
+    )
+    digest.update(call_id.encode())
+    return digest.digest()
 
 
 def _size_of(answer: calls.Answer) -> int:
--- /dev/null
+++ b/bergamotdeal/tickets/tests/test_core.py
@@ -0,0 +1,90 @@
+import hypothesis
+from hypothesis import strategies
+
+from bergamotdeal.calls import core as calls
+from bergamotdeal.errors import core as errors
+from bergamotdeal.tickets import core
+from bergamotdeal.tickets import mint
+
+INCARNATION = "ab" * 16
+names = strategies.text(
+    alphabet="abcdefghijklmnopqrstuvwxyz0123456789-", min_size=1, max_size=64
+)
+numbers = strategies.integers(0, 2**64 - 1)
+
+
+def make_mint(*, incarnation=INCARNATION, key=b"k" * mint.KEY_BYTES):
+    return mint.Mint(host_id="orderline-1", incarnation=incarnation, key=key)
+
+
+def issue(issuer):
+    return issuer.issue(
+        service="orderline", serial=1, use_by_ms=5, expires_ms=9
+    )
+
+
+def request(**kwargs):
+    fields = {
+        "service": "orderline",
+        "method": "POST",
+        "path": "/x",
+        "headers": [],
+        "body": b"b",
+    }
+    return calls.Request(**(fields | kwargs))
+
+
+@hypothesis.given(names, names, numbers, numbers, numbers)
+def test_a_ticket_survives_its_encoding(service, host_id, serial, use, expiry):
+    ticket = core.Ticket(
+        service=service,
+        host_id=host_id,
+        incarnation=INCARNATION,
+        serial=serial,
+        use_by_ms=use,
+        expires_ms=expiry,
+        mac=b"m" * core.MAC_BYTES,
+    )
+    assert core.decode(ticket.encode()).ok_value == ticket
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+def test_any_bytes_are_read_or_refused(data):
+    verified = make_mint().verify(data)
+    assert verified.err_value in (
+        errors.ErrorKind.TICKET_INVALID,
+        errors.ErrorKind.TICKET_LOST,
+    )
+
+
+@hypothesis.given(strategies.data())
+def test_a_changed_bit_is_noticed(data):
+    issuer = make_mint()
+    encoded = issue(issuer)
+    at = data.draw(strategies.integers(0, 8 * len(encoded) - 1))
+    changed = bytearray(encoded)
+    changed[at // 8] ^= 1 << at % 8
+    assert issuer.verify(bytes(changed)).is_err()
+
+
+def test_only_the_incarnation_with_its_key_accepts_a_ticket():
+    encoded = issue(make_mint())
+    assert make_mint().verify(encoded).is_ok()
+    other_key = make_mint(key=b"x" * mint.KEY_BYTES)
+    assert other_key.verify(encoded).is_err()
+    restarted = make_mint(incarnation="cd" * 16)
+    lost = restarted.verify(encoded).err_value
+    assert lost is errors.ErrorKind.TICKET_LOST
+
+
+def test_a_fingerprint_tells_requests_apart_and_ignores_headers():
+    same = core.fingerprint(request(headers=[("x-trace", "1")]))
+    assert core.fingerprint(request()) == same
+    different = {
+        core.fingerprint(request()),
+        core.fingerprint(request(method="PUT")),
+        core.fingerprint(request(path="/y")),
+        core.fingerprint(request(body=b"c")),
+        core.fingerprint(request(service="orderlin", method="ePOST")),
+    }
+    assert len(different) == 5
