Answer each call even when admission fails

Cause: an exception of admission while a slot was freed turned a complete answer into unknown, and one while the answer was filled in could leave a call without any. Seen in the fault matrix: admission divides by a limit of zero after its server has died. Change: a failure is confined to the call whose verdict or slot it concerns; the answer of a failed call leaves before anything that may raise again; waiting calls are refused at once when another service is announced; a caller adds jitter to Retry-After; a re-send's attempt stays within its wire field. Conclusion: calls survive it; admission needs the repair.

--- a/bergamotdeal/caller/core.py
+++ b/bergamotdeal/caller/core.py
@@ -235,7 +235,8 @@
         mean_s = min(
             policy.backoff_max_s, policy.backoff_s * 2.0**self._attempt
         )
-        wait_s = max(float(retry_after_s), mean_s * self._rng.uniform(0.5, 1.5))
+        # The jitter spreads callers that were refused at the same moment.
+        wait_s = retry_after_s + mean_s * self._rng.uniform(0.5, 1.5)
         if self._attempts_left < 1 or now + wait_s >= self._deadline:
             return self._fail(outcome, kind)
         self._attempts_left -= 1
--- a/bergamotdeal/calls/core.py
+++ b/bergamotdeal/calls/core.py
@@ -10,6 +10,7 @@
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = 1024 * 1024
 MAX_CALL_DEPTH = 32
+MAX_ATTEMPT = 65_535
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -92,7 +92,7 @@
         )
         refusal = self._intake.refusal(exchange)
         if refusal is not None:
-            self._refuse(exchange, refusal)
+            self._refuse_arrival(exchange, refusal)
             return
         exchange.timer = state.timers.add(exchange.deadline, exchange)
         self._budget.first_sent(request.service)
@@ -255,7 +255,7 @@
             call_id=exchange.call_id,
             request=exchange.request,
             deadline_ms=left_ms,
-            attempt=exchange.attempt + exchange.resends,
+            attempt=min(core.MAX_ATTEMPT, exchange.attempt + exchange.resends),
             may_have_run=exchange.may_have_run,
             tokens=exchange.carried,
             ticket=exchange.ticket,
@@ -388,6 +388,18 @@
         self._send_to(exchange, chosen.ok_value)
         return True
 
+    def _refuse_arrival(
+        self, exchange: exchanges.Exchange, kind: _KINDS
+    ) -> None:
+        if kind is _KINDS.SHED:
+            self._state.record(
+                _CODES.CALL_SHED,
+                exchange.user_request_id,
+                place="entry",
+                reason=kind.value,
+            )
+        self._refuse(exchange, kind)
+
     def _refuse(self, exchange: exchanges.Exchange, kind: _KINDS) -> None:
         answer = core.error_answer(
             kind, may_have_run=exchange.own_refusal_may_have_run
@@ -398,9 +410,16 @@
         """Gives the caller its final answer."""
         state = self._state
         del self._exchanges_by_origin[exchange.origin_id]
+        truth.correct(answer, may_have_run=exchange.may_have_run)
+        state.emit(
+            messages.ReplyToCaller(
+                origin_id=exchange.origin_id,
+                user_request_id=exchange.user_request_id,
+                answer=answer,
+            )
+        )
         if exchange.timer is not None:
             exchange.timer.cancel()
-        truth.correct(answer, may_have_run=exchange.may_have_run)
         parent = exchange.parent
         if parent is not None:
             parent.children.discard(exchange.origin_id)
@@ -413,13 +432,6 @@
             status=answer.status,
             error=answer.error.value if answer.error else "",
         )
-        state.emit(
-            messages.ReplyToCaller(
-                origin_id=exchange.origin_id,
-                user_request_id=exchange.user_request_id,
-                answer=answer,
-            )
-        )
 
 
 def _is_refusal(answer: core.Answer) -> bool:
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Callable
 import random
-import traceback
 
 from bergamotdeal.admission import feedback
 from bergamotdeal.calls import core
@@ -21,7 +20,6 @@
 from bergamotdeal.presets import model
 from bergamotdeal.retries import budget as retry_budget
 from bergamotdeal.routing import router as routing
-from bergamotdeal.telemetry import catalogue
 
 LOCAL_LINK = -1
 """Link id of calls that this node makes to its own backend server."""
@@ -150,15 +148,9 @@
             handler = self._handlers_by_type.get(type(event))
             (handler or self._handle_change)(event)
         except Exception:
-            self._record_failure()
+            self._state.record_failure()
             self._answer_failed(event)
 
-    def _record_failure(self) -> None:
-        self._state.record(
-            catalogue.EventCode.CALL_FAILED_INTERNALLY,
-            trace=traceback.format_exc(),
-        )
-
     def _answer_failed(self, event: messages.Event) -> None:
         """Answers the call whose handling raised an exception."""
         exchange = self._dispatcher.find(event)
@@ -172,12 +164,13 @@
             if run is not None:
                 self._executor.fail(run)
         except Exception:
-            self._record_failure()
+            self._state.record_failure()
 
     def _answer_unopened(self, event: messages.Event) -> None:
         """Answers a call that failed before it was taken up."""
         state = self._state
         answer = core.error_answer(errors.ErrorKind.INTERNAL)
+        answer.epoch = state.epoch
         match event:
             case messages.CallArrived():
                 replied = any(
@@ -242,7 +235,7 @@
             try:
                 self._expire(item)
             except Exception:
-                self._record_failure()
+                self._state.record_failure()
                 self._fail_expired(item)
         self._executor.apply(self._server.advance())
 
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -168,15 +168,23 @@
 
     def fail(self, run: runs.Run) -> None:
         """Answers a call whose handling failed internally."""
-        if run.phase is runs.Phase.ENDED and run.answered:
+        phase = run.phase
+        if phase is runs.Phase.ENDED and run.answered:
             return
-        if run.phase is runs.Phase.RUNNING:
+        answer = core.error_answer(_KINDS.INTERNAL)
+        if not run.answered:
+            # The answer leaves first, without what might raise once more.
+            self._table.close_call(run)
+            answer.repeatable = False
+            answer.epoch = self._state.epoch
+            self._send_answer(run.link_id, run.call, answer)
+        if phase is runs.Phase.RUNNING:
             self._state.emit(messages.CancelRun(run_id=run.run_id))
             self._free_slot(run, completed=False)
             self._server.run_ended(run.run_id)
-        elif run.phase is runs.Phase.QUEUED:
+        elif phase is runs.Phase.QUEUED:
             self.apply(self._server.withdraw(run.run_id))
-        self._end_run(run, core.error_answer(_KINDS.INTERNAL))
+        self._end_run(run, answer)
 
     def _open(self, link_id: int, call: core.Call) -> runs.Run:
         state = self._state
@@ -254,16 +262,24 @@
             run = self._table.runs_by_id.get(verdict.job_id)
             if run is None:
                 continue
-            match verdict:
-                case admission.Start():
-                    self._start(run)
-                case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
-                    answer = core.error_answer(_KINDS.DEADLINE_EXCEEDED)
-                    self._withdrawn(run, answer)
-                case admission.Refuse(kind=kind):
-                    self._refuse(run, kind)
-                case admission.Preempt():
-                    self._preempt(run)
+            try:
+                self._apply(verdict, run)
+            except Exception:
+                # One call's failure is not that of the call in hand.
+                self._state.record_failure()
+                self.fail(run)
+
+    def _apply(self, verdict: admission.Verdict, run: runs.Run) -> None:
+        match verdict:
+            case admission.Start():
+                self._start(run)
+            case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
+                answer = core.error_answer(_KINDS.DEADLINE_EXCEEDED)
+                self._withdrawn(run, answer)
+            case admission.Refuse(kind=kind):
+                self._refuse(run, kind)
+            case admission.Preempt():
+                self._preempt(run)
 
     def _start(self, run: runs.Run) -> None:
         """Hands a request over to the local backend server."""
@@ -356,7 +372,13 @@
             run=run.run_id,
             result="completed" if completed else "not completed",
         )
-        self.apply(self._server.finish(run.run_id, completed=completed))
+        try:
+            verdicts = self._server.finish(run.run_id, completed=completed)
+        except Exception:
+            # The call has its result, whatever admission makes of its slot.
+            self._state.record_failure()
+            return
+        self.apply(verdicts)
 
     def _refuse(self, run: runs.Run, kind: _KINDS) -> None:
         """Answers a call whose request was not run, and those that joined."""
@@ -405,9 +427,16 @@
             self._abandon_children(run)
         if run.answered:
             return
+        if answer is not None:
+            self._complete(run, answer, goes_on=goes_on)
         self._table.close_call(run)
-        if answer is None:
-            return
+        if answer is not None:
+            self._send_answer(run.link_id, run.call, answer)
+
+    def _complete(
+        self, run: runs.Run, answer: core.Answer, *, goes_on: bool
+    ) -> None:
+        """Fills in what an answer reports besides the result."""
         truth.correct(answer, may_have_run=run.may_have_run)
         answer.tokens_left = 0 if goes_on else run.allowance.close()
         answer.repeatable = run.repeatable and run.route.repeatable
@@ -416,4 +445,3 @@
         )
         answer.load = self._server.load()
         answer.epoch = self._state.epoch
-        self._send_answer(run.link_id, run.call, answer)
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -26,6 +26,7 @@
         self._register = register.Register(
             policy=state.preset.quarantine, host_id=state.identity.host_id
         )
+        self._service = ""
         self._stopped = False
         self._deaths = 0
 
@@ -37,21 +38,23 @@
     def announced(self, service: str, slots: int) -> list[admission.Verdict]:
         """Takes up an announcement."""
         state = self._state
-        is_new = self._stopped or self._controller is None
-        if is_new or state.service not in ("", service):
-            state.service = service
-            self._stopped = False
-            preset = state.preset
-            self._controller = controller.Controller(
-                policy=preset.admission,
-                service_policy=self.policy(),
-                class_count=len(preset.classes),
-                slots=slots,
-                now=state.now,
-            )
-            return []
         state.service = service
-        return self._controller.set_slots(slots, state.now)
+        if self._controller is None:
+            verdicts = []
+        elif self._stopped or service != self._service:
+            verdicts = self._controller.set_slots(0, state.now)
+        else:
+            return self._controller.set_slots(slots, state.now)
+        self._service = service
+        self._stopped = False
+        self._controller = controller.Controller(
+            policy=state.preset.admission,
+            service_policy=self.policy(),
+            class_count=len(state.preset.classes),
+            slots=slots,
+            now=state.now,
+        )
+        return verdicts
 
     def silent(self) -> list[admission.Verdict]:
         """Stops admission until the server announces itself again."""
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -1,6 +1,7 @@
 """State that the parts of the call engine share."""
 
 import random
+import traceback
 
 from bergamotdeal.calls import core
 from bergamotdeal.calls import deadlines
@@ -62,6 +63,13 @@
             )
         )
 
+    def record_failure(self) -> None:
+        """Puts the exception in hand on the time line, with its trace."""
+        self.record(
+            catalogue.EventCode.CALL_FAILED_INTERNALLY,
+            trace=traceback.format_exc(),
+        )
+
     def needs_ticket(self, route: model.Route) -> bool:
         """Whether requests of a route run only under a ticket."""
         return self.preset.tickets.required and not route.repeatable
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -263,6 +263,83 @@
     assert target.idle()
 
 
+def test_a_failure_of_a_queued_call_is_not_that_of_the_one_before():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, slots=1, program=scenarios.working(0.1)
+    )
+    target = pool.nodes_by_id["orderline-1"].engine
+    start = target._executor._start
+
+    def failing_start(run):
+        if run.call.user_request_id == "bad":
+            raise RuntimeError("broken")
+        start(run)
+
+    target._executor._start = failing_start
+    good = pool.call("entry-1", scenarios.get("orderline"), user_request_id="g")
+    pool.run_for(0.01)
+    bad = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="bad"
+    )
+    pool.run_until(lambda: good.done and bad.done)
+    assert good.outcome is COMPLETED
+    assert (bad.error, bad.outcome) == (KINDS.INTERNAL, UNKNOWN)
+    after = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="a"
+    )
+    pool.run_until(lambda: after.done)
+    assert after.outcome is COMPLETED
+
+
+def test_a_failure_that_persists_still_answers_every_call():
+    pool = scenarios.pool(scenarios.preset(), count=1)
+    target = pool.nodes_by_id["orderline-1"].engine
+
+    def failing_load():
+        raise RuntimeError("broken")
+
+    target._server.load = failing_load
+    for request in (scenarios.get("orderline"), scenarios.post("orderline")):
+        reply = pool.call("entry-1", request, user_request_id="r")
+        pool.run_until(lambda reply=reply: reply.done)
+        assert (reply.error, reply.outcome) == (KINDS.INTERNAL, UNKNOWN)
+
+
+def test_a_failure_of_admission_does_not_lose_a_complete_answer():
+    pool = scenarios.pool(scenarios.preset(), count=1)
+    server = pool.nodes_by_id["orderline-1"].engine._server
+
+    def failing_finish(*_args, **_kwargs):
+        raise RuntimeError("broken")
+
+    server.finish = failing_finish
+    reply = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="r"
+    )
+    pool.run_until(lambda: reply.done)
+    assert reply.outcome is COMPLETED
+    assert len(records_of(pool, CODES.CALL_FAILED_INTERNALLY)) == 1
+
+
+def test_a_server_of_another_service_leaves_no_call_waiting():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, slots=1, program=scenarios.working(1)
+    )
+    replies = [
+        pool.call(
+            "entry-1", scenarios.get("orderline"), user_request_id=f"r{number}"
+        )
+        for number in range(2)
+    ]
+    pool.run_for(0.05)
+    pool.send_event(
+        "orderline-1",
+        messages.ServerAnnounced(service="kitview", slots=1, connections=9),
+    )
+    pool.run_for(0.05)
+    assert [reply.error for reply in replies if reply.done] == [KINDS.NO_SERVER]
+
+
 def test_an_internal_failure_at_the_origin_answers_its_caller_once():
     pool = scenarios.pool(scenarios.preset(), count=1)
     dispatcher = pool.nodes_by_id["entry-1"].engine._dispatcher
