Give no slots away while the backend server is gone

Cause: admission was run with a limit of zero after its server's death and raised at each run that ended then; a silent server's policy was forgotten. Change: freed slots are kept until the server announces itself again; the policy follows the service last announced. The random walks now also require that no internal failure is recorded. Conclusion: a dead server disturbs nothing but its own runs.

--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -28,12 +28,14 @@
         )
         self._service = ""
         self._stopped = False
+        self._absent = False
+        self._ended_while_absent: list[tuple[int, bool]] = []
         self._deaths = 0
 
     def policy(self) -> model.ServicePolicy:
         """Returns the policy of the server's service."""
         policies = self._state.preset.services_by_name
-        return policies.get(self._state.service) or model.ServicePolicy()
+        return policies.get(self._service) or model.ServicePolicy()
 
     def announced(self, service: str, slots: int) -> list[admission.Verdict]:
         """Takes up an announcement."""
@@ -42,11 +44,13 @@
         if self._controller is None:
             verdicts = []
         elif self._stopped or service != self._service:
-            verdicts = self._controller.set_slots(0, state.now)
+            verdicts = self._leave()
         else:
-            return self._controller.set_slots(slots, state.now)
+            return self._resume(slots)
         self._service = service
         self._stopped = False
+        self._absent = False
+        self._ended_while_absent.clear()
         self._controller = controller.Controller(
             policy=state.preset.admission,
             service_policy=self.policy(),
@@ -59,9 +63,7 @@
     def silent(self) -> list[admission.Verdict]:
         """Stops admission until the server announces itself again."""
         self._state.service = ""
-        if self._controller is None:
-            return []
-        return self._controller.set_slots(0, self._state.now)
+        return self._leave()
 
     def stopped(self) -> list[admission.Verdict]:
         """Takes the server's death; the next announcement is a new one."""
@@ -78,14 +80,9 @@
         """Applies the preset in force."""
         preset = self._state.preset
         self._register.set_policy(preset.quarantine)
-        if self._controller is None:
+        if not self._present():
             return []
-        return self._controller.set_policy(
-            policy=preset.admission,
-            service_policy=self.policy(),
-            class_count=len(preset.classes),
-            now=self._state.now,
-        )
+        return self._set_policy()
 
     def submit(self, job: admission.Job) -> list[admission.Verdict]:
         """Asks for a slot."""
@@ -93,25 +90,30 @@
 
     def withdraw(self, job_id: int) -> list[admission.Verdict]:
         """Takes back a request for a slot."""
+        if not self._present():
+            return []
         return self._controller.withdraw(job_id, self._state.now)
 
     def finish(
         self, job_id: int, *, completed: bool
     ) -> list[admission.Verdict]:
         """Frees a slot."""
+        if not self._present():
+            self._ended_while_absent.append((job_id, completed))
+            return []
         return self._controller.finish(
             job_id, self._state.now, completed=completed
         )
 
     def advance(self) -> list[admission.Verdict]:
         """Lets admission act on the time that has passed."""
-        if self._controller is None:
+        if not self._present():
             return []
         return self._controller.advance(self._state.now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``advance`` is next needed, in monotonic seconds."""
-        if self._controller is None:
+        if not self._present():
             return None
         return self._controller.next_wakeup()
 
@@ -148,6 +150,40 @@
         """Takes crash reports of other nodes."""
         self._register.hear(reports, self._state.now)
 
+    def _present(self) -> bool:
+        """Whether there is a server to admit requests to."""
+        return self._controller is not None and not self._absent
+
+    def _leave(self) -> list[admission.Verdict]:
+        """Refuses what waits; nothing is admitted until the next return."""
+        if not self._present():
+            return []
+        self._absent = True
+        return self._controller.set_slots(0, self._state.now)
+
+    def _resume(self, slots: int) -> list[admission.Verdict]:
+        """Goes on with a server that is there or was only silent."""
+        now = self._state.now
+        was_absent, self._absent = self._absent, False
+        verdicts = self._controller.set_slots(slots, now)
+        if not was_absent:
+            return verdicts
+        for job_id, completed in self._ended_while_absent:
+            verdicts += self._controller.finish(
+                job_id, now, completed=completed
+            )
+        self._ended_while_absent.clear()
+        return verdicts + self._set_policy()
+
+    def _set_policy(self) -> list[admission.Verdict]:
+        preset = self._state.preset
+        return self._controller.set_policy(
+            policy=preset.admission,
+            service_policy=self.policy(),
+            class_count=len(preset.classes),
+            now=self._state.now,
+        )
+
 
 class LostRun:
     """Timer key of a lost run whose server has not died."""
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -127,6 +127,7 @@
             assert len(caller.own_runs()) <= 1
     for host_id, node in made.nodes_by_id.items():
         assert node.engine.idle(), host_id
+    assert records_of(made, CODES.CALL_FAILED_INTERNALLY) == []
 
 
 def replies_to(made, user_request_id):
@@ -321,6 +322,50 @@
     assert len(records_of(pool, CODES.CALL_FAILED_INTERNALLY)) == 1
 
 
+def announce(made, host_id, service="orderline", slots=10):
+    made.send_event(
+        host_id,
+        messages.ServerAnnounced(service=service, slots=slots, connections=99),
+    )
+
+
+def test_a_servers_death_fails_no_more_than_its_own_runs():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, program=scenarios.working(1)
+    )
+    replies = [
+        pool.call(
+            "entry-1", scenarios.get("orderline"), user_request_id=f"r{n}"
+        )
+        for n in range(8)
+    ]
+    pool.run_for(0.3)
+    pool.kill_server("orderline-1")
+    pool.run_until(lambda: all(reply.done for reply in replies))
+    assert {reply.error for reply in replies} == {KINDS.SERVER_LOST}
+    assert records_of(pool, CODES.CALL_FAILED_INTERNALLY) == []
+
+
+def test_slots_freed_while_the_server_was_silent_are_free_afterwards():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, slots=2, program=scenarios.working(0.1)
+    )
+    replies = [
+        pool.call(
+            "entry-1", scenarios.get("orderline"), user_request_id=f"r{n}"
+        )
+        for n in range(2)
+    ]
+    pool.run_for(0.05)
+    pool.send_event("orderline-1", messages.ServerSilent())
+    pool.run_until(lambda: all(reply.done for reply in replies))
+    assert [reply.outcome for reply in replies] == [COMPLETED] * 2
+    announce(pool, "orderline-1", slots=2)
+    load = pool.nodes_by_id["orderline-1"].engine.load()
+    assert (load.running, load.limit) == (0, 2)
+    assert records_of(pool, CODES.CALL_FAILED_INTERNALLY) == []
+
+
 def test_a_server_of_another_service_leaves_no_call_waiting():
     pool = scenarios.pool(
         scenarios.preset(), count=1, slots=1, program=scenarios.working(1)
@@ -332,10 +377,7 @@
         for number in range(2)
     ]
     pool.run_for(0.05)
-    pool.send_event(
-        "orderline-1",
-        messages.ServerAnnounced(service="kitview", slots=1, connections=9),
-    )
+    announce(pool, "orderline-1", service="kitview", slots=1)
     pool.run_for(0.05)
     assert [reply.error for reply in replies if reply.done] == [KINDS.NO_SERVER]
 
