Count a backend server as there only once it announces itself

Cause: a node that restarted beside a dead server took the server of its membership entry for present and failed internally at the first call. Change: the service is empty until an announcement. Conclusion: such a node answers not-ready, not-run.

--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -20,7 +20,7 @@
       epoch: Its epoch.
       rng: Random source.
       members_by_id: Members by host id.
-      service: Service of the local backend server, or empty.
+      service: Service that the local backend server announces, or empty.
       draining: Whether the node refuses new work.
       now: Time of the event in hand, in monotonic seconds.
       timers: Timers of all parts.
@@ -40,7 +40,7 @@
         self.epoch = epoch
         self.rng = rng
         self.members_by_id: dict[str, membership.Member] = {}
-        self.service = identity.server.service if identity.server else ""
+        self.service = ""
         self.draining = False
         self.now = 0.0
         self.timers = deadlines.Timers()
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -346,6 +346,17 @@
     assert records_of(pool, CODES.CALL_FAILED_INTERNALLY) == []
 
 
+def test_a_node_that_restarts_beside_a_dead_server_is_not_ready():
+    pool = scenarios.pool(scenarios.preset(), count=1)
+    pool.kill_server("orderline-1")
+    pool.kill_node("orderline-1")
+    pool.start_node("orderline-1")
+    for request in (scenarios.get("orderline"), scenarios.post("orderline")):
+        reply = pool.call("entry-1", request, user_request_id="r")
+        pool.run_until(lambda reply=reply: reply.done)
+        assert (reply.error, reply.outcome) == (KINDS.NOT_READY, NOT_RUN)
+
+
 def test_slots_freed_while_the_server_was_silent_are_free_afterwards():
     pool = scenarios.pool(
         scenarios.preset(), count=1, slots=2, program=scenarios.working(0.1)
