Feed the engine random events in any order

Cause: frames and events may come late, twice or for calls that never were. Change: a seeded walk over one engine; each exchange is answered once, none fails internally and nothing stays open. An announcement without slots now counts as the server's absence, which the walk found to raise.

--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -38,7 +38,9 @@
         return policies.get(self._service) or model.ServicePolicy()
 
     def announced(self, service: str, slots: int) -> list[admission.Verdict]:
-        """Takes up an announcement."""
+        """Takes up an announcement; without slots the server is not there."""
+        if slots < 1:
+            return self.silent()
         state = self._state
         state.service = service
         if self._controller is None:
--- /dev/null
+++ b/bergamotdeal/calls/tests/test_random_events.py
@@ -0,0 +1,247 @@
+"""Any order of events, also senseless ones, fails no call internally."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import engine
+from bergamotdeal.calls import messages
+from bergamotdeal.calls.tests import scenarios
+from bergamotdeal.errors import core as errors
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import model
+from bergamotdeal.telemetry import catalogue
+
+STEPS = 300
+HOSTS = ("here", "there", "elsewhere")
+FAILURES = list(messages.RunFailure)
+OUTCOMES = list(errors.Outcome)
+KINDS = [None, *errors.ErrorKind]
+
+
+def member(host_id, rng):
+    return membership.Member(
+        host_id=host_id,
+        incarnation=host_id.encode().hex().ljust(32, "0"),
+        state=rng.choice(list(membership.MemberState)),
+        data_centre="prai",
+        region="default",
+        address="127.0.0.1",
+        peer_port=1,
+        server=membership.Server(service="orderline", slots=2, connections=9),
+    )
+
+
+class Walk:
+    """Feeds one engine random events and collects what it answers."""
+
+    def __init__(self, seed):
+        rng = random.Random(seed)
+        self.rng = rng
+        self.now = 0.0
+        self.preset = scenarios.preset(
+            cancels=rng.random() < 0.5,
+            tickets=model.TicketPolicy(table_size=4, answer_bytes=10),
+        )
+        self.engine = engine.Engine(
+            identity=member("here", rng),
+            preset=self.preset,
+            epoch=1,
+            rng=random.Random(seed),
+        )
+        self.origin_ids = []
+        self.calls = []
+        self.sent = []
+        self.run_ids = [0]
+        self.contexts = [""]
+        self.tickets = [b"", b"rubbish"]
+        self.replies = collections.Counter()
+        self.answers = collections.Counter()
+        self.failures = []
+        self.feed(self.members())
+        self.feed(self.announced())
+
+    def step(self):
+        self.now += self.rng.choice((0.0, 0.001, 0.01, 0.3))
+        makers = (
+            [self.arrived] * 8
+            + [self.called] * 8
+            + [self.run_answered] * 4
+            + [self.peer_answered] * 4
+            + [
+                self.run_failed,
+                self.dispatch_failed,
+                self.caller_gone,
+                self.peer_cancelled,
+                self.link_closed,
+                self.announced,
+                self.members,
+                self.switched,
+                messages.TimePassed,
+                messages.TimePassed,
+            ]
+        )
+        rare = (
+            messages.ServerStopped,
+            messages.ServerSilent,
+            messages.DrainStarted,
+        )
+        is_rare = self.rng.random() < 0.005
+        self.feed(self.rng.choice(rare if is_rare else makers)())
+
+    def feed(self, event):
+        for effect in self.engine.handle(event, self.now):
+            self.take(effect)
+
+    def take(self, effect):
+        match effect:
+            case messages.ReplyToCaller():
+                self.replies[effect.origin_id] += 1
+                self.tickets.append(effect.answer.ticket)
+            case messages.SendAnswer():
+                self.answers[effect.link_id, effect.number] += 1
+                self.tickets.append(effect.answer.ticket)
+            case messages.SendCall():
+                self.sent.append((effect.host_id, effect.call))
+            case messages.StartRun():
+                self.run_ids.append(effect.run_id)
+                self.contexts.append(effect.context)
+            case messages.Record():
+                if effect.code is catalogue.EventCode.CALL_FAILED_INTERNALLY:
+                    self.failures.append(effect.fields["trace"])
+
+    def request(self):
+        make = self.rng.choice((scenarios.get, scenarios.post))
+        service = self.rng.choice(("kitview", "nowhere"))
+        return make("orderline" if self.rng.random() < 0.8 else service)
+
+    def user_request_id(self):
+        return f"r{self.rng.randrange(5)}"
+
+    def arrived(self):
+        self.origin_ids.append(len(self.origin_ids) + 1)
+        return messages.CallArrived(
+            origin_id=self.origin_ids[-1],
+            face=self.rng.choice(list(messages.Face)),
+            request=self.request(),
+            user_request_id=self.user_request_id(),
+            deadline_ms=self.rng.choice((None, 1, 5000)),
+            attempt=self.rng.choice((0, 0, 1)),
+            ticket=self.rng.choice(self.tickets),
+            context=self.rng.choice(self.contexts),
+            idempotency_key=self.rng.choice(("", "k")),
+        )
+
+    def called(self):
+        link_id = self.rng.randrange(3)
+        if self.calls and self.rng.random() < 0.1:
+            return messages.PeerCalled(
+                link_id=link_id, call=self.rng.choice(self.calls)
+            )
+        user_request_id = self.user_request_id()
+        call = core.Call(
+            number=len(self.calls) + 1,
+            user_request_id=user_request_id,
+            call_id=user_request_id,
+            request=self.request(),
+            deadline_ms=self.rng.choice((0, 50, 5000, 60_000)),
+            may_have_run=self.rng.random() < 0.2,
+            tokens=self.rng.randrange(4),
+            ticket=self.rng.choice(self.tickets),
+            class_name=self.rng.choice(("", "critical", "unheard-of")),
+            depth=self.rng.randrange(40),
+            needs_ticket=self.rng.random() < 0.2,
+            only_repeatable=self.rng.random() < 0.2,
+        )
+        self.calls.append(call)
+        return messages.PeerCalled(link_id=link_id, call=call)
+
+    def run_answered(self):
+        return messages.RunAnswered(
+            run_id=self.rng.choice(self.run_ids),
+            status=self.rng.choice((200, 503)),
+            headers=[],
+            body=b"12345",
+        )
+
+    def run_failed(self):
+        return messages.RunFailed(
+            run_id=self.rng.choice(self.run_ids),
+            failure=self.rng.choice(FAILURES),
+        )
+
+    def peer_answered(self):
+        if not self.sent:
+            return messages.TimePassed()
+        host_id, call = self.rng.choice(self.sent)
+        answer = core.Answer(
+            outcome=self.rng.choice(OUTCOMES),
+            error=self.rng.choice(KINDS),
+            ticket=self.rng.choice(self.tickets),
+            tokens_left=self.rng.randrange(5),
+            repeatable=self.rng.random() < 0.5,
+            threshold=self.rng.random(),
+        )
+        return messages.PeerAnswered(
+            host_id=host_id,
+            number=call.number,
+            user_request_id=call.user_request_id,
+            answer=answer,
+        )
+
+    def dispatch_failed(self):
+        if not self.sent:
+            return messages.TimePassed()
+        _, call = self.rng.choice(self.sent)
+        return messages.DispatchFailed(
+            number=call.number, handed_over=self.rng.random() < 0.5
+        )
+
+    def caller_gone(self):
+        return messages.CallerGone(origin_id=self.rng.randrange(50))
+
+    def peer_cancelled(self):
+        return messages.PeerCancelled(
+            link_id=self.rng.randrange(3), number=self.rng.randrange(50)
+        )
+
+    def link_closed(self):
+        return messages.PeerLinkClosed(link_id=self.rng.randrange(3))
+
+    def announced(self):
+        return messages.ServerAnnounced(
+            service="kitview" if self.rng.random() < 0.1 else "orderline",
+            slots=self.rng.choice((0, 1, 2, 3, 3, 3)),
+            connections=9,
+        )
+
+    def members(self):
+        return messages.MembersChanged(
+            members_by_id={
+                host_id: member(host_id, self.rng) for host_id in HOSTS
+            }
+        )
+
+    def switched(self):
+        return messages.PresetInForce(
+            epoch=self.rng.randrange(10),
+            preset=self.rng.choice((self.preset, model.Preset(name="strict"))),
+        )
+
+
+@hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+@hypothesis.given(strategies.integers(0, 2**32))
+def test_every_exchange_and_call_is_answered_at_most_once(seed):
+    walk = Walk(seed)
+    for _ in range(STEPS):
+        walk.step()
+    for _ in range(50):
+        walk.now += 1000.0
+        walk.feed(messages.TimePassed())
+    assert walk.failures == []
+    assert set(walk.replies) == set(walk.origin_ids)
+    assert set(walk.replies.values()) <= {1}
+    assert walk.engine.idle()
