Look at one service's routes per call and hash only under a threshold

Cause: each call walked all routes of the preset twice, and each entry hashed the request id also while everything is admitted. Change: routes are narrowed to the service once per preset; the entry hashes only when a threshold below one is in force.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -221,8 +221,7 @@
         state = self._state
         if event.epoch <= state.epoch:
             return
-        state.epoch = event.epoch
-        state.preset = event.preset
+        state.put_in_force(event.preset, event.epoch)
         self._router.set_policy(event.preset.routing)
         self._thresholds.set_policy(event.preset.admission)
         self._budget.set_policy(event.preset.retries)
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -189,9 +189,7 @@
     def _open(self, link_id: int, call: core.Call) -> runs.Run:
         state = self._state
         request = call.request
-        route = state.preset.route_for(
-            request.service, request.method, request.path
-        )
+        route = state.route_for(request)
         margin_ms = min(state.preset.hop_margin_ms, call.deadline_ms // 2)
         return runs.Run(
             run_id=self._table.next_id(),
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -47,9 +47,7 @@
         """Returns the exchange of a request that arrived."""
         state = self._state
         request = event.request
-        route = state.preset.route_for(
-            request.service, request.method, request.path
-        )
+        route = state.route_for(request)
         granted_ms = event.deadline_ms
         if granted_ms is None:
             granted_ms = route.deadline_ms
@@ -94,14 +92,16 @@
         if exchange.ticket:
             # Its request may be running; only the ticket's node knows.
             return None
-        admitted = self._thresholds.admits(
+        threshold = self._thresholds.threshold(
             exchange.request.service,
             exchange.route.prefix,
             exchange.class_name,
-            hashing.hash_share(exchange.user_request_id),
             self._state.now,
         )
-        return None if admitted else _KINDS.SHED
+        if threshold >= 1.0:
+            return None
+        share = hashing.hash_share(exchange.user_request_id)
+        return None if share < threshold else _KINDS.SHED
 
     def _egress_refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
         parent = exchange.parent
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -1,5 +1,6 @@
 """State that the parts of the call engine share."""
 
+import dataclasses
 import random
 import traceback
 
@@ -10,6 +11,8 @@
 from bergamotdeal.presets import model
 from bergamotdeal.telemetry import catalogue
 
+_MAX_KEPT_SERVICES = 256
+
 
 class EngineState:
     """What the origin side and the target side both need.
@@ -36,8 +39,7 @@
         rng: random.Random,
     ):
         self.identity = identity
-        self.preset = preset
-        self.epoch = epoch
+        self.put_in_force(preset, epoch)
         self.rng = rng
         self.members_by_id: dict[str, membership.Member] = {}
         self.service = ""
@@ -46,6 +48,32 @@
         self.timers = deadlines.Timers()
         self.effects: list[messages.Effect] = []
 
+    def put_in_force(self, preset: model.Preset, epoch: int) -> None:
+        """Takes the preset that decides from now on, with its epoch."""
+        self.preset = preset
+        self.epoch = epoch
+        self._presets_by_service: dict[str, model.Preset] = {}
+
+    def route_for(self, request: core.Request) -> model.Route:
+        """Returns the policy for a request.
+
+        It looks at the routes of the request's service only, which are few
+        even where a preset has hundreds.
+        """
+        service = request.service
+        narrowed = self._presets_by_service.get(service)
+        if narrowed is None:
+            narrowed = self._narrow(service)
+        return narrowed.route_for(service, request.method, request.path)
+
+    def _narrow(self, service: str) -> model.Preset:
+        routes = tuple(r for r in self.preset.routes if r.service == service)
+        narrowed = dataclasses.replace(self.preset, routes=routes)
+        # Callers may name any number of services that don't exist.
+        if len(self._presets_by_service) < _MAX_KEPT_SERVICES:
+            self._presets_by_service[service] = narrowed
+        return narrowed
+
     def emit(self, effect: messages.Effect) -> None:
         """Adds an effect of the event in hand."""
         self.effects.append(effect)
