Show tickets over real processes with the caller library

Cause: the promises were shown on the engines alone. Change: one reservation sent at two entries at once, and one whose node is killed while it runs and started again. Conclusion: the run is joined in the first case and never repeated in the second.

--- /dev/null
+++ b/tests/integration/test_tickets.py
@@ -0,0 +1,137 @@
+"""Tickets over real processes: run once, joined, and lost with their node."""
+
+import base64
+import concurrent.futures
+import http.client
+import signal
+
+import pytest
+
+from bergamotdeal.caller import blocking
+from bergamotdeal.caller import core
+from bergamotdeal.errors import core as errors
+from bergamotdeal.tickets import core as tickets
+from standins import cluster as clusters
+from standins import presets
+
+SERVICE_MS = 500.0
+POLICY = core.RetryPolicy(attempts=6, deadline_s=15.0)
+RESERVATION = {
+    "service": "orderline",
+    "method": "POST",
+    "path": "/reservations",
+    "body": b"feeder 7",
+}
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    built = clusters.Cluster(
+        folder=tmp_path, preset=presets.with_control(("orderline",))
+    )
+    built.add("kitview-1", "prai")
+    built.add("kitview-2", "prai")
+    for number in (1, 2):
+        built.add(
+            f"orderline-{number}",
+            "prai",
+            service="orderline",
+            service_ms=SERVICE_MS,
+        )
+    with built:
+        built.start()
+        for host in built.hosts_by_id.values():
+            clusters.wait_for(
+                lambda host=host: (
+                    sum(
+                        bool(member["service"])
+                        for member in built.status(host).get("members", [])
+                    )
+                    == 2
+                ),
+                "servers known",
+            )
+        yield built
+
+
+def entry_of(cluster, host_id):
+    return (cluster.hosts_by_id[host_id].address, clusters.ENTRY_PORT)
+
+
+def reserve(cluster, *host_ids, **kwargs):
+    client = blocking.Client(
+        entries=[entry_of(cluster, host_id) for host_id in host_ids],
+        policy=POLICY,
+    )
+    return client.call(**RESERVATION, **kwargs)
+
+
+def ask_for_ticket(cluster, request_id):
+    """Returns an unused ticket for the reservation."""
+    connection = http.client.HTTPConnection(*entry_of(cluster, "kitview-1"))
+    try:
+        connection.request(
+            RESERVATION["method"],
+            f"/{RESERVATION['service']}{RESERVATION['path']}",
+            RESERVATION["body"],
+            {"Bergamot-Request-Id": request_id},
+        )
+        response = connection.getresponse()
+        response.read()
+        assert response.status == 428
+        return response.getheader("Bergamot-Ticket")
+    finally:
+        connection.close()
+
+
+def starts_of(cluster, request_id):
+    return [
+        line["server"]
+        for line in cluster.ledger()
+        if line["step"] == "started" and line["request_id"] == request_id
+    ]
+
+
+def test_a_reservation_runs_once_although_callers_send_it_at_two_entries(
+    cluster,
+):
+    ticket = ask_for_ticket(cluster, "r-1")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        calls = [
+            pool.submit(
+                reserve, cluster, host_id, request_id="r-1", ticket=ticket
+            )
+            for host_id in ("kitview-1", "kitview-2")
+        ]
+        answers = [call.result() for call in calls]
+    assert [answer.ok_value.status for answer in answers] == [200, 200]
+    assert answers[0].ok_value.body == answers[1].ok_value.body
+    assert len(starts_of(cluster, "r-1")) == 1
+
+
+def test_a_reservation_whose_node_is_killed_is_unknown_and_never_runs_again(
+    cluster,
+):
+    ticket = ask_for_ticket(cluster, "r-2")
+    host_id = tickets.decode(base64.urlsafe_b64decode(ticket)).ok_value.host_id
+    host = cluster.hosts_by_id[host_id]
+    cluster.control(host, hang=True)
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        call = pool.submit(
+            reserve,
+            cluster,
+            "kitview-2",
+            "kitview-1",
+            request_id="r-2",
+            ticket=ticket,
+        )
+        clusters.wait_for(lambda: starts_of(cluster, "r-2"), "the run")
+        cluster.signal(host.node, signal.SIGKILL)
+        host.node.wait()
+        cluster.start_node(host)
+        cluster.wait_ready(host)
+        failed = call.result()
+    assert failed.err_value.outcome is errors.Outcome.UNKNOWN
+    again = reserve(cluster, "kitview-1", request_id="r-2", ticket=ticket)
+    assert again.err_value.error is errors.ErrorKind.TICKET_LOST
+    assert starts_of(cluster, "r-2") == [host_id]
