--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -1,6 +1,8 @@
 """State that the parts of the call engine share."""
 
+import dataclasses
 import random
+import traceback
 
 from bergamotdeal.calls import core
 from bergamotdeal.calls import deadlines
@@ -9,6 +11,8 @@
 from bergamotdeal.presets import model
 from bergamotdeal.telemetry import catalogue
 
+_MAX_KEPT_SERVICES = 256
+
 
 class EngineState:
     """What the origin side and the target side both need.
@@ -19,7 +23,7 @@
       epoch: Its epoch.
       rng: Random source.
       members_by_id: Members by host id.
-      service: Service of the local backend server, or empty.
+      service: Service that the local backend server announces, or empty.
       draining: Whether the node refuses new work.
       now: Time of the event in hand, in monotonic seconds.
       timers: Timers of all parts.
@@ -35,16 +39,41 @@
         rng: random.Random,
     ):
         self.identity = identity
-        self.preset = preset
-        self.epoch = epoch
+        self.put_in_force(preset, epoch)
         self.rng = rng
         self.members_by_id: dict[str, membership.Member] = {}
-        self.service = identity.server.service if identity.server else ""
+        self.service = ""
         self.draining = False
         self.now = 0.0
         self.timers = deadlines.Timers()
         self.effects: list[messages.Effect] = []
 
+    def put_in_force(self, preset: model.Preset, epoch: int) -> None:
+        """Takes the preset that decides from now on, with its epoch."""
+        self.preset = preset
+        self.epoch = epoch
+        self._presets_by_service: dict[str, model.Preset] = {}
+
+    def route_for(self, request: core.Request) -> model.Route:
+        """Returns the policy for a request.
+
+        It looks at the routes of the request's service only, which are few
+        even where a preset has hundreds.
+        """
+        service = request.service
+        narrowed = self._presets_by_service.get(service)
+        if narrowed is None:
+            narrowed = self._narrow(service)
+        return narrowed.route_for(service, request.method, request.path)
+
+    def _narrow(self, service: str) -> model.Preset:
+        routes = tuple(r for r in self.preset.routes if r.service == service)
+        narrowed = dataclasses.replace(self.preset, routes=routes)
+        # Callers may name any number of services that don't exist.
+        if len(self._presets_by_service) < _MAX_KEPT_SERVICES:
+            self._presets_by_service[service] = narrowed
+        return narrowed
+
     def emit(self, effect: messages.Effect) -> None:
         """Adds an effect of the event in hand."""
         self.effects.append(effect)
@@ -62,6 +91,13 @@
             )
         )
 
+    def record_failure(self) -> None:
+        """Puts the exception in hand on the time line, with its trace."""
+        self.record(
+            catalogue.EventCode.CALL_FAILED_INTERNALLY,
+            trace=traceback.format_exc(),
+        )
+
     def needs_ticket(self, route: model.Route) -> bool:
         """Whether requests of a route run only under a ticket."""
         return self.preset.tickets.required and not route.repeatable
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -127,6 +127,7 @@
             assert len(caller.own_runs()) <= 1
     for host_id, node in made.nodes_by_id.items():
         assert node.engine.idle(), host_id
+    assert records_of(made, CODES.CALL_FAILED_INTERNALLY) == []
 
 
 def replies_to(made, user_request_id):
@@ -263,6 +264,135 @@
     assert target.idle()
 
 
+def test_a_failure_of_a_queued_call_is_not_that_of_the_one_before():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, slots=1, program=scenarios.working(0.1)
+    )
+    target = pool.nodes_by_id["orderline-1"].engine
+    start = target._executor._start
+
+    def failing_start(run):
+        if run.call.user_request_id == "bad":
+            raise RuntimeError("broken")
+        start(run)
+
+    target._executor._start = failing_start
+    good = pool.call("entry-1", scenarios.get("orderline"), user_request_id="g")
+    pool.run_for(0.01)
+    bad = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="bad"
+    )
+    pool.run_until(lambda: good.done and bad.done)
+    assert good.outcome is COMPLETED
+    assert (bad.error, bad.outcome) == (KINDS.INTERNAL, UNKNOWN)
+    after = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="a"
+    )
+    pool.run_until(lambda: after.done)
+    assert after.outcome is COMPLETED
+
+
+def test_a_failure_that_persists_still_answers_every_call():
+    pool = scenarios.pool(scenarios.preset(), count=1)
+    target = pool.nodes_by_id["orderline-1"].engine
+
+    def failing_load():
+        raise RuntimeError("broken")
+
+    target._server.load = failing_load
+    for request in (scenarios.get("orderline"), scenarios.post("orderline")):
+        reply = pool.call("entry-1", request, user_request_id="r")
+        pool.run_until(lambda reply=reply: reply.done)
+        assert (reply.error, reply.outcome) == (KINDS.INTERNAL, UNKNOWN)
+
+
+def test_a_failure_of_admission_does_not_lose_a_complete_answer():
+    pool = scenarios.pool(scenarios.preset(), count=1)
+    server = pool.nodes_by_id["orderline-1"].engine._server
+
+    def failing_finish(*_args, **_kwargs):
+        raise RuntimeError("broken")
+
+    server.finish = failing_finish
+    reply = pool.call(
+        "entry-1", scenarios.get("orderline"), user_request_id="r"
+    )
+    pool.run_until(lambda: reply.done)
+    assert reply.outcome is COMPLETED
+    assert len(records_of(pool, CODES.CALL_FAILED_INTERNALLY)) == 1
+
+
+def announce(made, host_id, service="orderline", slots=10):
+    made.send_event(
+        host_id,
+        messages.ServerAnnounced(service=service, slots=slots, connections=99),
+    )
+
+
+def test_a_servers_death_fails_no_more_than_its_own_runs():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, program=scenarios.working(1)
+    )
+    replies = [
+        pool.call(
+            "entry-1", scenarios.get("orderline"), user_request_id=f"r{n}"
+        )
+        for n in range(8)
+    ]
+    pool.run_for(0.3)
+    pool.kill_server("orderline-1")
+    pool.run_until(lambda: all(reply.done for reply in replies))
+    assert {reply.error for reply in replies} == {KINDS.SERVER_LOST}
+    assert records_of(pool, CODES.CALL_FAILED_INTERNALLY) == []
+
+
+def test_a_node_that_restarts_beside_a_dead_server_is_not_ready():
+    pool = scenarios.pool(scenarios.preset(), count=1)
+    pool.kill_server("orderline-1")
+    pool.kill_node("orderline-1")
+    pool.start_node("orderline-1")
+    for request in (scenarios.get("orderline"), scenarios.post("orderline")):
+        reply = pool.call("entry-1", request, user_request_id="r")
+        pool.run_until(lambda reply=reply: reply.done)
+        assert (reply.error, reply.outcome) == (KINDS.NOT_READY, NOT_RUN)
+
+
+def test_slots_freed_while_the_server_was_silent_are_free_afterwards():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, slots=2, program=scenarios.working(0.1)
+    )
+    replies = [
+        pool.call(
+            "entry-1", scenarios.get("orderline"), user_request_id=f"r{n}"
+        )
+        for n in range(2)
+    ]
+    pool.run_for(0.05)
+    pool.send_event("orderline-1", messages.ServerSilent())
+    pool.run_until(lambda: all(reply.done for reply in replies))
+    assert [reply.outcome for reply in replies] == [COMPLETED] * 2
+    announce(pool, "orderline-1", slots=2)
+    load = pool.nodes_by_id["orderline-1"].engine.load()
+    assert (load.running, load.limit) == (0, 2)
+    assert records_of(pool, CODES.CALL_FAILED_INTERNALLY) == []
+
+
+def test_a_server_of_another_service_leaves_no_call_waiting():
+    pool = scenarios.pool(
+        scenarios.preset(), count=1, slots=1, program=scenarios.working(1)
+    )
+    replies = [
+        pool.call(
+            "entry-1", scenarios.get("orderline"), user_request_id=f"r{number}"
+        )
+        for number in range(2)
+    ]
+    pool.run_for(0.05)
+    announce(pool, "orderline-1", service="kitview", slots=1)
+    pool.run_for(0.05)
+    assert [reply.error for reply in replies if reply.done] == [KINDS.NO_SERVER]
+
+
 def test_an_internal_failure_at_the_origin_answers_its_caller_once():
     pool = scenarios.pool(scenarios.preset(), count=1)
     dispatcher = pool.nodes_by_id["entry-1"].engine._dispatcher
