Follow reported thresholds closely and open to the estimated capacity

Causes: an idle queue opened the thresholds blindly (overshoot, then eviction), smoothing at each table added lag per hop, and noise in a window pushed critical work below its own capacity. Now a threshold moves halfway to capacity over offered work in both directions, opens blindly only while slots are idle, a more important class needs a deeper queue before it is cut, and the entry follows a lower threshold at half weight per answer. The study mirrors the engine: only entries keep a table.

--- a/bergamotdeal/admission/feedback.py
+++ b/bergamotdeal/admission/feedback.py
@@ -5,12 +5,13 @@
 
 from bergamotdeal.presets import model
 
-_SMOOTHING_S = 0.1
-_STALE_S = 0.5
-_OPEN_PER_S = 2.0
+_SMOOTHING_S = 0.02
+_STALE_S = 0.25
+_OPEN_PER_S = 6.0
 _FLOOR = 0.005
 _MAX_EXPONENT = 20.0
-_MIN_WEIGHT = 0.05
+_MIN_WEIGHT = 0.2
+_MIN_WEIGHT_DOWN = 0.5
 _MAX_ENTRIES = 4096
 
 _Key = tuple[str, str, str]
@@ -62,8 +63,9 @@
             entry = _Entry(threshold=1.0, observed=now - 1.0)
             self._entries_by_key[key] = entry
         weight = 1.0 - math.exp(-(now - entry.observed) / _SMOOTHING_S)
-        weight = max(_MIN_WEIGHT, weight)
         current = _opened(entry, now)
+        least = _MIN_WEIGHT if threshold > current else _MIN_WEIGHT_DOWN
+        weight = max(least, weight)
         entry.threshold = current + weight * (threshold - current)
         entry.observed = now
         if entry.threshold > 0.999:
--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -1,6 +1,7 @@
 """Thresholds set from the rates of control windows."""
 
 import dataclasses
+import math
 
 from bergamotdeal.presets import model
 
@@ -8,11 +9,14 @@
 _OPEN_STEP = 0.005
 _MOVE_SHARE = 0.5
 _MEMORY_SHARE = 0.5
+_CAP_MEMORY = 0.5
 _PROBES_PER_S = 2.0
 _FLOOR_MIN = 0.002
 _FLOOR_MAX = 0.05
 _PRIOR_ARRIVALS = 2.0
 _GIVING_SHARE = 0.1
+_PATIENCE = 2.0
+_BUSY_SHARE = 0.9
 _MS_PER_S = 1000.0
 
 
@@ -24,13 +28,13 @@
       arrivals: Arrivals, admitted or not.
       hash_sum: Sum of their hash shares.
       started: Jobs that got a slot.
-      longest_wait: Longest queue wait in the open window, seconds.
+      shortest_wait: Shortest queue wait in the open window, seconds.
     """
 
     arrivals: float = 0.0
     hash_sum: float = 0.0
     started: float = 0.0
-    longest_wait: float = 0.0
+    shortest_wait: float = math.inf
 
     def offered(self, threshold: float) -> float:
         """Estimates the arrivals had no node refused any.
@@ -48,7 +52,7 @@
         self.arrivals *= _MEMORY_SHARE
         self.hash_sum *= _MEMORY_SHARE
         self.started *= _MEMORY_SHARE
-        self.longest_wait = 0.0
+        self.shortest_wait = math.inf
 
 
 class RateThresholds:
@@ -80,6 +84,7 @@
         self._completed = 0.0
         self._busy_s = 0.0
         self._elapsed_s = 0.0
+        self._cap_elapsed_s = 0.0
 
     def set_policy(
         self, *, policy: model.AdmissionPolicy, class_count: int
@@ -104,7 +109,7 @@
         """Counts a job that got a slot after a queue wait in seconds."""
         counts = self._counts[self._rank(class_rank)]
         counts.started += 1.0
-        counts.longest_wait = max(counts.longest_wait, wait_s)
+        counts.shortest_wait = min(counts.shortest_wait, wait_s)
 
     def count_completion(self) -> None:
         """Counts a job that gave back its slot."""
@@ -146,27 +151,32 @@
         """
         window_s = now - self._started
         self._elapsed_s += window_s
+        self._cap_elapsed_s += window_s
         windows = max(1, int(window_s * _MS_PER_S / self._policy.window_max_ms))
         target_wait = self._policy.target_delay_ms / _MS_PER_S
         capacity = self._capacity(limit)
         correction_s = self._policy.window_completions / capacity
         correction_s = max(window_s, correction_s)
+        is_idle = self._busy_s < _BUSY_SHARE * limit * self._cap_elapsed_s
         depth = 0
-        longest_wait = 0.0
         taken = 0.0
         for rank, value in enumerate(self._values):
             counts = self._counts[rank]
             depth += depth_by_rank[rank]
-            longest_wait = max(longest_wait, counts.longest_wait)
             offered = counts.offered(value) / self._elapsed_s
-            pressed = depth > target_depth or longest_wait > target_wait
-            if pressed and not self._others_can_give(rank):
-                surplus = self._policy.gain * (target_depth - depth)
-                left = capacity + surplus / correction_s - taken
-                self._values[rank] = _moved(value, left, offered)
-            else:
-                self._values[rank] = _opened(value, windows)
-            taken += offered * self._values[rank]
+            surplus = self._policy.gain * (target_depth - depth)
+            left = capacity + surplus / correction_s - taken
+            moved = _moved(value, left, offered)
+            has_standing_queue = depth and counts.shortest_wait > target_wait
+            is_last = rank + 1 == len(self._values)
+            allowed = target_depth * (1.0 if is_last else _PATIENCE)
+            pressed = depth > allowed or (has_standing_queue and is_last)
+            if not pressed or self._others_can_give(rank):
+                moved = max(value, moved)
+                if is_idle:
+                    moved = max(moved, _opened(value, windows))
+            self._values[rank] = moved
+            taken += offered * moved
         self._begin_window(now)
 
     def _capacity(self, limit: int) -> float:
@@ -182,9 +192,10 @@
     def _begin_window(self, now: float) -> None:
         self._started = now
         self._completed_in_window = 0
-        self._completed *= _MEMORY_SHARE
-        self._busy_s *= _MEMORY_SHARE
+        self._completed *= _CAP_MEMORY
+        self._busy_s *= _CAP_MEMORY
         self._elapsed_s *= _MEMORY_SHARE
+        self._cap_elapsed_s *= _CAP_MEMORY
         for counts in self._counts:
             counts.decay()
 
@@ -195,7 +206,7 @@
 def _moved(value: float, left: float, offered: float) -> float:
     """Returns the threshold halfway to the share that can be had."""
     if not offered:
-        return value
+        return _opened(value, 1)
     goal = min(1.0, max(0.0, left) / offered)
     floor = min(_FLOOR_MAX, max(_FLOOR_MIN, _PROBES_PER_S / offered))
     return max(floor, value + _MOVE_SHARE * (goal - value))
--- a/standins/study/simulation.py
+++ b/standins/study/simulation.py
@@ -49,6 +49,7 @@
     usage: Usage = dataclasses.field(default_factory=Usage)
     started: float = 0.0
     own_work_s: float = 0.0
+    threshold: float = 1.0
     child: "_Call | None" = None
     node: "Node | None" = None
     job_id: int = 0
@@ -86,7 +87,6 @@
         self._depth = depth
         self.name = name
         self._level = scenario.levels[depth]
-        self._children = feedback.ThresholdTable(policy=scenario.policy)
         self.controller = controller.Controller(
             policy=scenario.policy,
             service_policy=presets.ServicePolicy(
@@ -111,9 +111,6 @@
         call.job_id = next(self._job_ids)
         share = self._chain.share(call)
         rank = 0 if call.user.critical else 1
-        if share >= self._child_threshold(call):
-            self._reply(call, succeeded=False)
-            return
         self._calls_by_job[call.job_id] = call
         job = core.Job(
             job_id=call.job_id,
@@ -133,16 +130,9 @@
         verdicts = self.controller.withdraw(call.job_id, self._clock.now)
         self._apply(verdicts)
 
-    def _child_threshold(self, call: _Call) -> float:
-        if self._depth + 1 >= len(self._chain.scenario.levels):
-            return 1.0
-        return self._children.threshold(
-            str(self._depth + 1), _PREFIX, _class(call), self._clock.now
-        )
-
     def _threshold(self, call: _Call) -> float:
         own = self.controller.threshold(0 if call.user.critical else 1)
-        return min(own, self._child_threshold(call))
+        return min(own, call.threshold)
 
     def _apply(self, verdicts: list[core.Verdict]) -> None:
         for verdict in verdicts:
@@ -208,20 +198,10 @@
             tries_left=self._chain.scenario.tries,
         )
         call.child = child
-        admitted = self._chain.share(child) < self._child_threshold(call)
-        if not admitted:
-            self._end(call, succeeded=False)
-            return
         self._chain.send(child)
 
     def _answered(self, call: _Call, succeeded: bool, threshold: float) -> None:
-        self._children.observe(
-            str(self._depth + 1),
-            _PREFIX,
-            _class(call),
-            threshold,
-            self._clock.now,
-        )
+        call.threshold = min(call.threshold, threshold)
         if not call.working:
             return
         if succeeded:
