--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -225,7 +225,7 @@
         self._advanced = now
 
     def _close_window(self, now: float) -> None:
-        self._run_time.update()
+        self._run_time.update(is_idle=not self._runs_by_id)
         self._limit.update(now)
         self._first_class_peak *= _PEAK_DECAY
         limit = self._limit_now(now)
--- a/bergamotdeal/admission/estimate.py
+++ b/bergamotdeal/admission/estimate.py
@@ -11,7 +11,7 @@
     """Lower quartile of the latest run times.
 
     The lower quartile keeps quick requests startable beside slow ones. The
-    estimate shrinks when no run completes, so that it can't refuse all work.
+    estimate shrinks while nothing runs, so that it can't refuse all work.
     """
 
     def __init__(self) -> None:
@@ -26,12 +26,16 @@
         self._samples.append(run_s)
         self._has_new = True
 
-    def update(self) -> None:
-        """Recomputes the estimate at the end of a control window."""
+    def update(self, *, is_idle: bool) -> None:
+        """Recomputes the estimate at the end of a control window.
+
+        Args:
+          is_idle: Whether nothing runs.
+        """
         if self._has_new:
             ordered = sorted(self._samples)
             self._value = ordered[int(_QUANTILE * len(ordered))]
-        else:
+        elif is_idle:
             self._value *= _DECAY
         self._has_new = False
 
--- a/bergamotdeal/admission/feedback.py
+++ b/bergamotdeal/admission/feedback.py
@@ -13,6 +13,8 @@
 _MIN_WEIGHT = 0.2
 _MIN_WEIGHT_DOWN = 0.5
 _MAX_ENTRIES = 4096
+_SWEEP_S = 1.0
+_OPEN = 0.999
 
 _Key = tuple[str, str, str]
 
@@ -33,6 +35,7 @@
     def __init__(self, *, policy: model.AdmissionPolicy):
         self._policy = policy
         self._entries_by_key: dict[_Key, _Entry] = {}
+        self._swept = -_SWEEP_S
 
     def set_policy(self, policy: model.AdmissionPolicy) -> None:
         """Takes the policy of a new preset."""
@@ -58,7 +61,7 @@
         key = (service, prefix, class_name)
         entry = self._entries_by_key.get(key)
         if entry is None:
-            if threshold >= 1.0 or len(self._entries_by_key) >= _MAX_ENTRIES:
+            if threshold >= 1.0 or not self._has_room(now):
                 return
             entry = _Entry(threshold=1.0, observed=now - 1.0)
             self._entries_by_key[key] = entry
@@ -68,9 +71,22 @@
         weight = max(least, weight)
         entry.threshold = current + weight * (threshold - current)
         entry.observed = now
-        if entry.threshold > 0.999:
+        if entry.threshold > _OPEN:
             del self._entries_by_key[key]
 
+    def _has_room(self, now: float) -> bool:
+        if len(self._entries_by_key) < _MAX_ENTRIES:
+            return True
+        if now < self._swept + _SWEEP_S:
+            return False
+        self._swept = now
+        self._entries_by_key = {
+            key: entry
+            for key, entry in self._entries_by_key.items()
+            if _opened(entry, now) < 1.0
+        }
+        return len(self._entries_by_key) < _MAX_ENTRIES
+
     def threshold(
         self, service: str, prefix: str, class_name: str, now: float
     ) -> float:
--- a/bergamotdeal/admission/tests/test_feedback.py
+++ b/bergamotdeal/admission/tests/test_feedback.py
@@ -1,5 +1,9 @@
 """Tests of the table of reported thresholds."""
 
+import random
+
+import pytest
+
 from bergamotdeal.admission import feedback
 from bergamotdeal.presets import model
 
@@ -26,3 +30,40 @@
     table = feedback.ThresholdTable(policy=policy)
     table.observe(*KEY, 0.0, 0.0)
     assert table.threshold(*KEY, 0.0) == 1.0
+
+
+def test_servers_of_a_service_weigh_by_their_calls():
+    table = feedback.ThresholdTable(policy=model.AdmissionPolicy())
+    rng = random.Random(1)
+    seen = []
+    for step in range(4000):
+        now = step * 0.001
+        reported = 0.2 if rng.random() < 0.25 else 1.0
+        table.observe(*KEY, reported, now)
+        seen.append(table.threshold(*KEY, now))
+    mean = sum(seen[1000:]) / len(seen[1000:])
+    assert 0.5 < mean < 0.85
+
+
+def test_an_entry_with_little_traffic_takes_the_latest_answer():
+    table = feedback.ThresholdTable(policy=model.AdmissionPolicy())
+    table.observe(*KEY, 0.1, 0.0)
+    table.observe(*KEY, 0.6, 3.0)
+    assert table.threshold(*KEY, 3.0) == pytest.approx(0.6, abs=0.01)
+
+
+@pytest.mark.parametrize("reported", [0.0, 0.001, 0.05, 0.9])
+def test_every_request_is_tried_again_within_two_seconds(reported):
+    table = feedback.ThresholdTable(policy=model.AdmissionPolicy())
+    for step in range(1000):
+        table.observe(*KEY, reported, step * 0.01)
+    assert table.threshold(*KEY, 12.0) == 1.0
+
+
+def test_a_table_stays_bounded():
+    table = feedback.ThresholdTable(policy=model.AdmissionPolicy())
+    for number in range(10_000):
+        table.observe("kitview", f"/{number}", "browse", 0.5, 0.0)
+    assert len(table._entries_by_key) <= 4096
+    table.observe(*KEY, 0.5, 100.0)
+    assert table.threshold(*KEY, 100.0) < 0.6
