Choose servers in constant time and spill by what is sampled

When most members of a service are suspected, suspicion is ignored. Tests for skew, lying load, outlier storms, spill, slow start and an even subset at 1,300 hosts.

--- a/bergamotdeal/routing/core.py
+++ b/bergamotdeal/routing/core.py
@@ -63,7 +63,7 @@
         fresh = 1.0 - (now - self.reported_at) / REPORT_LIFETIME_S
         if fresh <= 0.0:
             return float(self.in_flight)
-        total = self.reported.running + self.reported.queued
+        total = max(0, self.reported.running) + max(0, self.reported.queued)
         others = max(0, total - self.in_flight_at_report)
         return self.in_flight + min(1.0, fresh) * others
 
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -15,15 +15,28 @@
 _OUTLIER_PERIOD_S = 1.0
 _SLOW_START_S = 10.0
 _SLOW_START_FLOOR = 0.1
+_CHOICES = 2
+_REDRAWS = 4
 
 
 class _Service:
-    """The servers of one service that this node uses."""
+    """The servers of one service.
+
+    Attributes:
+      usable: Digests by host id of the members to choose from.
+      suspects: Digests by host id of the members to avoid.
+      targets: The subset that this node uses.
+      targets_by_ring: The same by distance.
+      outliers_due: Time of the next search for outliers, monotonic seconds.
+    """
 
     def __init__(self) -> None:
-        self.usable_ids: list[str] = []
-        self.suspect_ids: list[str] = []
+        self.usable: dict[str, int] = {}
+        self.suspects: dict[str, int] = {}
         self.targets: list[core.Target] = []
+        self.targets_by_ring: list[list[core.Target]] = [
+            [] for _ in range(_RINGS)
+        ]
         self.outliers_due = 0.0
 
 
@@ -45,6 +58,7 @@
         self._region = region
         self._rng = rng
         self._members_by_id: dict[str, membership.Member] = {}
+        self._digests_by_id: dict[str, int] = {}
         self._targets_by_id: dict[str, core.Target] = {}
         self._services_by_name: dict[str, _Service] = {}
 
@@ -67,12 +81,21 @@
                 continue
             service = services.setdefault(member.server.service, _Service())
             if member.state is membership.MemberState.ALIVE:
-                service.usable_ids.append(host_id)
+                service.usable[host_id] = self._digest(host_id)
             elif member.state is membership.MemberState.SUSPECT:
-                service.suspect_ids.append(host_id)
+                service.suspects[host_id] = self._digest(host_id)
         self._members_by_id = dict(members_by_id)
+        self._digests_by_id = {
+            host_id: digest
+            for host_id, digest in self._digests_by_id.items()
+            if host_id in members_by_id
+        }
         targets_by_id: dict[str, core.Target] = {}
         for name, service in services.items():
+            if len(service.suspects) > len(service.usable):
+                # Mass suspicion says more about this node than about them.
+                service.usable.update(service.suspects)
+                service.suspects.clear()
             was_known = name in old and bool(old[name].targets)
             self._fill(service, targets_by_id, was_known=was_known)
         self._services_by_name = services
@@ -99,15 +122,16 @@
         if known is None:
             return None
         self._refresh_outliers(known, now)
-        targets = [
-            target
-            for target in known.targets
-            if target.member.host_id not in exclude
-        ]
-        if not targets:
-            return self._fallback(known, exclude)
-        ring = self._near_ring(targets, now)
-        return self._pick(ring, now).member.host_id
+        targets_by_ring = known.targets_by_ring
+        if exclude:
+            targets_by_ring = [
+                [each for each in ring if each.member.host_id not in exclude]
+                for ring in targets_by_ring
+            ]
+        target = self._pick(targets_by_ring, now)
+        if target is not None:
+            return target.member.host_id
+        return self._fallback(known, exclude)
 
     def choose_by_hash(
         self, service: str, key: str, *, exclude: frozenset[str]
@@ -122,8 +146,14 @@
         known = self._services_by_name.get(service)
         if known is None:
             return None
-        for host_ids in (known.usable_ids, known.suspect_ids):
-            names = [name for name in host_ids if name not in exclude]
+        for digests in (known.usable, known.suspects):
+            names = digests
+            if exclude:
+                names = {
+                    name: digest
+                    for name, digest in digests.items()
+                    if name not in exclude
+                }
             if names:
                 return rendezvous.best(key, names)
         return None
@@ -171,6 +201,13 @@
             target.reported_at = now
             target.in_flight_at_report = target.in_flight
 
+    def _digest(self, host_id: str) -> int:
+        digest = self._digests_by_id.get(host_id)
+        if digest is None:
+            digest = rendezvous.digest(host_id)
+            self._digests_by_id[host_id] = digest
+        return digest
+
     def _fill(
         self,
         service: _Service,
@@ -178,20 +215,22 @@
         *,
         was_known: bool,
     ) -> None:
-        ids_by_ring: list[list[str]] = [[] for _ in range(_RINGS)]
-        for host_id in service.usable_ids:
-            ids_by_ring[self._ring(self._members_by_id[host_id])].append(
-                host_id
-            )
+        digests_by_ring: list[dict[str, int]] = [{} for _ in range(_RINGS)]
+        for host_id, digest in service.usable.items():
+            ring = self._ring(self._members_by_id[host_id])
+            digests_by_ring[ring][host_id] = digest
         count = 0
         for ring, share in enumerate(_RING_SHARES):
             room = int(_SUBSET_MAX * share) - count
-            names = rendezvous.ranked(self._host_id, ids_by_ring[ring], room)
+            names = rendezvous.ranked(
+                self._host_id, digests_by_ring[ring], room
+            )
             count += len(names)
             for host_id in names:
                 target = self._target(host_id, ring, was_known=was_known)
                 targets_by_id[host_id] = target
                 service.targets.append(target)
+                service.targets_by_ring[ring].append(target)
 
     def _target(
         self, host_id: str, ring: int, *, was_known: bool
@@ -211,35 +250,38 @@
             return 0
         return 1 if member.region == self._region else 2
 
-    def _near_ring(
-        self, targets: list[core.Target], now: float
-    ) -> list[core.Target]:
-        for ring in range(_RINGS):
-            near = [target for target in targets if target.ring <= ring]
-            if not near:
+    def _pick(
+        self, targets_by_ring: list[list[core.Target]], now: float
+    ) -> core.Target | None:
+        """Returns the better of two servers of the nearest ring with room.
+
+        A ring spills by what is sampled: when the better of its two servers
+        is fuller than the policy allows, the next ring is sampled as well,
+        and the least filled server of all rings sampled is taken.
+        """
+        best: core.Target | None = None
+        best_score = 0.0
+        for targets in targets_by_ring:
+            if not targets:
                 continue
-            slots = sum(target.slots() for target in near)
-            used = sum(target.in_use(now) for target in near) / slots
-            spill = self._policy.spill_share
-            if used <= spill:
-                return near
-            if self._rng.random() >= (used - spill) / max(0.01, 1.0 - spill):
-                return near
-        return targets
-
-    def _pick(self, targets: list[core.Target], now: float) -> core.Target:
-        first = self._rng.choice(targets)
-        weight = self._weight(first, now)
-        if weight < 1.0 and self._rng.random() < weight:
-            return first
-        full = [
-            target for target in targets if self._weight(target, now) >= 1.0
-        ]
-        if not full:
-            full = targets
-        one = self._rng.choice(full)
-        other = self._rng.choice(full)
-        return one if one.score(now) <= other.score(now) else other
+            for _ in range(_CHOICES):
+                target = self._draw(targets, now)
+                score = target.score(now)
+                if best is None or score < best_score:
+                    best = target
+                    best_score = score
+            if best_score <= self._policy.spill_share:
+                break
+        return best
+
+    def _draw(self, targets: list[core.Target], now: float) -> core.Target:
+        target = self._rng.choice(targets)
+        for _ in range(_REDRAWS):
+            weight = self._weight(target, now)
+            if weight >= 1.0 or self._rng.random() < weight:
+                break
+            target = self._rng.choice(targets)
+        return target
 
     def _weight(self, target: core.Target, now: float) -> float:
         if target.is_outlier:
@@ -263,7 +305,7 @@
     def _fallback(
         self, service: _Service, exclude: frozenset[str]
     ) -> str | None:
-        for host_ids in (service.usable_ids, service.suspect_ids):
+        for host_ids in (service.usable, service.suspects):
             names = [name for name in host_ids if name not in exclude]
             if names:
                 return self._rng.choice(names)
--- a/bergamotdeal/routing/tests/test_router.py
+++ b/bergamotdeal/routing/tests/test_router.py
@@ -1,6 +1,7 @@
 """Tests of the choice of a server."""
 
 import collections
+import heapq
 import random
 
 from bergamotdeal.calls import core as calls
@@ -105,3 +106,153 @@
             )
     picks = _picks(target, count=4000, now=5.0)
     assert 0 < picks["a"] < 300
+
+
+def _answer(target, host_id, now, *, latency_s=0.01, **changes):
+    load = calls.Load(running=0, queued=0, limit=10)
+    arguments = {"succeeded": True, "load": load} | changes
+    target.finished(host_id, latency_s=latency_s, now=now, **arguments)
+
+
+def _simulate(target, latency_by_host, *, rate, seconds, load_by_host=None):
+    """Sends calls at a rate; returns picks and the most calls in flight."""
+    rng = random.Random(2)
+    picks = collections.Counter()
+    in_flight = collections.Counter()
+    peak = collections.Counter()
+    ends = []
+    now = 0.0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        while ends and ends[0][0] <= now:
+            ended, host_id = heapq.heappop(ends)
+            in_flight[host_id] -= 1
+            reported = (load_by_host or {}).get(host_id, in_flight[host_id])
+            _answer(
+                target,
+                host_id,
+                ended,
+                latency_s=latency_by_host[host_id],
+                load=calls.Load(running=reported, queued=0, limit=10),
+            )
+        host_id = target.choose("forecaster", exclude=frozenset(), now=now)
+        target.started(host_id, now)
+        picks[host_id] += 1
+        in_flight[host_id] += 1
+        peak[host_id] = max(peak[host_id], in_flight[host_id])
+        heapq.heappush(ends, (now + latency_by_host[host_id], host_id))
+    return picks, peak
+
+
+def test_equal_servers_get_equal_shares():
+    target = _router(*[_member(name) for name in "abcd"])
+    latencies = dict.fromkeys("abcd", 0.02)
+    picks, peak = _simulate(target, latencies, rate=800.0, seconds=10.0)
+    assert max(picks.values()) < 1.15 * min(picks.values())
+    assert max(peak.values()) <= 12
+
+
+def test_a_slow_server_gets_less():
+    target = _router(*[_member(name) for name in "abcd"])
+    latencies = dict.fromkeys("bcd", 0.02) | {"a": 0.2}
+    picks, _ = _simulate(target, latencies, rate=300.0, seconds=20.0)
+    assert 0 < picks["a"] < 0.5 * min(picks[name] for name in "bcd")
+
+
+def test_a_server_that_reports_no_load_is_not_flooded():
+    target = _router(*[_member(name) for name in "abcd"])
+    latencies = dict.fromkeys("bcd", 0.02) | {"a": 0.1}
+    picks, peak = _simulate(
+        target, latencies, rate=600.0, seconds=10.0, load_by_host={"a": 0}
+    )
+    assert picks["a"] < min(picks[name] for name in "bcd")
+    assert peak["a"] <= 20
+
+
+def test_a_server_that_reports_too_much_load_is_still_tried():
+    target = _router(*[_member(name) for name in "abcd"])
+    latencies = dict.fromkeys("abcd", 0.02)
+    picks, _ = _simulate(
+        target, latencies, rate=300.0, seconds=20.0, load_by_host={"a": 9999}
+    )
+    assert picks["a"] > 0
+
+
+def test_an_outlier_storm_sets_only_a_share_aside():
+    names = [f"s{number}" for number in range(10)]
+    target = _router(*[_member(name) for name in names])
+    for number, name in enumerate(names):
+        for _ in range(50):
+            target.started(name, 0.0)
+            _answer(target, name, 0.0, succeeded=number >= 4)
+    picks = _picks(target, count=5000, now=5.0)
+    few = [name for name in names if picks[name] < 250]
+    assert 0 < len(few) <= 3
+    assert all(picks[name] > 0 for name in names)
+
+
+def test_trouble_of_all_servers_sets_none_aside():
+    names = "abcdef"
+    target = _router(*[_member(name) for name in names])
+    for name in names:
+        for _ in range(50):
+            target.started(name, 0.0)
+            _answer(target, name, 0.0, succeeded=False)
+    picks = _picks(target, count=6000, now=5.0)
+    assert all(picks[name] > 700 for name in names)
+
+
+def test_calls_spill_to_the_region_before_they_go_beyond():
+    target = _router(
+        _member("near"),
+        _member("region", dc="kotoni"),
+        _member("beyond", dc="bayan-lepas", region="south"),
+    )
+    for _ in range(10):
+        target.started("near", 0.0)
+    assert set(_picks(target)) == {"region"}
+    for _ in range(10):
+        target.started("region", 0.0)
+    assert set(_picks(target)) == {"beyond"}
+
+
+def test_a_new_server_is_loaded_slowly():
+    old = [_member(name) for name in "abc"]
+    target = _router(*old)
+    _picks(target)
+    members = {member.host_id: member for member in [*old, _member("new")]}
+    target.update_members(members)
+    target.started("new", 100.0)
+    _answer(target, "new", 100.0)
+    first = _picks(target, count=4000, now=100.5)["new"]
+    later = _picks(target, count=4000, now=111.0)["new"]
+    assert 0 < first < 400
+    assert later > 700
+
+
+def test_a_node_keeps_few_servers_and_all_nodes_together_use_all():
+    members = [
+        _member(f"h{number}", dc=f"dc{number % 8}", region=f"r{number % 2}")
+        for number in range(1300)
+    ]
+    members_by_id = {member.host_id: member for member in members}
+    uses = collections.Counter()
+    for number in range(0, 1300, 7):
+        own = members[number]
+        target = _router(
+            host_id=own.host_id, data_centre=own.data_centre, region=own.region
+        )
+        target.update_members(members_by_id)
+        used = set(target._targets_by_id)
+        assert len(used) == 32
+        uses.update(used)
+    expected = 32 / 7
+    assert len(uses) > 1200
+    assert max(uses.values()) < 5 * expected
+
+
+def test_mass_suspicion_does_not_stop_the_choice():
+    suspect = membership.MemberState.SUSPECT
+    members = [_member("a")]
+    members += [_member(name, state=suspect) for name in "bcd"]
+    assert set(_picks(_router(*members))) == set("abcd")
