Weigh server deaths against completed runs in quarantine

A request that is always in flight is in flight at every death, so counting deaths alone would quarantine the most popular one. A fingerprint with three completed runs in the life of the server is not reported, and one that goes on completing at a node after the first report is not refused there. Runs from before the first report excuse nothing, so a request that begins to crash is found at its second death per server. Tests cover both sides.

--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -19,13 +19,35 @@
     heard: float
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Suspicion:
+    """What is known against and for a fingerprint.
+
+    Attributes:
+      deaths_by_id: Deaths with the fingerprint running, oldest first.
+      survived: Runs that ended well at this node since the first report.
+    """
+
+    deaths_by_id: dict[str, _Death] = dataclasses.field(default_factory=dict)
+    survived: int = 0
+
+    def recent(self, now: float) -> list[_Death]:
+        """Returns the deaths that still count."""
+        return [
+            death
+            for death in self.deaths_by_id.values()
+            if now - death.heard < _EVIDENCE_S
+        ]
+
+
 class Register:
     """Counts server deaths per request fingerprint.
 
     A fingerprint that was running at the deaths of enough distinct servers is
-    refused for a time. A fingerprint that keeps completing at this node is
-    neither reported nor refused here: being in flight at a death says little
-    about a request that is always in flight.
+    refused for a time. Being in flight at a death says little about a request
+    that is always in flight: a fingerprint that completed several runs in the
+    life of the server is not reported, and one that goes on completing runs
+    here after the first report is not refused here.
     """
 
     def __init__(self, *, policy: model.QuarantinePolicy, host_id: str):
@@ -35,8 +57,8 @@
         self._successes_by_fingerprint: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._deaths_by_fingerprint: collections.OrderedDict[
-            str, dict[str, _Death]
+        self._suspicions_by_fingerprint: collections.OrderedDict[
+            str, _Suspicion
         ] = collections.OrderedDict()
 
     def set_policy(self, policy: model.QuarantinePolicy) -> None:
@@ -57,6 +79,9 @@
         successes.move_to_end(fingerprint)
         if len(successes) > _MAX_FINGERPRINTS:
             successes.popitem(last=False)
+        suspicion = self._suspicions_by_fingerprint.get(fingerprint)
+        if suspicion is not None:
+            suspicion.survived += 1
 
     def server_died(
         self, now: float, death_id: str
@@ -70,17 +95,19 @@
         Returns:
           Reports to share with the other nodes, one per suspect fingerprint.
         """
-        suspects = sorted(set(self._fingerprint_by_run.values()))
-        self._fingerprint_by_run.clear()
+        running = sorted(set(self._fingerprint_by_run.values()))
+        successes = self._successes_by_fingerprint
         reports = [
             membership.CrashReport(
                 fingerprint=fingerprint,
                 host_id=self._host_id,
                 death_id=death_id,
             )
-            for fingerprint in suspects
-            if not self._is_exonerated(fingerprint, deaths=1)
+            for fingerprint in running
+            if successes.get(fingerprint, 0) < _SUCCESSES_PER_DEATH
         ]
+        self._fingerprint_by_run.clear()
+        successes.clear()
         self.hear(reports, now)
         return reports
 
@@ -93,36 +120,29 @@
         """Tells whether a request is refused for now."""
         if not self._policy.enabled:
             return False
-        deaths_by_id = self._deaths_by_fingerprint.get(fingerprint)
-        if deaths_by_id is None:
+        suspicion = self._suspicions_by_fingerprint.get(fingerprint)
+        if suspicion is None:
             return False
-        recent = [
-            death
-            for death in deaths_by_id.values()
-            if now - death.heard < _EVIDENCE_S
-        ]
-        host_ids = {death.host_id for death in recent}
+        deaths = suspicion.recent(now)
+        host_ids = {death.host_id for death in deaths}
         if len(host_ids) < self._policy.deaths:
             return False
-        if self._is_exonerated(fingerprint, deaths=len(recent)):
+        if suspicion.survived >= _SUCCESSES_PER_DEATH * len(deaths):
             return False
-        latest = max(death.heard for death in recent)
+        latest = max(death.heard for death in deaths)
         return now - latest < self._policy.duration_ms / _MS_PER_S
 
-    def _is_exonerated(self, fingerprint: str, *, deaths: int) -> bool:
-        successes = self._successes_by_fingerprint.get(fingerprint, 0)
-        return successes >= _SUCCESSES_PER_DEATH * deaths
-
     def _add(self, report: membership.CrashReport, now: float) -> None:
-        deaths_by_id = self._deaths_by_fingerprint.setdefault(
-            report.fingerprint, {}
-        )
-        self._deaths_by_fingerprint.move_to_end(report.fingerprint)
+        suspicions = self._suspicions_by_fingerprint
+        suspicion = suspicions.setdefault(report.fingerprint, _Suspicion())
+        suspicions.move_to_end(report.fingerprint)
+        deaths_by_id = suspicion.deaths_by_id
         if report.death_id not in deaths_by_id:
-            deaths_by_id[report.death_id] = _Death(
-                host_id=report.host_id, heard=now
-            )
+            if not suspicion.recent(now):
+                suspicion.survived = 0
+            death = _Death(host_id=report.host_id, heard=now)
+            deaths_by_id[report.death_id] = death
         if len(deaths_by_id) > _MAX_DEATHS_PER_FINGERPRINT:
             del deaths_by_id[next(iter(deaths_by_id))]
-        if len(self._deaths_by_fingerprint) > _MAX_FINGERPRINTS:
-            self._deaths_by_fingerprint.popitem(last=False)
+        if len(suspicions) > _MAX_FINGERPRINTS:
+            suspicions.popitem(last=False)
--- a/bergamotdeal/quarantine/tests/test_register.py
+++ b/bergamotdeal/quarantine/tests/test_register.py
@@ -1,5 +1,6 @@
 """Tests of the quarantine register."""
 
+from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.quarantine import register
 
@@ -59,3 +60,83 @@
         entry.hear(reports, 0.0)
     assert entry.blocked("poison", 0.0)
     assert not entry.blocked("popular", 0.0)
+
+
+def _complete(target, fingerprint, count):
+    for run_id in range(count):
+        target.started(fingerprint, run_id)
+        target.finished(run_id)
+
+
+def test_a_popular_request_is_freed_by_runs_after_the_first_report():
+    servers = [_register("a"), _register("b")]
+    other = _register("c")
+    other.hear(_die_with(servers[0], "popular", death_id="1"), 0.0)
+    _complete(other, "popular", 6)
+    other.hear(_die_with(servers[1], "popular", death_id="2"), 1.0)
+    assert not other.blocked("popular", 1.0)
+
+
+def test_runs_before_the_first_report_do_not_excuse_a_request():
+    other = _register("c")
+    _complete(other, "turned", 100)
+    for host_id in "ab":
+        server = _register(host_id)
+        other.hear(_die_with(server, "turned", death_id=host_id), 1.0)
+    assert other.blocked("turned", 1.0)
+
+
+def test_a_request_that_begins_to_crash_is_found_in_the_next_life():
+    servers = [_register("a"), _register("b")]
+    entry = _register("c")
+    for life in range(2):
+        for server in servers:
+            if life == 0:
+                _complete(server, "turned", 100)
+            death_id = f"{server._host_id}.{life}"
+            entry.hear(_die_with(server, "turned", death_id=death_id), 1.0)
+    assert entry.blocked("turned", 1.0)
+
+
+def test_a_request_that_crashes_now_and_then_is_refused():
+    servers = [_register("a"), _register("b")]
+    entry = _register("c")
+    for server in servers:
+        _complete(server, "flaky", 1)
+        entry.hear(_die_with(server, "flaky", death_id=server._host_id), 0.0)
+    assert entry.blocked("flaky", 0.0)
+
+
+def test_old_deaths_do_not_count():
+    entry = _register("c")
+    entry.hear(_die_with(_register("a"), "request", death_id="1"), 0.0)
+    entry.hear(_die_with(_register("b"), "request", death_id="2"), 400.0)
+    assert not entry.blocked("request", 400.0)
+
+
+def test_quarantine_can_be_switched_off():
+    entry = _register("c")
+    for host_id in "ab":
+        server = _register(host_id)
+        entry.hear(_die_with(server, "poison", death_id=host_id), 0.0)
+    assert entry.blocked("poison", 0.0)
+    entry.set_policy(model.QuarantinePolicy(enabled=False))
+    assert not entry.blocked("poison", 0.0)
+
+
+def test_the_register_stays_bounded():
+    entry = _register("c")
+    for number in range(6000):
+        _complete(entry, f"s{number}", 1)
+        report = membership.CrashReport(
+            fingerprint=f"f{number}", host_id="a", death_id=str(number)
+        )
+        entry.hear([report], 0.0)
+    for number in range(100):
+        report = membership.CrashReport(
+            fingerprint="f5999", host_id="a", death_id=str(number)
+        )
+        entry.hear([report], 0.0)
+    assert len(entry._successes_by_fingerprint) == 4096
+    assert len(entry._suspicions_by_fingerprint) == 4096
+    assert len(entry._suspicions_by_fingerprint["f5999"].deaths_by_id) == 16
