--- a/bergamotdeal/admission/limit.py
+++ b/bergamotdeal/admission/limit.py
@@ -13,8 +13,10 @@
 _STEP = 0.2
 _KEPT_THROUGHPUT = 0.9
 _GROWTH = 0.05
+_RAISE_PERIOD_S = 10.0
 _SUSPICION_S = 5.0
 _SUSPICION_COMPLETIONS = 500
+_CONFIRMED_FACTOR = 0.2
 _FIRST_BACKOFF_S = 30.0
 _MAX_BACKOFF_S = 300.0
 _SLOW_START_SHARE = 0.1
@@ -31,6 +33,7 @@
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Trial:
     limit_before: int
+    limit: int
     throughput_before: float
 
 
@@ -53,8 +56,10 @@
         self._trial: _Trial | None = None
         self._backoff_s = _FIRST_BACKOFF_S
         self._next_trial = now
+        self._next_raise = now
         self._inflated_since: float | None = None
         self._inflated_completions = 0
+        self._confirmed = False
         self._baselines = [math.inf, math.inf]
         self._baseline_started = now
 
@@ -121,12 +126,15 @@
         suspected = self._note_inflation(
             span, is_inflated=inflated and saturated
         )
-        if suspected and now >= self._next_trial:
-            self._try_lower(throughput)
-        elif mean_run_s < _CALM_RATIO * baseline or not saturated:
+        if not saturated:
+            return
+        if mean_run_s < _CALM_RATIO * baseline:
             self._grow(math.ceil(_GROWTH * self._adapted))
-        else:
-            self._grow(1)
+        elif suspected and now >= self._next_trial:
+            self._try(1.0 - _STEP, throughput)
+        elif self._adapted < self._slots and now >= self._next_raise:
+            self._next_raise = now + _RAISE_PERIOD_S
+            self._try(1.0 + _STEP, throughput)
 
     def _note_inflation(self, span: _Span, *, is_inflated: bool) -> bool:
         """Tells whether saturation with long run times has lasted."""
@@ -138,29 +146,39 @@
             self._inflated_since = span.started
         self._inflated_completions += span.completed
         lasted = self._span.started - self._inflated_since
+        factor = _CONFIRMED_FACTOR if self._confirmed else 1.0
         return (
-            lasted >= _SUSPICION_S
-            and self._inflated_completions >= _SUSPICION_COMPLETIONS
+            lasted >= factor * _SUSPICION_S
+            and self._inflated_completions >= factor * _SUSPICION_COMPLETIONS
         )
 
-    def _try_lower(self, throughput: float) -> None:
-        lower = max(1, math.floor(self._adapted * (1.0 - _STEP)))
-        if lower == self._adapted:
+    def _try(self, factor: float, throughput: float) -> None:
+        limit = math.floor(self._adapted * factor)
+        limit = min(self._slots, max(1, limit))
+        if limit == self._adapted:
             return
         self._trial = _Trial(
-            limit_before=self._adapted, throughput_before=throughput
+            limit_before=self._adapted,
+            limit=limit,
+            throughput_before=throughput,
         )
-        self._adapted = lower
+        self._adapted = limit
 
     def _judge(
         self, trial: _Trial, throughput: float, busy_share: float, now: float
     ) -> None:
         self._trial = None
-        kept = throughput >= _KEPT_THROUGHPUT * trial.throughput_before
-        if kept and busy_share > _SATURATED_SHARE:
+        ratio = throughput / trial.throughput_before
+        if trial.limit > trial.limit_before:
+            if ratio < 1.0 / _KEPT_THROUGHPUT:
+                self._adapted = trial.limit_before
+            return
+        if ratio >= _KEPT_THROUGHPUT or busy_share < _SATURATED_SHARE:
+            self._confirmed = True
             self._backoff_s = _FIRST_BACKOFF_S
-            self._next_trial = now
+            self._next_raise = now + _RAISE_PERIOD_S
             return
+        self._confirmed = False
         self._adapted = min(self._slots, trial.limit_before)
         self._next_trial = now + self._backoff_s
         self._backoff_s = min(_MAX_BACKOFF_S, 2.0 * self._backoff_s)
--- a/standins/study/__main__.py
+++ b/standins/study/__main__.py
@@ -4,6 +4,7 @@
 
 import click
 
+from standins.study import model
 from standins.study import report
 from standins.study import scenarios
 
@@ -11,39 +12,46 @@
 @click.command()
 @click.option("--seeds", default=1, help="Seeds to run.")
 @click.option("--only", default="", help="Only names that contain this.")
-@click.option(
-    "--load", type=click.Choice(["low", "high", "both"]), default="both"
-)
-def main(seeds: int, only: str, load: str) -> None:
+def main(seeds: int, only: str) -> None:
     """Runs the study and prints one line per scenario."""
     click.echo(
-        "| rule | goodput | wasted | held | recovery s | critical | calm |"
+        "| scenario | goodput | wasted | held | recovery s | critical | calm |"
     )
     click.echo("|---|---|---|---|---|---|---|")
-    for make in (scenarios.low, scenarios.high):
-        if load not in ("both", make.__name__):
+    for scenario in cases():
+        if only not in scenario.name:
             continue
+        for seed in range(1, seeds + 1):
+            seeded = dataclasses.replace(scenario, seed=seed)
+            click.echo(report.line(seeded, report.run(seeded)))
+
+
+def cases() -> list[model.Scenario]:
+    """Returns every scenario of the comparison."""
+    found = []
+    for make in (scenarios.low, scenarios.high):
         full = make()
-        cases = [scenarios.off(full), full]
-        cases += [scenarios.without(full, rule) for rule in scenarios.RULES]
-        cases += [
+        group = [scenarios.off(full), full]
+        group += [scenarios.without(full, rule) for rule in scenarios.RULES]
+        group += [
             make(name="trigger 0.5 s", trigger_s=0.5),
             make(name="trigger 60 s", trigger_s=60.0),
             scenarios.deep(make(name="depth 8"), 8),
-            make(
-                name="4 servers, 12 entries",
-                servers=4,
-                demand=4 * full.demand,
-                entries=12,
-            ),
+            scenarios.many(full),
+        ]
+        found += [
+            dataclasses.replace(each, name=f"{make.__name__}, {each.name}")
+            for each in group
         ]
-        for case in cases:
-            if only not in case.name:
-                continue
-            for seed in range(1, seeds + 1):
-                name = f"{make.__name__} {case.name}"
-                seeded = dataclasses.replace(case, seed=seed, name=name)
-                click.echo(report.line(seeded, report.run(seeded)))
+    for full, rule in (
+        (scenarios.contended(), "adapt_limit"),
+        (scenarios.cold(), "slow_start"),
+        (scenarios.tight(), "check_deadlines"),
+    ):
+        ablated = scenarios.without(full, rule)
+        name = f"{full.name}, {ablated.name}"
+        found += [full, dataclasses.replace(ablated, name=name)]
+    return found
 
 
 if __name__ == "__main__":
--- a/standins/study/model.py
+++ b/standins/study/model.py
@@ -43,6 +43,11 @@
       tries: Sendings of one call inside the chain.
       cancels: Whether an expired call is cancelled down the chain.
       link_s: One-way delay between two nodes, seconds.
+      knee: Requests at once above which the deepest servers contend: their
+        work then takes longer by the square of the excess. None when it
+        never does.
+      cold_s: Time for which the servers' work takes longer at the start,
+        seconds.
     """
 
     name: str
@@ -67,6 +72,8 @@
     tries: int = 1
     cancels: bool = True
     link_s: float = 0.0003
+    knee: int | None = None
+    cold_s: float = 0.0
 
     def trigger_end(self) -> float:
         """Returns the end of the trigger, seconds from the start."""
@@ -75,7 +82,8 @@
     def slow_capacity(self) -> float:
         """Returns what the slowed deepest service carries per second."""
         deepest = self.levels[-1]
-        slots = deepest.slots * self.servers
+        slots = deepest.slots if self.knee is None else self.knee
+        slots *= self.servers
         return slots / (deepest.service_s * self.slowdown)
 
 
--- a/standins/study/scenarios.py
+++ b/standins/study/scenarios.py
@@ -50,6 +50,18 @@
     return dataclasses.replace(scenario, levels=(*levels, scenario.levels[-1]))
 
 
+def many(scenario: model.Scenario) -> model.Scenario:
+    """Returns a scenario with four servers a service and twelve entries."""
+    servers = 4
+    return dataclasses.replace(
+        scenario,
+        name="4 servers, 12 entries",
+        servers=servers,
+        entries=12,
+        demand=servers * scenario.demand,
+    )
+
+
 def off(scenario: model.Scenario) -> model.Scenario:
     """Returns a scenario without control: three tries at every level."""
     return dataclasses.replace(
@@ -65,3 +77,34 @@
     """Returns a scenario with one rule switched off."""
     policy = dataclasses.replace(scenario.policy, **{rule: False})
     return dataclasses.replace(scenario, name=f"without {rule}", policy=policy)
+
+
+def contended(**changes) -> model.Scenario:
+    """Returns a surge on a server that contends above half of its slots."""
+    scenario = high(
+        name="contention",
+        slowdown=1.0,
+        knee=_HIGH_LEVELS[-1].slots // 2,
+        demand=400.0,
+        trigger_s=60.0,
+    )
+    return dataclasses.replace(scenario, **changes)
+
+
+def cold(**changes) -> model.Scenario:
+    """Returns a calm start on cold servers; ``calm`` is its figure."""
+    scenario = high(
+        name="cold start",
+        slowdown=1.0,
+        surge=1.0,
+        warm_s=0.0,
+        trigger_s=0.5,
+        cold_s=1.0,
+    )
+    return dataclasses.replace(scenario, **changes)
+
+
+def tight(**changes) -> model.Scenario:
+    """Returns the low load with deadlines close to the slowed run time."""
+    scenario = low(name="tight deadlines", deadline_s=0.7)
+    return dataclasses.replace(scenario, **changes)
--- a/standins/study/simulation.py
+++ b/standins/study/simulation.py
@@ -17,6 +17,7 @@
 _ERLANG_STAGES = 4
 _CLASSES = (presets.CRITICAL, presets.BROWSE)
 _CONNECTIONS_PER_SLOT = 8
+_COLD_FACTOR = 4.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -176,7 +177,7 @@
         self._busy += 1
         call.working = True
         call.started = self._clock.now
-        call.own_work_s = self._chain.duration(self._depth)
+        call.own_work_s = self._chain.duration(self._depth, self._busy)
         self._clock.at(self._clock.now + call.own_work_s, self._worked, call)
 
     def _worked(self, call: _Call) -> None:
@@ -292,12 +293,24 @@
         scenario = self.scenario
         return scenario.calm_s <= self.clock.now < scenario.trigger_end()
 
-    def duration(self, depth: int) -> float:
-        """Draws the own work of a request at a level, seconds."""
-        mean = self.scenario.levels[depth].service_s
-        deepest = depth + 1 == len(self.scenario.levels)
-        if deepest and self.in_trigger():
-            mean *= self.scenario.slowdown
+    def duration(self, depth: int, busy: int) -> float:
+        """Draws the own work of a request, seconds.
+
+        Args:
+          depth: Level of its service.
+          busy: Requests that the server runs, this one included.
+        """
+        scenario = self.scenario
+        mean = scenario.levels[depth].service_s
+        if self.clock.now < scenario.cold_s:
+            mean *= 1.0 + _COLD_FACTOR * (
+                1.0 - self.clock.now / scenario.cold_s
+            )
+        if depth + 1 == len(scenario.levels):
+            if self.in_trigger():
+                mean *= scenario.slowdown
+            if scenario.knee is not None:
+                mean *= max(1.0, busy / scenario.knee) ** 2
         return self._rng.gammavariate(_ERLANG_STAGES, mean / _ERLANG_STAGES)
 
     def share(self, call: _Call) -> float:
--- /dev/null
+++ b/tests/study/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the study."""
