Keep refusals out of the latency by which outliers are found

Cause: a refused call ended after a millisecond and counted as a latency of its server, so where most servers shed, the median fell and a server that still worked looked three times slower than its kin. The router now takes no latency for a refused call; the dispatcher says so (one argument in calls/dispatch.py).

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -156,6 +156,7 @@
             exchange,
             succeeded=answer.error not in truth.LOSSES,
             load=answer.load,
+            has_run=answer.error is None,
         )
         self._take_answer(exchange, answer)
 
@@ -276,14 +277,16 @@
         *,
         succeeded: bool,
         load: core.Load | None,
+        has_run: bool = True,
     ) -> None:
         """Closes the dispatch in flight."""
         now = self._state.now
+        latency_s = now - exchange.sent_at if has_run else None
         del self._exchanges_by_number[exchange.number]
         exchange.number = 0
         self._router.finished(
             exchange.host_id,
-            latency_s=now - exchange.sent_at,
+            latency_s=latency_s,
             succeeded=succeeded,
             load=load,
             now=now,
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -171,7 +171,7 @@
         self,
         host_id: str,
         *,
-        latency_s: float,
+        latency_s: float | None,
         succeeded: bool,
         load: calls.Load | None,
         now: float,
@@ -180,7 +180,8 @@
 
         Args:
           host_id: The server's host.
-          latency_s: Time from the sending to the end, seconds.
+          latency_s: Time from the sending to the end, seconds; None when the
+            call was refused, as a quick refusal makes no server quick.
           succeeded: False when the server or its node is to blame.
           load: Load that the answer carried, or None.
           now: Monotonic seconds.
@@ -193,7 +194,7 @@
         failed = 0.0 if succeeded else 1.0
         weight = core.LATENCY_WEIGHT
         target.failure_share += weight * (failed - target.failure_share)
-        if succeeded:
+        if succeeded and latency_s is not None:
             before = target.latency_s or latency_s
             target.latency_s = before + weight * (latency_s - before)
         if load is not None:
--- a/bergamotdeal/routing/tests/test_router.py
+++ b/bergamotdeal/routing/tests/test_router.py
@@ -256,3 +256,15 @@
     members = [_member("a")]
     members += [_member(name, state=suspect) for name in "bcd"]
     assert set(_picks(_router(*members))) == set("abcd")
+
+
+def test_quick_refusals_make_no_outlier_of_a_server_that_works():
+    names = "abcd"
+    target = _router(*[_member(name) for name in names])
+    for name in names:
+        for _ in range(50):
+            latency_s = 0.06 if name == "a" else None
+            target.started(name, 0.0)
+            _answer(target, name, 0.0, latency_s=latency_s)
+    picks = _picks(target, count=4000, now=5.0)
+    assert picks["a"] > 700
