--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -181,7 +181,7 @@
             return None
         times = [self._thresholds.window_end()]
         if self._policy.check_deadlines:
-            times.append(deadline - self._run_time.value())
+            times.append(self._latest_start(deadline))
         urgent = self._urgent_at(deadline)
         if urgent > self._advanced and self._policy.class_order:
             times.append(urgent)
@@ -283,7 +283,7 @@
     def _is_late(self, job: core.Job, now: float) -> bool:
         if not self._policy.check_deadlines:
             return False
-        return job.deadline <= now + self._run_time.value()
+        return now >= self._latest_start(job.deadline)
 
     def _refuse_late(self, job: core.Job, now: float) -> core.Refuse:
         if job.deadline <= now:
@@ -294,7 +294,7 @@
         earliest = self._waiting.earliest_deadline()
         if earliest is None or not self._policy.check_deadlines:
             return []
-        if earliest > now + self._run_time.value():
+        if now < self._latest_start(earliest):
             return []
         late = [job for job in self._waiting.jobs() if self._is_late(job, now)]
         for job in late:
@@ -344,6 +344,9 @@
                 verdicts.append(self._start(job, now))
         return verdicts
 
+    def _latest_start(self, deadline: float) -> float:
+        return deadline - self._run_time.value()
+
     def _urgent_at(self, deadline: float) -> float:
         return deadline - _URGENT_RUN_TIMES * self._run_time.value()
 
--- a/bergamotdeal/admission/tests/test_controller.py
+++ b/bergamotdeal/admission/tests/test_controller.py
@@ -263,3 +263,21 @@
     target.submit(_job(3), 0.1)
     target.withdraw(3, 0.2)
     assert target.load().queued == 0
+
+
+@hypothesis.given(
+    deadline=strategies.floats(1.0, 1e6), run_s=strategies.floats(1e-6, 0.5)
+)
+def test_a_wakeup_always_makes_progress(deadline, run_s):
+    target = _controller(slots=1)
+    target.submit(_job(1, deadline=1e9), 0.0)
+    target.finish(1, run_s, completed=True)
+    target.advance(0.9)
+    target.submit(_job(2, deadline=1e9), 0.9)
+    target.submit(_job(3, deadline=0.9 + deadline, arrived=0.9), 0.9)
+    now = 0.9
+    while target.load().queued and now < 3.0:
+        wakeup = target.next_wakeup()
+        assert wakeup > now
+        now = wakeup
+        target.advance(now)
