--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -87,10 +87,10 @@
             return [*verdicts, _refuse(job, errors.ErrorKind.SHED)]
         if self._is_late(job, now):
             return [*verdicts, self._refuse_late(job, now)]
+        if not len(self._waiting) and self._has_slot(rank, now):
+            return [*verdicts, self._start(job, now)]
         self._push(job)
-        verdicts += self._serve(now)
-        verdicts += self._trim(now)
-        return verdicts
+        return verdicts + self._serve(now) + self._trim(now)
 
     def finish(
         self, job_id: int, now: float, *, completed: bool
@@ -131,6 +131,8 @@
         self._count_time(now)
         if self._thresholds.is_due(now):
             self._close_window(now)
+        if not len(self._waiting):
+            return []
         return self._drop_late(now) + self._serve(now) + self._rescue(now)
 
     def set_slots(self, slots: int, now: float) -> list[core.Verdict]:
@@ -209,14 +211,15 @@
             slow_start=self._policy.slow_start,
         )
 
-    def _limit_for(self, rank: int, now: float) -> int:
-        """Returns the running jobs at which a class gets no more slots."""
+    def _has_slot(self, rank: int, now: float) -> bool:
+        """Tells whether a job of a class may start."""
         limit = self._limit_now(now)
-        if rank == 0:
-            return limit
+        running = len(self._runs_by_id)
+        if rank == 0 or running >= limit:
+            return running < limit
         reserved = math.ceil(self._policy.reserved_share * limit)
         reserved = min(reserved, math.ceil(self._first_class_peak), limit - 1)
-        return limit - max(0, reserved - self._running_by_rank[0])
+        return running < limit - max(0, reserved - self._running_by_rank[0])
 
     def _count_time(self, now: float) -> None:
         slot_s = len(self._runs_by_id) * (now - self._advanced)
@@ -304,8 +307,7 @@
     def _serve(self, now: float) -> list[core.Verdict]:
         verdicts: list[core.Verdict] = []
         while (job := self._waiting.first()) is not None:
-            limit = self._limit_for(self._rank(job), now)
-            if len(self._runs_by_id) >= limit:
+            if not self._has_slot(self._rank(job), now):
                 break
             self._waiting.remove(job.job_id)
             verdicts.append(self._start(job, now))
