Give every event of the catalogue a source

Cause: CALL_QUEUED, OUTLIER_FOUND, REQUEST_QUARANTINED and FRAME_MALFORMED stood in the catalogue and were never recorded. Change: calls.execution records a call that waits and one that is quarantined; calls.dispatch records outliers, which routing.router hands over by take_found_outliers; node.peer records a malformed frame. A test finds a source for each event. Conclusion: no event and no metric is listed without a source.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -207,6 +207,8 @@
             host_id = self._router.choose(
                 service, exclude=exchange.tried, now=self._state.now
             )
+            for outlier in self._router.take_found_outliers():
+                self._state.record(_CODES.OUTLIER_FOUND, host=outlier)
         if host_id is None:
             return result.Err(_KINDS.NO_SERVER)
         return result.Ok(host_id)
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -226,6 +226,11 @@
             return _KINDS.CALL_NOT_DECLARED
         run.fingerprint = tickets.fingerprint(run.call.request)
         if self._server.quarantines(run.fingerprint):
+            state.record(
+                _CODES.REQUEST_QUARANTINED,
+                run.call.user_request_id,
+                fingerprint=run.fingerprint,
+            )
             return _KINDS.QUARANTINED
         return None
 
@@ -241,6 +246,15 @@
             arrived=state.now,
         )
         self.apply(self._server.submit(job))
+        if run.phase is runs.Phase.QUEUED and run.run_id in (
+            self._table.runs_by_id
+        ):
+            state.record(
+                _CODES.CALL_QUEUED,
+                run.call.user_request_id,
+                number=run.call.number,
+                queued=self._server.load().queued,
+            )
 
     def _set_timer(self, run: runs.Run, when: float) -> None:
         if run.timer is not None:
--- /dev/null
+++ b/bergamotdeal/calls/tests/test_events.py
@@ -0,0 +1,71 @@
+from bergamotdeal.calls.tests import scenarios
+from bergamotdeal.errors import core as errors
+from bergamotdeal.telemetry import catalogue
+
+Code = catalogue.EventCode
+GET = scenarios.get("orderline")
+
+
+def _codes_by_request(made):
+    codes_by_request = {}
+    for _, _, record in made.records:
+        codes = codes_by_request.setdefault(record.user_request_id, [])
+        codes.append(record.code)
+    return codes_by_request
+
+
+def test_a_call_that_waits_for_a_slot_is_on_the_time_line():
+    made = scenarios.pool(
+        scenarios.preset(),
+        count=1,
+        slots=1,
+        program=scenarios.working(0.01),
+    )
+    replies = [
+        made.call("entry-1", GET, user_request_id=f"r{number}")
+        for number in range(2)
+    ]
+    made.run_until(lambda: all(reply.done for reply in replies))
+    codes_by_request = _codes_by_request(made)
+    queued = [
+        request
+        for request, codes in codes_by_request.items()
+        if Code.CALL_QUEUED in codes
+    ]
+    assert len(queued) == 1
+    codes = codes_by_request[queued[0]]
+    assert codes.index(Code.CALL_QUEUED) < codes.index(Code.RUN_STARTED)
+
+
+def test_a_quarantined_request_is_on_the_time_line():
+    made = scenarios.pool(scenarios.preset(), program=scenarios.working(1.0))
+    killer = made.call("entry-1", GET, user_request_id="killer")
+    for _ in range(2):
+        made.run_for(0.05)
+        host_id = made.runs_of("killer")[-1].host_id
+        made.kill_server(host_id)
+        made.start_server(host_id)
+    made.run_until(lambda: killer.done)
+    reply = made.call("entry-2", GET, user_request_id="next")
+    made.run_until(lambda: reply.done)
+    assert reply.error is errors.ErrorKind.QUARANTINED
+    assert Code.REQUEST_QUARANTINED in _codes_by_request(made)["next"]
+
+
+def test_an_outlier_is_on_the_time_line():
+    made = scenarios.pool(
+        scenarios.preset(), count=3, program=scenarios.working(0.01)
+    )
+    made.add_node(
+        "orderline-slow", service="orderline", program=scenarios.working(0.5)
+    )
+    made.publish()
+    for number in range(150):
+        made.call("entry-1", GET, user_request_id=f"r{number}")
+        made.run_for(0.1)
+    found = {
+        record.fields["host"]
+        for _, _, record in made.records
+        if record.code is Code.OUTLIER_FOUND
+    }
+    assert found == {"orderline-slow"}
--- a/bergamotdeal/node/peer.py
+++ b/bergamotdeal/node/peer.py
@@ -180,6 +180,13 @@
         return link
 
     def _incoming_closed(self, link_id: int, link: peer_link.PeerLink) -> None:
+        if link.is_malformed and link.transport is not None:
+            self._record(
+                calls.Record(
+                    code=catalogue.EventCode.FRAME_MALFORMED,
+                    fields={"address": link.transport.getPeer().host},
+                )
+            )
         if self._incoming_by_id.pop(link_id, None) is None:
             self._record_rejected(link)
             return
--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -42,6 +42,7 @@
       peer: The other side's greeting, or None before it arrived.
       last_received: Time of the last frame, monotonic seconds.
       close_reason: Why the link closed, for the time line.
+      is_malformed: Whether the other side sent what is no frame.
 
     Args:
       hello: This side's greeting, with a fresh nonce.
@@ -72,6 +73,7 @@
         self.peer: messages.Hello | None = None
         self.last_received = seconds()
         self.close_reason = "closed by the other side"
+        self.is_malformed = False
         self._hello = hello
         self._key = key
         self._is_dialer = is_dialer
@@ -158,6 +160,7 @@
         self._unanswered_pings = 0
         decoded = codec.decode(string)
         if isinstance(decoded, result.Err):
+            self.is_malformed = True
             self.close(f"malformed frame: {decoded.err_value}")
             return
         self._frame_received(decoded.ok_value)
@@ -168,6 +171,7 @@
         Args:
           length: Its announced length in bytes.
         """
+        self.is_malformed = True
         self.close(f"frame of {length} bytes is too long")
 
     def connectionLost(
--- a/bergamotdeal/node/tests/test_peer_link.py
+++ b/bergamotdeal/node/tests/test_peer_link.py
@@ -194,3 +194,10 @@
     side.now += peer_link.HANDSHAKE_TIMEOUT_S + 0.1
     side.link.check(side.now, busy=True)
     assert side.link.close_reason == "handshake timed out"
+
+
+def test_a_malformed_frame_is_told_from_a_lost_link():
+    dialer, other = connected()
+    other.link.dataReceived(b"\x00\x00\x00\x03abc")
+    assert other.link.is_malformed
+    assert not dialer.link.is_malformed
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -47,6 +47,13 @@
         self._members_by_id: dict[str, membership.Member] = {}
         self._targets_by_id: dict[str, core.Target] = {}
         self._services_by_name: dict[str, _Service] = {}
+        self._found_outliers: list[str] = []
+
+    def take_found_outliers(self) -> list[str]:
+        """Returns the hosts that became outliers since the last time."""
+        found = self._found_outliers
+        self._found_outliers = []
+        return found
 
     def set_policy(self, policy: model.RoutingPolicy) -> None:
         """Takes the policy of a new preset."""
@@ -258,7 +265,7 @@
         if now < service.outliers_due:
             return
         service.outliers_due = now + _OUTLIER_PERIOD_S
-        outliers.mark(service.targets, self._policy)
+        self._found_outliers += outliers.mark(service.targets, self._policy)
 
     def _fallback(
         self, service: _Service, exclude: frozenset[str]
--- a/tests/test_catalogue_pages.py
+++ b/tests/test_catalogue_pages.py
@@ -13,7 +13,8 @@
 SOURCES = [
     path.read_text()
     for path in (build_pages.ROOT / "bergamotdeal").rglob("*.py")
-    if "tests" not in path.parts and path.name != "metrics.py"
+    if "tests" not in path.parts
+    and path.name not in ("metrics.py", "catalogue.py", "log.py")
 ]
 
 
@@ -68,6 +69,15 @@
     assert missing == []
 
 
+def test_every_event_has_a_source():
+    missing = [
+        code.name
+        for code in catalogue.EventCode
+        if not any(re.search(rf"\.{code.name}\b", text) for text in SOURCES)
+    ]
+    assert missing == []
+
+
 def test_every_setting_is_on_its_page():
     text = (DOCS / "operators" / "settings.md").read_text()
     written = re.findall(r"^\| `([a-z_]+)` \|", text, re.M)
