Record an event with less work

Cause: each call records some six events; enum members as dictionary keys hash in Python, and each event was copied and its level looked up. Change: the ring keeps stamp and record and builds events when asked; counters lie in lists by slot; the recorder knows beforehand which numbers are logged.

--- a/bergamotdeal/node/tests/test_admin.py
+++ b/bergamotdeal/node/tests/test_admin.py
@@ -6,6 +6,7 @@
 import result
 from twisted.internet import testing
 
+from bergamotdeal.calls import messages
 from bergamotdeal.node import admin
 from bergamotdeal.node import status
 from bergamotdeal.telemetry import catalogue
@@ -68,14 +69,10 @@
         ).factory()
 
     def add(self, stamp, code, request="", **fields):
-        self.events.add(
-            ring.Event(
-                code=code,
-                stamp=stamp,
-                user_request_id=request,
-                fields_by_name=fields,
-            )
+        entry = messages.Record(
+            code=code, user_request_id=request, fields=fields
         )
+        self.events.add(stamp, entry)
 
     def send(self, data):
         channel = self._factory.buildProtocol(None)
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -33,17 +33,18 @@
 }
 
 
-def level_of(event: ring.Event) -> int:
+def level_of(code: catalogue.EventCode, *, of_request: bool) -> int:
     """Returns the level at which an event is logged.
 
     Args:
-      event: The event; without a level of its own it is logged at debug
-        when it belongs to a request, else at info.
+      code: The event's number; without a level of its own it is logged at
+        debug when it belongs to a request, else at info.
+      of_request: Whether the event belongs to a request.
     """
-    level = LEVELS_BY_CODE.get(event.code)
+    level = LEVELS_BY_CODE.get(code)
     if level is not None:
         return level
-    return DEBUG if event.user_request_id else INFO
+    return DEBUG if of_request else INFO
 
 
 class EventLog:
@@ -84,13 +85,25 @@
             host=host_id,
         )
 
+    def wanted_codes(self, *, of_request: bool) -> frozenset[int]:
+        """Returns the numbers of the events that are logged.
+
+        Args:
+          of_request: Whether the events belong to a request.
+        """
+        return frozenset(
+            int(code)
+            for code in catalogue.EventCode
+            if level_of(code, of_request=of_request) >= self._level
+        )
+
     def write(self, event: ring.Event) -> None:
         """Writes an event if its level is in force.
 
         Args:
           event: The event.
         """
-        level = level_of(event)
+        level = level_of(event.code, of_request=bool(event.user_request_id))
         if level < self._level or not self._admit(event.code):
             return
         context: dict[str, Any] = {"number": int(event.code)}
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -17,7 +17,13 @@
 
 
 class Counter(enum.Enum):
-    """Every counter."""
+    """Every counter.
+
+    Attributes:
+      slot: Place of the counter among all.
+    """
+
+    slot: int
 
     CALLS_ENTRY = "calls.entry"
     CALLS_EGRESS = "calls.egress"
@@ -58,6 +64,10 @@
     SERVER_STOPS = "server.stops"
 
 
+for _slot, _counter in enumerate(Counter):
+    _counter.slot = _slot
+
+
 class Gauge(enum.Enum):
     """Every gauge."""
 
@@ -129,6 +139,17 @@
 }
 
 
+# Indexed by event number: an enum member's own hash is slow.
+_COUNTERS_BY_NUMBER: list[Counter | None] = [None] * (
+    max(catalogue.EventCode) + 1
+)
+for _code, _counter in COUNTERS_BY_CODE.items():
+    _COUNTERS_BY_NUMBER[_code] = _counter
+
+_NUMBER_OF_ARRIVED = int(catalogue.EventCode.CALL_ARRIVED)
+_NUMBER_OF_ANSWERED = int(catalogue.EventCode.CALL_ANSWERED)
+
+
 def counter_of(
     code: catalogue.EventCode, fields_by_name: Mapping[str, object]
 ) -> Counter | None:
@@ -138,11 +159,14 @@
       code: The event's number.
       fields_by_name: Values for the event's message.
     """
-    if code is catalogue.EventCode.CALL_ARRIVED:
+    counter = _COUNTERS_BY_NUMBER[code]
+    if counter is not None:
+        return counter
+    if code == _NUMBER_OF_ARRIVED:
         return _COUNTERS_BY_FACE.get(fields_by_name.get("face"))
-    if code is catalogue.EventCode.CALL_ANSWERED:
+    if code == _NUMBER_OF_ANSWERED:
         return _COUNTERS_BY_OUTCOME.get(fields_by_name.get("outcome"))
-    return COUNTERS_BY_CODE.get(code)
+    return None
 
 
 class Samples:
@@ -178,14 +202,27 @@
 
     def __init__(self, *, rng: random.Random):
         self._rng = rng
-        self._counts_by_counter: dict[Counter, int] = dict.fromkeys(Counter, 0)
-        self._totals_by_counter: dict[Counter, int] = dict.fromkeys(Counter, 0)
+        self._counts_by_slot = [0] * len(Counter)
+        self._totals_by_slot = [0] * len(Counter)
         self._gauges_by_name: dict[str, float] = {}
         self._samples_by_timing = {t: Samples(rng=rng) for t in Timing}
 
     def count(self, counter: Counter, amount: int = 1) -> None:
         """Raises a counter."""
-        self._counts_by_counter[counter] += amount
+        self._counts_by_slot[counter.slot] += amount
+
+    def count_event(
+        self, code: catalogue.EventCode, fields_by_name: Mapping[str, object]
+    ) -> None:
+        """Raises the counter of an event, if it has one.
+
+        Args:
+          code: The event's number.
+          fields_by_name: Values for the event's message.
+        """
+        counter = counter_of(code, fields_by_name)
+        if counter is not None:
+            self._counts_by_slot[counter.slot] += 1
 
     def gauge(self, gauge: Gauge, value: float, *, label: str = "") -> None:
         """Sets a gauge, which is sent once.
@@ -205,8 +242,9 @@
     def totals(self) -> dict[str, int]:
         """Returns the counters since the process started, by name."""
         return {
-            counter.value: total + self._counts_by_counter[counter]
-            for counter, total in self._totals_by_counter.items()
+            counter.value: self._totals_by_slot[counter.slot]
+            + self._counts_by_slot[counter.slot]
+            for counter in Counter
         }
 
     def flush(self, client: statsd.StatsClient | None) -> None:
@@ -218,15 +256,15 @@
         if client is not None:
             with client.pipeline() as pipeline:
                 self._send(pipeline)
-        for counter, count in self._counts_by_counter.items():
-            if count:
-                self._totals_by_counter[counter] += count
-                self._counts_by_counter[counter] = 0
+        for slot, count in enumerate(self._counts_by_slot):
+            self._totals_by_slot[slot] += count
+            self._counts_by_slot[slot] = 0
         self._gauges_by_name.clear()
         self._samples_by_timing = {t: Samples(rng=self._rng) for t in Timing}
 
     def _send(self, pipeline: statsd.client.base.StatsClientBase) -> None:
-        for counter, count in self._counts_by_counter.items():
+        for counter in Counter:
+            count = self._counts_by_slot[counter.slot]
             if count:
                 pipeline.incr(counter.value, count)
         for name, value in self._gauges_by_name.items():
--- a/bergamotdeal/telemetry/recorder.py
+++ b/bergamotdeal/telemetry/recorder.py
@@ -17,7 +17,17 @@
       event_log: Where events are logged, or None.
     """
 
-    __slots__ = ("_event_log", "clock", "metrics", "ring")
+    __slots__ = (
+        "_add",
+        "_count_event",
+        "_event_log",
+        "_logged_node_codes",
+        "_logged_request_codes",
+        "_now",
+        "clock",
+        "metrics",
+        "ring",
+    )
 
     def __init__(
         self,
@@ -30,7 +40,15 @@
         self.clock = hybrid_clock
         self.ring = events
         self.metrics = counts
+        self._now = hybrid_clock.now
+        self._add = events.add
+        self._count_event = counts.count_event
         self._event_log = event_log
+        self._logged_node_codes: frozenset[int] = frozenset()
+        self._logged_request_codes: frozenset[int] = frozenset()
+        if event_log is not None:
+            self._logged_node_codes = event_log.wanted_codes(of_request=False)
+            self._logged_request_codes = event_log.wanted_codes(of_request=True)
 
     def record(self, entry: messages.Record) -> None:
         """Records an event.
@@ -38,15 +56,14 @@
         Args:
           entry: The event without its stamp.
         """
-        event = ring.Event(
-            code=entry.code,
-            stamp=self.clock.now(),
-            user_request_id=entry.user_request_id,
-            fields_by_name=entry.fields,
+        stamp = self._now()
+        self._add(stamp, entry)
+        self._count_event(entry.code, entry.fields)
+        logged = (
+            self._logged_request_codes
+            if entry.user_request_id
+            else self._logged_node_codes
         )
-        self.ring.add(event)
-        counter = metrics.counter_of(entry.code, entry.fields)
-        if counter is not None:
-            self.metrics.count(counter)
-        if self._event_log is not None:
-            self._event_log.write(event)
+        # An enum member's own hash is slow.
+        if int(entry.code) in logged:
+            self._event_log.write(ring.event_of(stamp, entry))
--- a/bergamotdeal/telemetry/ring.py
+++ b/bergamotdeal/telemetry/ring.py
@@ -4,11 +4,15 @@
 from collections.abc import Iterator
 import dataclasses
 
+from bergamotdeal.calls import messages
 from bergamotdeal.telemetry import catalogue
 
 Value = str | int | float | bool
 
-FLEET_SHARE = 4
+NODE_DIVISOR = 4
+"""The node's own events have this fraction of the requests' room."""
+
+_Kept = tuple[int, messages.Record]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -41,23 +45,25 @@
     __slots__ = ("_node_events", "_request_events")
 
     def __init__(self, *, capacity: int):
-        self._request_events: collections.deque[Event] = collections.deque(
+        self._request_events: collections.deque[_Kept] = collections.deque(
             maxlen=capacity
         )
-        self._node_events: collections.deque[Event] = collections.deque(
-            maxlen=max(1, capacity // FLEET_SHARE)
+        self._node_events: collections.deque[_Kept] = collections.deque(
+            maxlen=max(1, capacity // NODE_DIVISOR)
         )
 
-    def add(self, event: Event) -> None:
+    def add(self, stamp: int, entry: messages.Record) -> None:
         """Keeps an event.
 
         Args:
-          event: The newest event; its stamp is above all before.
+          stamp: Its stamp, above all before.
+          entry: The event.
         """
-        if event.user_request_id:
-            self._request_events.append(event)
+        # Each call passes here a few times, so events are built on demand.
+        if entry.user_request_id:
+            self._request_events.append((stamp, entry))
         else:
-            self._node_events.append(event)
+            self._node_events.append((stamp, entry))
 
     def __len__(self) -> int:
         """Returns the number of events kept."""
@@ -81,21 +87,36 @@
           The events in the order of their stamps.
         """
         found = [
-            event
-            for event in self._all()
-            if event.stamp >= since
+            event_of(kept_stamp, entry)
+            for kept_stamp, entry in self._all()
+            if kept_stamp >= since
             and (
-                not user_request_id or event.user_request_id == user_request_id
+                not user_request_id or entry.user_request_id == user_request_id
             )
-            and (code is None or event.code == code)
+            and (code is None or entry.code == code)
         ]
         found.sort(key=_by_stamp)
         return found
 
-    def _all(self) -> Iterator[Event]:
+    def _all(self) -> Iterator[_Kept]:
         yield from self._request_events
         yield from self._node_events
 
 
+def event_of(stamp: int, entry: messages.Record) -> Event:
+    """Returns an event with its stamp.
+
+    Args:
+      stamp: Stamp of the hybrid logical clock.
+      entry: The event without its stamp.
+    """
+    return Event(
+        code=entry.code,
+        stamp=stamp,
+        user_request_id=entry.user_request_id,
+        fields_by_name=entry.fields,
+    )
+
+
 def _by_stamp(event: Event) -> int:
     return event.stamp
