Bound the gathered time line, leave departed hosts out of a watch

Change: at most 200,000 events are taken in all, and the command names the hosts whose older events it left out; the watch asks for the members again before it calls a host missing. Conclusion: both answers say what they leave out.

--- a/bergamotdeal/cli/switching.py
+++ b/bergamotdeal/cli/switching.py
@@ -128,6 +128,7 @@
     if wait_s is not None:
         report.is_watched = True
         _watch(target, members, outcome.epoch, started + wait_s, report)
+        _drop_departed(target, report)
         report.spread_s = time.monotonic() - started
     return report
 
@@ -228,6 +229,25 @@
         time.sleep(POLL_INTERVAL_S)
 
 
+def _drop_departed(target: options.Target, report: Report) -> None:
+    """Leaves out hosts that left the fleet during the watch."""
+    if not report.missing_by_host:
+        return
+    asked = fleet.find_status(target)
+    if isinstance(asked, result.Err):
+        return
+    remaining = {
+        member.host_id
+        for member in asked.ok_value.members
+        if member.state != "dead"
+    }
+    report.missing_by_host = {
+        host_id: reason
+        for host_id, reason in report.missing_by_host.items()
+        if host_id in remaining
+    }
+
+
 def _word(outcome: switch.Outcome) -> str:
     return type(outcome).__name__.lower()
 
--- a/bergamotdeal/cli/tests/test_node_commands.py
+++ b/bergamotdeal/cli/tests/test_node_commands.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotdeal.cli import exit_codes
+from bergamotdeal.cli import timeline as timeline_command
 from bergamotdeal.node import status
 from bergamotdeal.telemetry import clock
 from bergamotdeal.telemetry import timeline
@@ -170,10 +171,27 @@
     assert run.exit_code == Exit.OK
     stamp = clock.stamp_at(1_700_000_000_000)
     assert node.requests[-1][1] == (
-        f"/v1/timeline?since={stamp}&limit=5&host=orderline-1&event=300"
+        f"/v1/timeline?since={stamp}&host=orderline-1&event=300&limit=5"
     )
 
 
+def test_timeline_says_what_it_left_out(fleet):
+    fleet.add("kitview-1").entries = [_entry("kitview-1", 0)] * 3
+    fleet.add("orderline-1").entries = [_entry("orderline-1", 0)]
+    run = fleet.run("timeline", "--limit", "3")
+    assert run.exit_code == Exit.OK
+    assert "only the newest 3 events were taken from kitview-1;" in run.stderr
+    assert "orderline-1" not in run.stderr
+
+
+def test_timeline_asks_a_large_fleet_for_less(fleet, monkeypatch):
+    monkeypatch.setattr(timeline_command, "MAX_EVENTS", 8)
+    node = fleet.add("kitview-1")
+    fleet.add("orderline-1")
+    fleet.run("timeline")
+    assert node.requests[-1][1] == "/v1/timeline?since=0&limit=4"
+
+
 @pytest.mark.parametrize(
     "option", [("--since", "soon"), ("--event", "nope"), ("--limit", "0")]
 )
--- a/bergamotdeal/cli/tests/test_preset_commands.py
+++ b/bergamotdeal/cli/tests/test_preset_commands.py
@@ -263,6 +263,23 @@
     assert "refused" in report["missing"]["stencilhub-1"]
 
 
+def test_a_host_that_left_during_the_watch_is_not_missing(run, fleet):
+    node = fleet.nodes_by_id["kitview-1"]
+    gone = fleet.add("orderline-1")
+    gone.stop()
+    left = [node.member(), gone.member(state="dead")]
+    answers = iter([(0, node.members)])
+
+    def leave():
+        epoch, node.members = next(answers, (1, left))
+        return _status_with(node, epoch)
+
+    node.status = leave
+    done = run("switch", "peak", "--wait", "0")
+    assert done.exit_code == Exit.OK, done.output
+    assert "in force on 1 of 1 hosts" in done.output
+
+
 def test_wait_ends_when_every_host_has_it(run, fleet):
     node = fleet.nodes_by_id["kitview-1"]
     answers = iter([0, 0, 1])
--- a/bergamotdeal/cli/timeline.py
+++ b/bergamotdeal/cli/timeline.py
@@ -18,6 +18,9 @@
 from bergamotdeal.telemetry import timeline as entries
 
 MS_PER_S = 1000
+MAX_EVENTS = 200_000
+"""Events that one command gathers at most from all hosts."""
+
 _SECONDS_BY_UNIT = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
 _AGO = re.compile(r"^(\d{1,6})([smhd])$")
 
@@ -68,7 +71,7 @@
     type=click.IntRange(1, 5000),
     default=1000,
     show_default=True,
-    help="Newest events per host.",
+    help="Newest events per host; fewer of a large fleet.",
 )
 @options.json_option
 @options.with_target
@@ -83,7 +86,7 @@
     as_json: bool,
 ) -> None:
     """Show the events of all nodes in the order of cause and effect."""
-    query_by_name = {"since": str(since), "limit": str(limit)}
+    query_by_name = {"since": str(since)}
     if request:
         query_by_name["request"] = request
     if host:
@@ -91,6 +94,8 @@
     if event:
         query_by_name["event"] = str(_event_number(event))
     members = fleet.first_status(target).members
+    per_host = max(1, min(limit, MAX_EVENTS // max(1, len(members))))
+    query_by_name["limit"] = str(per_host)
     gathered = fleet.gather(
         target, members, lambda client: client.timeline(query_by_name)
     )
@@ -101,11 +106,25 @@
     )
     for entry in merged:
         click.echo(_json_line(entry) if as_json else _text_line(entry))
+    _report_cut(gathered.answers_by_host, per_host)
     status_command.report_unreachable(gathered.reasons_by_host)
     if gathered.reasons_by_host:
         raise files.failure(exit_codes.ExitCode.INCOMPLETE)
 
 
+def _report_cut(
+    answers_by_host: dict[str, list[entries.Entry]], per_host: int
+) -> None:
+    cut = [h for h, found in answers_by_host.items() if len(found) >= per_host]
+    if cut:
+        click.echo(
+            f"only the newest {per_host} events were taken from "
+            f"{', '.join(sorted(cut))}; narrow by --request, --event or "
+            "--since",
+            err=True,
+        )
+
+
 def _event_number(word: str) -> int:
     match catalogue.find(word):
         case result.Ok(code):
