Add the preset reference, declare lookups repeatable below

Cause: operators had no list of a preset's keys; the example presets did not use the new key of routes whose whole tree of calls is repeatable. Change: docs/operators/preset-reference.md, whose tables `make pages` writes from the model's annotations and docstrings; the lookups in examples/ are declared repeatable_below. Conclusion: a key added to the model turns the page's test red until the page is written again.

--- a/tests/test_catalogue_pages.py
+++ b/tests/test_catalogue_pages.py
@@ -19,7 +19,13 @@
 
 
 @pytest.mark.parametrize(
-    "page", ["events.md", "errors.md", "operators/exit-codes.md"]
+    "page",
+    [
+        "events.md",
+        "errors.md",
+        "operators/exit-codes.md",
+        "operators/preset-reference.md",
+    ],
 )
 def test_tables_are_as_in_the_code(page):
     path = DOCS / page
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -54,6 +54,7 @@
     for service, path in BROWSE_REQUESTS[deployment]:
         route = preset.route_for(service, "GET", path)
         assert (route.class_name, route.repeatable) == ("browse", True)
+        assert route.repeatable_below
 
 
 @pytest.mark.parametrize("deployment", DEPLOYMENTS)
--- a/tools/build_pages.py
+++ b/tools/build_pages.py
@@ -8,13 +8,19 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
+import functools
+import inspect
 import pathlib
 import re
+import typing
 
 from bergamotdeal.cli import exit_codes
 from bergamotdeal.errors import core as errors
+from bergamotdeal.presets import model
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import log
+from bergamotdeal.utils import ini
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _TABLE = re.compile(
@@ -54,10 +60,71 @@
         yield str(int(code)), f"`{code.name}`", meaning
 
 
+def _section_rows(
+    kind: type, omitted: frozenset[str] = frozenset()
+) -> Iterator[tuple[str, ...]]:
+    """Yields the keys of one section of a preset file."""
+    yield "key", "default", "accepted", "meaning"
+    hints_by_name = typing.get_type_hints(kind, include_extras=True)
+    meanings_by_name = _attribute_meanings(kind)
+    for field in dataclasses.fields(kind):
+        if field.name in omitted:
+            continue
+        yield (
+            f"`{_KEYS_BY_FIELD.get(field.name, field.name)}`",
+            _default_text(field),
+            ini.accepted(hints_by_name[field.name]),
+            meanings_by_name[field.name],
+        )
+
+
+def _default_text(field: dataclasses.Field) -> str:
+    match field.default:
+        case dataclasses.MISSING:
+            return "required"
+        case None:
+            return "none"
+        case bool() as flag:
+            return "yes" if flag else "no"
+        case tuple() as values:
+            return ", ".join(values)
+        case value:
+            return str(value)
+
+
+def _attribute_meanings(kind: type) -> dict[str, str]:
+    """Reads the ``Attributes`` part of a class's docstring."""
+    attributes = inspect.getdoc(kind).partition("Attributes:\n")[2]
+    joined = re.sub(r"\n {4,}", " ", attributes)
+    return dict(re.findall(r"^ *([a-z_]+): (.*)$", joined, re.MULTILINE))
+
+
+_KEYS_BY_FIELD = {"class_name": "class"}
+_CUT_FROM_PRESET = frozenset(
+    (
+        "services_by_name",
+        "routes",
+        "retries",
+        "admission",
+        "routing",
+        "quarantine",
+        "tickets",
+    )
+)
+_IN_ROUTE_HEADER = frozenset(("service", "method", "prefix"))
+
 _ROWS_BY_TABLE: dict[str, Callable[[], Iterator[tuple[str, ...]]]] = {
     "events": _event_rows,
     "errors": _error_rows,
     "exit-codes": _exit_code_rows,
+    "preset": functools.partial(_section_rows, model.Preset, _CUT_FROM_PRESET),
+    "service": functools.partial(_section_rows, model.ServicePolicy),
+    "route": functools.partial(_section_rows, model.Route, _IN_ROUTE_HEADER),
+    "retries": functools.partial(_section_rows, model.RetryPolicy),
+    "admission": functools.partial(_section_rows, model.AdmissionPolicy),
+    "routing": functools.partial(_section_rows, model.RoutingPolicy),
+    "quarantine": functools.partial(_section_rows, model.QuarantinePolicy),
+    "tickets": functools.partial(_section_rows, model.TicketPolicy),
 }
 
 
