Keep an unread log pipe from stopping the node

Cause: logs go to the standard error; when a supervisor stops reading its pipe, the next write waits and the node with it. Change: utils.log_stream writes to pipes and sockets without blocking, keeps a cut line's rest for the next write and drops whole lines meanwhile. Conclusion: the log can't hold up calls any more.

--- a/bergamotdeal/node/observation.py
+++ b/bergamotdeal/node/observation.py
@@ -19,6 +19,7 @@
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.telemetry import recorder
 from bergamotdeal.telemetry import ring
+from bergamotdeal.utils import log_stream
 
 MS_PER_S = 1000
 FLUSHES_PER_GAUGES = 10
@@ -46,7 +47,7 @@
             counts=metrics.Metrics(rng=random.Random()),
             event_log=log.EventLog(
                 level=settings.telemetry.log_level,
-                stream=sys.stderr,
+                stream=log_stream.safe_stream(sys.stderr),
                 host_id=settings.node.host_id,
                 monotonic=reactor.seconds,
             ),
--- a/bergamotdeal/utils/__init__.py
+++ b/bergamotdeal/utils/__init__.py
@@ -1,3 +1,3 @@
 """Small helpers shared by the subpackages."""
 
-__all__ = ["ini"]
+__all__ = ["headers", "ini", "log_stream"]
--- /dev/null
+++ b/bergamotdeal/utils/tests/test_log_stream.py
@@ -0,0 +1,68 @@
+import io
+import os
+
+import pytest
+
+from bergamotdeal.utils import log_stream
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def _read(reader):
+    parts = []
+    while True:
+        try:
+            parts.append(os.read(reader, 1 << 20))
+        except BlockingIOError:
+            return b"".join(parts)
+
+
+def test_lines_arrive(pipe):
+    reader, writer = pipe
+    stream = log_stream.LogStream(descriptor=writer)
+    assert stream.write("a\n") == 2
+    stream.write("ü\ud800\n")
+    stream.flush()
+    assert _read(reader) == "a\nü\\ud800\n".encode()
+
+
+def test_a_reader_that_stops_reading_holds_up_nothing(pipe):
+    reader, writer = pipe
+    stream = log_stream.LogStream(descriptor=writer)
+    lines = [f"{number:06} {'x' * 5_000}\n" for number in range(100)]
+    for line in lines:
+        stream.write(line)
+    assert 0 < stream.dropped < len(lines)
+    received = _read(reader)
+    stream.write("last\n")
+    received += _read(reader)
+    kept = received.decode().splitlines(keepends=True)
+    assert kept == [*lines[: len(kept) - 1], "last\n"]
+    assert len(kept) - 1 + stream.dropped == len(lines)
+
+
+def test_a_closed_reader_is_no_failure():
+    reader, writer = os.pipe()
+    stream = log_stream.LogStream(descriptor=writer)
+    os.close(reader)
+    stream.write("a\n")
+    stream.write("b\n")
+    assert stream.dropped == 0
+    os.close(writer)
+
+
+def test_pipes_are_made_safe_and_files_stay(pipe, tmp_path):
+    _, writer = pipe
+    with os.fdopen(os.dup(writer), "w") as stream:
+        assert isinstance(log_stream.safe_stream(stream), log_stream.LogStream)
+    with (tmp_path / "log").open("w") as file:
+        assert log_stream.safe_stream(file) is file
+    memory = io.StringIO()
+    assert log_stream.safe_stream(memory) is memory
