Put errors that no task caught on the time line

Cause: a failed Deferred that nobody awaits, or an exception in a timer, went to the standard error as plain text without a number. Change: node.failure_observer takes Twisted's error events and records each as TASK_FAILED with its trace, cut at 4,000 characters; node.app.run starts it.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -18,6 +18,7 @@
 from bergamotdeal.node import bulk_server
 from bergamotdeal.node import drain
 from bergamotdeal.node import faces
+from bergamotdeal.node import failure_observer
 from bergamotdeal.node import hub
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
@@ -146,6 +147,10 @@
         if self._roster is not None:
             self._roster.start()
 
+    def report_failures(self) -> None:
+        """Puts errors that no task caught on the time line."""
+        failure_observer.FailureObserver(record=self._record).start()
+
     # What the admin face asks.
 
     def start_drain(self) -> None:
@@ -415,6 +420,7 @@
         del number, frame
         reactor.callFromThread(application.start_drain)
 
+    application.report_failures()
     application.start()
     # The reactor's own handlers would stop it at once.
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/bergamotdeal/node/failure_observer.py
@@ -0,0 +1,51 @@
+"""Puts what Twisted reports as failed on the time line."""
+
+from collections.abc import Callable
+
+from twisted import logger
+
+from bergamotdeal.calls import messages
+from bergamotdeal.telemetry import catalogue
+
+MAX_TRACE_CHARS = 4_000
+
+
+class FailureObserver:
+    """Records errors that no task caught, such as in a forgotten Deferred.
+
+    Args:
+      record: Takes the events.
+    """
+
+    def __init__(self, *, record: Callable[[messages.Record], None]):
+        self._record = record
+
+    def start(self) -> None:
+        """Takes the place of Twisted's own report on the standard error."""
+        logger.globalLogBeginner.beginLoggingTo(
+            [self.observe], discardBuffer=True, redirectStandardIO=False
+        )
+
+    def observe(self, event: logger.LogEvent) -> None:
+        """Records a log event of Twisted if it is an error.
+
+        Args:
+          event: The log event.
+        """
+        if (
+            event.get("log_level", logger.LogLevel.debug)
+            < logger.LogLevel.error
+        ):
+            return
+        failure = event.get("log_failure")
+        if failure is not None:
+            trace = failure.getTraceback()
+        else:
+            trace = logger.formatEvent(event)
+        fields = {
+            "task": event.get("log_namespace", "unknown"),
+            "trace": trace[-MAX_TRACE_CHARS:],
+        }
+        self._record(
+            messages.Record(code=catalogue.EventCode.TASK_FAILED, fields=fields)
+        )
