Name the counts when nodes do not find one another

Cause: one of four trials with 18 nodes timed out without saying why. Change: the timeout tells how many members each node knew.

--- a/standins/measure/control.py
+++ b/standins/measure/control.py
@@ -19,6 +19,7 @@
 
 _DATA_CENTRES = ("odori", "kotoni", "shin-sapporo", "makomanai")
 _DATAGRAM_HEADER_BYTES = 28
+_JOIN_TIMEOUT_S = 60.0
 _SETTLE_S = 6.0
 _MEASURE_S = 10.0
 _MB = 1e6
@@ -85,14 +86,7 @@
         hosts = list(built.hosts_by_id.values())
         for host in hosts:
             built.start_node(host)
-        cluster.wait_for(
-            lambda: all(
-                len(built.status(host).get("members", [])) == size
-                for host in hosts
-            ),
-            f"{size} nodes know one another",
-            timeout_s=60.0,
-        )
+        _wait_until_known(built, size)
         # Lets the joins' rumours die down before the steady state is taken.
         time.sleep(_SETTLE_S)
         before = [_sample(built, host) for host in hosts]
@@ -101,6 +95,21 @@
     return _cost(size, before, after)
 
 
+def _wait_until_known(built: cluster.Cluster, size: int) -> None:
+    counts: dict[str, int] = {}
+
+    def known() -> bool:
+        for host_id, host in built.hosts_by_id.items():
+            members = built.status(host).get("members", [])
+            counts[host_id] = len(members)
+        return set(counts.values()) == {size}
+
+    try:
+        cluster.wait_for(known, "the nodes know one another", _JOIN_TIMEOUT_S)
+    except TimeoutError as e:
+        raise TimeoutError(f"{e}; members known: {counts}") from e
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Sample:
     at: float
