--- a/standins/judged.py
+++ b/standins/judged.py
@@ -214,9 +214,16 @@
         """Schedules an action."""
         self.fleet.after(delay_s, action)
 
-    def note_up(self, host_id: str) -> None:
-        """Notes in the ledger that a host can act and be reached."""
-        self.entries.append(ledger.HostUp(at=self.now, host_id=host_id))
+    def note_up(self, host_id: str, *, fresh: bool = False) -> None:
+        """Notes in the ledger that a host can act and be reached.
+
+        Args:
+          host_id: The host.
+          fresh: Whether its node started anew.
+        """
+        self.entries.append(
+            ledger.HostUp(at=self.now, host_id=host_id, fresh=fresh)
+        )
 
     def note_down(self, host_id: str) -> None:
         """Notes in the ledger that a fault keeps a host away."""
--- a/standins/judged_faults.py
+++ b/standins/judged_faults.py
@@ -242,7 +242,7 @@
     def _restart(self, host_id: str) -> None:
         if not self._judged.is_up(host_id):
             self._fleet.start_node(host_id)
-            self._judged.note_up(host_id)
+            self._judged.note_up(host_id, fresh=True)
 
     def _resume(self, host_id: str) -> None:
         if self._judged.is_up(host_id):
--- /dev/null
+++ b/standins/judged_switch.py
@@ -0,0 +1,462 @@
+"""Switches of the preset in force over an in-memory store and fleet.
+
+The switch machine and the followers are the real ones; the store, the rumour
+of epochs and the pulls are played under an injected clock.
+"""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+import result
+
+from bergamotdeal.membership import core as membership
+from bergamotdeal.membership import messages as gossip
+from bergamotdeal.presets import follower as followers
+from bergamotdeal.presets import in_force
+from bergamotdeal.presets import model
+from bergamotdeal.presets import switch as switches
+from bergamotdeal.store import core as store_core
+from standins import judged_switch_model as parts
+from standins import ledger
+
+DATA_CENTRES = ("odori", "kotoni")
+HOSTS = 8
+STORE_TIMEOUT_S = 2.0
+SLOW_STORE_S = 1.5
+PULL_TIMEOUT_S = 2.0
+_LATENCY_S = 0.002
+_RUMOUR_EVERY_S = 0.3
+_LOOK_EVERY_S = 0.25
+_RERUN_AFTER_S = 4.0
+_HANDED_TO = 2
+
+
+class SwitchFleet:
+    """Followers, a store, operators and the ledger.
+
+    Args:
+      seed: Seed of every random choice.
+
+    Attributes:
+      now: Time in monotonic seconds.
+      entries: The ledger.
+      stored: The object in force as the store holds it.
+      store_down: Whether the store answers nothing.
+      store_slow: Whether each answer of the store is late.
+      lose_writes: Number of writes whose answers are lost.
+      hooks: Faults to strike, by step; each strikes once.
+      cut_off: Data centre that is cut off, or empty.
+    """
+
+    def __init__(self, *, seed: int):
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.entries: list[ledger.Entry] = []
+        self.stored: store_core.StoredObject | None = None
+        self.store_down = False
+        self.store_slow = False
+        self.lose_writes = 0
+        self.hooks: dict[parts.Step, Callable[[str], None]] = {}
+        self.cut_off = ""
+        self.nodes_by_id: dict[str, parts.Node] = {}
+        self.operators: list[parts.Operator] = []
+        self._watches: dict[str, int] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        for number in range(HOSTS):
+            self._add(f"host-{number}", DATA_CENTRES[number % 2])
+        for host_id in self.nodes_by_id:
+            self.start(host_id)
+        self.after(_LOOK_EVERY_S, self._look)
+
+    # --- Time --------------------------------------------------------------
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        entry = (self.now + delay_s, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def run_for(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    # --- Nodes -------------------------------------------------------------
+
+    def start(self, host_id: str) -> None:
+        """Starts a node that knows nothing but the members."""
+        node = self.nodes_by_id[host_id]
+        node.core = followers.Follower(
+            host_id=host_id,
+            data_centre=node.member.data_centre,
+            has_store=True,
+            rng=random.Random(self.rng.random()),
+            now=self.now,
+        )
+        node.paused = False
+        node.held = []
+        self._watches.pop(host_id, None)
+        self.entries.append(
+            ledger.HostUp(at=self.now, host_id=host_id, fresh=True)
+        )
+        members_by_id = {
+            other_id: other.member
+            for other_id, other in self.nodes_by_id.items()
+        }
+        event = followers.MembersKnown(members_by_id=members_by_id)
+        self._handle(host_id, event)
+        self._handle(host_id, followers.TimePassed())
+        self._rumour(host_id, node.core)
+
+    def kill(self, host_id: str, *, restart_after_s: float = 3.0) -> None:
+        """Kills a node and starts it again later."""
+        if self.nodes_by_id[host_id].core is None:
+            return
+        self.note_down(host_id)
+        self.nodes_by_id[host_id].core = None
+        self.after(restart_after_s, lambda: self.start(host_id))
+
+    def pause(self, host_id: str, *, seconds: float = 8.0) -> None:
+        """Stops a node's process for a time."""
+        node = self.nodes_by_id[host_id]
+        if node.core is None or node.paused:
+            return
+        self.note_down(host_id)
+        node.paused = True
+        self.after(seconds, lambda: self._resume(host_id, node.core))
+
+    def cut(self, data_centre: str, *, seconds: float = 8.0) -> None:
+        """Cuts a data centre off from the others and from the store."""
+        self.cut_off = data_centre
+        inside = [
+            host_id
+            for host_id, node in self.nodes_by_id.items()
+            if node.member.data_centre == data_centre
+        ]
+        for host_id in inside:
+            self.note_down(host_id)
+        self.after(seconds, lambda: self._mend(inside))
+
+    def note_down(self, host_id: str) -> None:
+        """Notes that a fault keeps a host away."""
+        self.entries.append(ledger.HostDown(at=self.now, host_id=host_id))
+
+    def _add(self, host_id: str, data_centre: str) -> None:
+        member = membership.Member(
+            host_id=host_id,
+            incarnation=host_id,
+            data_centre=data_centre,
+            region="region",
+            address="127.0.0.1",
+            peer_port=1,
+        )
+        self.nodes_by_id[host_id] = parts.Node(member=member, core=None)
+
+    def _resume(self, host_id: str, core: followers.Follower) -> None:
+        node = self.nodes_by_id[host_id]
+        if node.core is not core:
+            return
+        node.paused = False
+        self.entries.append(ledger.HostUp(at=self.now, host_id=host_id))
+        held, node.held = node.held, []
+        for event in held:
+            self._handle(host_id, event)
+        self._rumour(host_id, core)
+
+    def _mend(self, inside: list[str]) -> None:
+        self.cut_off = ""
+        for host_id in inside:
+            if self.nodes_by_id[host_id].core is not None:
+                self.entries.append(ledger.HostUp(at=self.now, host_id=host_id))
+
+    def _look(self) -> None:
+        """Notes what each node that can act has in force."""
+        for host_id, node in self.nodes_by_id.items():
+            if node.core is None or node.paused or node.core.epoch < 1:
+                continue
+            self.entries.append(
+                ledger.PresetSeen(
+                    at=self.now,
+                    host_id=host_id,
+                    epoch=node.core.epoch,
+                    preset_name=node.core.preset.name,
+                )
+            )
+        self.after(_LOOK_EVERY_S, self._look)
+
+    def _reaches(self, one: str, other: str) -> bool:
+        if not self.cut_off:
+            return True
+        nodes = (self.nodes_by_id[one], self.nodes_by_id[other])
+        return len({n.member.data_centre == self.cut_off for n in nodes}) == 1
+
+    def _reaches_store(self, host_id: str) -> bool:
+        centre = self.nodes_by_id[host_id].member.data_centre
+        return not self.store_down and centre != self.cut_off
+
+    # --- Events and effects of a follower ----------------------------------
+
+    def _handle(self, host_id: str, event: followers.Event) -> None:
+        node = self.nodes_by_id[host_id]
+        if node.core is None:
+            return
+        if node.paused:
+            node.held.append(event)
+            return
+        core = node.core
+        for effect in core.handle(event, self.now):
+            self._carry_out(host_id, effect)
+        self._wake_later(host_id, core)
+
+    def _wake_later(self, host_id: str, core: followers.Follower) -> None:
+        when = core.next_wakeup()
+        if when is None:
+            return
+
+        def wake() -> None:
+            if self.nodes_by_id[host_id].core is not core:
+                return
+            due = core.next_wakeup()
+            if due is not None and due <= self.now:
+                self._handle(host_id, followers.TimePassed())
+
+        self.after(max(0.0, when - self.now), wake)
+
+    def _carry_out(self, host_id: str, effect: followers.Effect) -> None:
+        match effect:
+            case followers.Apply(epoch=epoch):
+                if epoch > 1:
+                    self._reach(parts.Step.FIRST_IN_FORCE, host_id)
+            case followers.Pull():
+                self._pull(host_id, effect)
+            case followers.ReadStore():
+                self._read_store(host_id)
+            case followers.WatchStore(watch=True):
+                self._watches[host_id] = 0
+                self._tell_watches()
+            case followers.WatchStore():
+                self._watches.pop(host_id, None)
+
+    def _rumour(self, host_id: str, core: followers.Follower) -> None:
+        """Tells one other node of the epoch, again and again."""
+        node = self.nodes_by_id[host_id]
+        if node.core is not core or node.paused:
+            return
+        other_id = self.rng.choice(sorted(set(self.nodes_by_id) - {host_id}))
+        if core.epoch >= 1 and self._reaches(host_id, other_id):
+            event = followers.EpochHeard(epoch=core.epoch, host_id=host_id)
+            self.after(_LATENCY_S, lambda: self._handle(other_id, event))
+        delay_s = self.rng.uniform(0.5, 1.5) * _RUMOUR_EVERY_S
+        self.after(delay_s, lambda: self._rumour(host_id, core))
+
+    def _pull(self, host_id: str, effect: followers.Pull) -> None:
+        self._reach(parts.Step.PULLING, effect.host_id)
+        request = gossip.PresetRequest(known_digests=effect.known_digests)
+
+        def serve() -> None:
+            target = self.nodes_by_id[effect.host_id]
+            is_lost = (
+                target.core is None
+                or target.paused
+                or self.now < target.mute_until
+                or not self._reaches(host_id, effect.host_id)
+            )
+            if is_lost:
+                failed = followers.PullFailed(host_id=effect.host_id)
+                self.after(
+                    PULL_TIMEOUT_S, lambda: self._handle(host_id, failed)
+                )
+                return
+            answer = followers.PullAnswered(
+                host_id=effect.host_id, response=target.core.serve(request)
+            )
+            self.after(_LATENCY_S, lambda: self._handle(host_id, answer))
+
+        self.after(_LATENCY_S, serve)
+
+    # --- The store ---------------------------------------------------------
+
+    def _store_delay(self) -> float:
+        return SLOW_STORE_S if self.store_slow else _LATENCY_S
+
+    def _read_store(self, host_id: str) -> None:
+        def answer() -> None:
+            if not self._reaches_store(host_id):
+                event = followers.StoreFailed(reason="no answer")
+            elif self.stored is None:
+                event = followers.StoreRead(document=None)
+            else:
+                event = followers.StoreRead(document=self.stored.value)
+            self._handle(host_id, event)
+
+        self.after(self._store_delay(), answer)
+
+    def _tell_watches(self) -> None:
+        """Tells the watches of a new version; they poll while it is away."""
+        if self.stored is None:
+            return
+        for host_id, known in list(self._watches.items()):
+            if known >= self.stored.version:
+                continue
+            if not self._reaches_store(host_id):
+                self.after(1.0, self._tell_watches)
+                continue
+            self._watches[host_id] = self.stored.version
+            event = followers.StoreRead(document=self.stored.value)
+            self.after(
+                self._store_delay(),
+                lambda host_id=host_id, e=event: self._handle(host_id, e),
+            )
+
+    # --- Operators ---------------------------------------------------------
+
+    def switch(self, name: str) -> parts.Operator:
+        """Lets an operator switch to a preset of this name."""
+        machine = switches.SwitchMachine(
+            preset=model.Preset(name=name),
+            operator=f"operator of {name}",
+            rng=random.Random(self.rng.random()),
+        )
+        operator = parts.Operator(name=name, machine=machine)
+        self.operators.append(operator)
+        self._step(operator, machine, machine.start())
+        return operator
+
+    def _reach(self, step: parts.Step, host_id: str) -> None:
+        hook = self.hooks.pop(step, None)
+        if hook is not None:
+            hook(host_id)
+
+    def _any_host(self) -> str:
+        return self.rng.choice(sorted(self.nodes_by_id))
+
+    def _step(
+        self,
+        operator: parts.Operator,
+        machine: switches.SwitchMachine,
+        step: switches.Step,
+    ) -> None:
+        match step:
+            case switches.Read(after_s=after_s):
+                self.after(after_s, lambda: self._read(operator, machine))
+            case switches.Write():
+                self._reach(parts.Step.WRITING, self._any_host())
+                self.after(
+                    self._store_delay(),
+                    lambda: self._write(operator, machine, step),
+                )
+            case switches.Finish(outcome=outcome):
+                self._finish(operator, machine, outcome)
+
+    def _read(
+        self, operator: parts.Operator, machine: switches.SwitchMachine
+    ) -> None:
+        self._reach(parts.Step.READING, self._any_host())
+
+        def answer() -> None:
+            if self.store_down:
+                outcome = parts.unavailable()
+            elif self.stored is None:
+                outcome = result.Err(
+                    store_core.Failure(
+                        kind=store_core.FailureKind.NOT_FOUND, detail="none"
+                    )
+                )
+            else:
+                outcome = result.Ok(self.stored)
+            self._step(operator, machine, machine.on_read(outcome))
+
+        self.after(
+            STORE_TIMEOUT_S if self.store_down else self._store_delay(), answer
+        )
+
+    def _write(
+        self,
+        operator: parts.Operator,
+        machine: switches.SwitchMachine,
+        write: switches.Write,
+    ) -> None:
+        version = self.stored.version if self.stored else store_core.NO_VERSION
+
+        def answer(outcome, delay_s: float) -> None:
+            self.after(
+                delay_s,
+                lambda: self._step(
+                    operator, machine, machine.on_write(outcome)
+                ),
+            )
+
+        if self.store_down:
+            answer(parts.unavailable(may_have_applied=True), STORE_TIMEOUT_S)
+            return
+        if write.expected_version != version:
+            conflict = store_core.Failure(
+                kind=store_core.FailureKind.CONFLICT, detail="version"
+            )
+            answer(result.Err(conflict), self._store_delay())
+            return
+        self.stored = store_core.StoredObject(
+            key=in_force.IN_FORCE_KEY,
+            version=version + 1,
+            value=write.document,
+        )
+        self._reach(parts.Step.WRITTEN, self._any_host())
+        self._tell_watches()
+        if self.lose_writes > 0 or self.store_down:
+            self.lose_writes = max(0, self.lose_writes - 1)
+            answer(parts.unavailable(may_have_applied=True), STORE_TIMEOUT_S)
+            return
+        answer(result.Ok(self.stored.version), self._store_delay())
+
+    def _finish(
+        self,
+        operator: parts.Operator,
+        machine: switches.SwitchMachine,
+        outcome: switches.Outcome,
+    ) -> None:
+        operator.outcomes.append(outcome)
+        match outcome:
+            case switches.Accepted() | switches.Superseded():
+                self.entries.append(
+                    ledger.SwitchAccepted(
+                        at=self.now,
+                        operation_id=outcome.operation_id,
+                        epoch=outcome.epoch,
+                        preset_name=operator.name,
+                    )
+                )
+            case switches.Unknown(operation_id=operation_id):
+                self.after(
+                    _RERUN_AFTER_S,
+                    lambda: self._rerun(operator, operation_id),
+                )
+        if isinstance(outcome, switches.Accepted):
+            self._hand_over(outcome.document)
+            self._reach(parts.Step.ACCEPTED, self._any_host())
+
+    def _rerun(self, operator: parts.Operator, operation_id: str) -> None:
+        machine = switches.SwitchMachine(
+            preset=model.Preset(name=operator.name),
+            operator=f"operator of {operator.name}",
+            rng=random.Random(self.rng.random()),
+            operation_id=operation_id,
+        )
+        self._step(operator, machine, machine.start())
+
+    def _hand_over(self, document: bytes) -> None:
+        """Hands an accepted switch to some nodes, as the command does."""
+        event = followers.PresetHanded(document=document)
+        outside = [
+            host_id
+            for host_id, node in sorted(self.nodes_by_id.items())
+            if node.member.data_centre != self.cut_off
+        ]
+        for host_id in self.rng.sample(outside, _HANDED_TO):
+            self.after(
+                _LATENCY_S, lambda host_id=host_id: self._handle(host_id, event)
+            )
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -223,10 +223,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HostUp:
-    """A host's node started, resumed or became reachable again."""
+    """A host's node started, resumed or became reachable again.
+
+    Attributes:
+      at: Monotonic seconds.
+      host_id: Host of the node.
+      fresh: Whether its process started anew and so knows nothing yet.
+    """
 
     at: float
     host_id: str
+    fresh: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/tests/matrix/test_switch_faults.py
@@ -0,0 +1,120 @@
+"""Every fault at every step of a switch of the preset in force."""
+
+import enum
+import itertools
+import random
+
+import pytest
+
+from bergamotdeal.presets import in_force
+from bergamotdeal.presets import switch as switches
+from standins import checker
+from standins import judged_switch
+from standins import judged_switch_model
+
+Step = judged_switch_model.Step
+_STORE_AWAY_S = 9.0
+_MUTE_S = 3.0
+_SETTLE_S = 45.0
+
+
+class Fault(enum.Enum):
+    STORE_DOWN = "store down"
+    STORE_SLOW = "store slow"
+    ANSWER_LOST = "answer lost after the write"
+    RACING_SWITCHES = "racing operators"
+    PAUSED_NODE = "paused process"
+    SILENT_CONNECTION = "silent connection"
+    NODE_KILLED = "node killed"
+    CENTRE_CUT_OFF = "data centre cut off"
+
+
+def strike(fleet, fault, host_id):
+    match fault:
+        case Fault.STORE_DOWN:
+            fleet.store_down = True
+            fleet.after(
+                _STORE_AWAY_S, lambda: setattr(fleet, "store_down", False)
+            )
+        case Fault.STORE_SLOW:
+            fleet.store_slow = True
+            fleet.after(
+                _STORE_AWAY_S, lambda: setattr(fleet, "store_slow", False)
+            )
+        case Fault.ANSWER_LOST:
+            fleet.lose_writes += 1
+        case Fault.RACING_SWITCHES:
+            fleet.switch("maintenance")
+        case Fault.PAUSED_NODE:
+            fleet.pause(host_id)
+        case Fault.SILENT_CONNECTION:
+            fleet.nodes_by_id[host_id].mute_until = fleet.now + _MUTE_S
+        case Fault.NODE_KILLED:
+            fleet.kill(host_id)
+        case Fault.CENTRE_CUT_OFF:
+            fleet.cut(fleet.nodes_by_id[host_id].member.data_centre)
+
+
+def run_cell(blows, *, seed):
+    """Switches once in peace, then once under the faults."""
+    fleet = judged_switch.SwitchFleet(seed=seed)
+    fleet.run_for(4.0)
+    fleet.switch("ordinary")
+    fleet.run_for(6.0)
+    assert {n.core.epoch for n in fleet.nodes_by_id.values()} == {1}
+    left = set(range(len(blows)))
+
+    def hook(step):
+        def strike_all(host_id):
+            for number, (blow_step, fault) in enumerate(blows):
+                if blow_step is step and number in left:
+                    left.discard(number)
+                    strike(fleet, fault, host_id)
+
+        return strike_all
+
+    for step, _ in blows:
+        fleet.hooks[step] = hook(step)
+    fleet.switch("peak")
+    fleet.run_for(_SETTLE_S)
+    assert not left
+    return fleet
+
+
+def assert_promises_hold(fleet):
+    assert checker.check(fleet.entries) == []
+    stored = in_force.decode(fleet.stored.value).unwrap()
+    for operator in fleet.operators:
+        switch = stored.find(operator.machine.operation_id)
+        last = operator.outcomes[-1]
+        if isinstance(last, switches.Accepted | switches.Superseded):
+            assert switch is not None
+            assert switch.preset_name == operator.name
+        else:
+            assert isinstance(last, switches.Conflict | switches.Failed)
+            assert switch is None
+    ids = [switch.operation_id for switch in stored.history]
+    assert len(ids) == len(set(ids))
+    for node in fleet.nodes_by_id.values():
+        assert node.core.epoch == stored.epoch
+        assert node.core.preset == stored.preset
+
+
+@pytest.mark.parametrize("fault", Fault, ids=lambda f: f.value)
+@pytest.mark.parametrize("step", Step, ids=lambda s: s.value)
+@pytest.mark.parametrize("seed", range(2))
+def test_fault_at_step(step, fault, seed):
+    assert_promises_hold(run_cell([(step, fault)], seed=seed))
+
+
+@pytest.mark.parametrize(
+    "pair",
+    list(itertools.combinations(Fault, 2)),
+    ids=lambda pair: f"{pair[0].value} and {pair[1].value}",
+)
+@pytest.mark.parametrize("seed", range(2))
+def test_pair_of_faults(pair, seed):
+    rng = random.Random(f"{pair[0].value} {pair[1].value} {seed}")
+    steps = [Step.READING, Step.WRITING, Step.WRITTEN]
+    blows = [(rng.choice(steps), fault) for fault in pair]
+    assert_promises_hold(run_cell(blows, seed=seed))
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -123,6 +123,15 @@
         seen(4, "h1", 2),
         seen(9, "h1", 2),
     ],
+    "restarted host finds an old peer first": [
+        accepted(1, 2),
+        seen(2, "h1", 2),
+        ledger.HostDown(at=3, host_id="h1"),
+        ledger.HostUp(at=4, host_id="h1", fresh=True),
+        seen(4.5, "h1", 1, "ordinary"),
+        seen(5, "h1", 2),
+        seen(12, "h1", 2),
+    ],
     "paused host is late": [
         ledger.HostUp(at=0, host_id="h1"),
         seen(0, "h1", 1, "ordinary"),
@@ -308,6 +317,26 @@
         Promise.SWITCH_HOLDS,
         [accepted(1, 2), seen(2, "h1", 2), seen(3, "h1", 1, "ordinary")],
     ),
+    "resumed host stays behind": (
+        Promise.SWITCH_HOLDS,
+        [
+            ledger.HostUp(at=0, host_id="h1"),
+            ledger.HostDown(at=0.5, host_id="h1"),
+            accepted(1, 2),
+            ledger.HostUp(at=7, host_id="h1"),
+            seen(12.5, "h1", 1, "ordinary"),
+        ],
+    ),
+    "resumed host reverts": (
+        Promise.SWITCH_HOLDS,
+        [
+            accepted(1, 2),
+            seen(2, "h1", 2),
+            ledger.HostDown(at=3, host_id="h1"),
+            ledger.HostUp(at=4, host_id="h1"),
+            seen(5, "h1", 1, "ordinary"),
+        ],
+    ),
     "one epoch accepted twice": (
         Promise.SWITCH_HOLDS,
         [accepted(1, 2), accepted(1.1, 2, "maintenance", "op2")],
