--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy that injects faults into the connections through it.
 
-Controlled in process, over HTTP or from the command line:
+The byte counts of faults start when the faults are set, or with a connection
+that is opened later. Controlled in process, over HTTP or from the command line:
 
     python -m standins.fault_proxy --target 127.0.0.1:8080
     curl -X PUT -d '[{"type": "Cut", "direction": "down", "after_bytes": 9}]' \
@@ -104,6 +105,10 @@
         self.closed = False
         self.silent = False
 
+    def restart_count(self) -> None:
+        """Counts the bytes of faults from now on."""
+        self._passed = 0
+
     def connect(self, sink: interfaces.ITransport) -> None:
         """Sets where the data goes and passes on what waited."""
         self.sink = sink
@@ -198,6 +203,11 @@
             case Direction.DOWN:
                 self._proxy.stats.bytes_down += size
 
+    def restart_count(self) -> None:
+        """Counts the bytes of faults from now on."""
+        self.up.restart_count()
+        self.down.restart_count()
+
     def silence(self) -> None:
         """Swallows everything from now on, and closes nothing."""
         self.up.silent = True
@@ -277,8 +287,13 @@
         return self._listener.getHost().port
 
     def set_faults(self, faults: list[Fault]) -> None:
-        """Replaces the faults of open and of new connections."""
+        """Replaces the faults of open and of new connections.
+
+        Their bytes count from now on, or from a connection's start.
+        """
         self.faults[:] = faults
+        for link in self._links:
+            link.restart_count()
 
     def silence_open(self) -> None:
         """Silences the open connections for good; new ones work."""
--- /dev/null
+++ b/tests/matrix/page.py
@@ -0,0 +1,165 @@
+"""Writes docs/FAULTS.md from the tables that the tests run.
+
+python -m tests.matrix.page
+"""
+
+import pathlib
+
+from standins import judged_faults
+from standins import judged_switch_model
+from tests.matrix import cells
+from tests.matrix import test_call_faults
+from tests.matrix import test_drain_join_faults
+from tests.matrix import test_switch_faults
+
+PATH = pathlib.Path(__file__).parents[2] / "docs" / "FAULTS.md"
+
+_HEAD = """\
+# Fault matrix
+
+Each row is a fault, each column a step at which it strikes. A mark names the
+test that runs the cell; all cells end with the checker of `standins/checker.py`
+over an independent ledger of what servers ran and what callers were told, so
+each cell asserts all promises of [promises.md](promises.md). This page is
+written by `python -m tests.matrix.page`, and a test keeps it in step with the
+tables that the tests run.
+
+The cells drive the cores without input or output under an injected clock with
+a seed. What needs the kernel runs with real processes; those tests are listed
+at the end. `make soak SEED=1 SECONDS=60` walks at random over the same faults,
+and `tests/matrix/test_soak.py` does a bounded number of walks.
+"""
+
+_CALLS = """
+## Steps of a call
+
+`C` is `tests/matrix/test_call_faults.py::test_fault_at_step`; it runs each cell
+for browse, ticketed and browse over ticketed requests, and, where the fault
+strikes a host, at the target, its parent and the entry. Every pair of the
+faults is `test_pair_of_faults` in the same file.
+"""
+
+_ABSENT = """
+These faults have no cell at a step of a call:
+
+- **store down**, **store slow**, **answer lost after the write**: no event and
+  no effect of the call engine concerns the store, which
+  `tests/matrix/test_page.py::test_engine_has_no_business_with_the_store` holds.
+  They have cells under the steps of a switch.
+"""
+
+_SWITCHES = """
+## Steps of a switch
+
+`S` is `tests/matrix/test_switch_faults.py::test_fault_at_step`; every pair is
+`test_pair_of_faults` in the same file.
+"""
+
+_SWITCH_ABSENT = """
+These faults have no cell at a step of a switch:
+
+- **slow deep service**, **surge**, **hard-retrying callers**, **crashing
+  request**, **server killed**: a switch passes through no backend server and
+  no call, and the followers' core takes no event from either. What they cost a
+  node in time is a late event, which the paused process covers.
+- **drain** and **join** change the watchers and the tellers, as **node
+  killed** does, whose node also joins again.
+"""
+
+_DRAINS = """
+## Steps of a drain
+
+`D` is `tests/matrix/test_drain_join_faults.py::test_fault_during_drain`, at a
+host with a server and at an entry.
+"""
+
+_JOINS = """
+## Steps of a join
+
+`J` is `tests/matrix/test_drain_join_faults.py::test_fault_during_join`.
+"""
+
+_STORE_AT_BOTH = """
+A drain and a join of the call engine have no business with the store either.
+First contact without the store and a node that starts while the store is down
+are `tests/integration/test_fleet_membership.py`.
+"""
+
+_KERNEL = """
+## With real processes
+
+- Faults of TCP itself (delay, reset, truncated, half-closed, silent, doubled):
+  `tests/standins/test_fault_proxy.py`.
+- The same on the way from a node to its server and from callers to the entry,
+  for browse and ticketed requests: `tests/matrix/test_real_processes.py`.
+- The store killed right after acceptance, its answer lost after the write,
+  racing operators, paused and restarted nodes:
+  `tests/integration/test_fleet_presets.py`.
+- Nodes killed, restarted and paused, a planned stop, first contact with and
+  without the store: `tests/integration/test_fleet_membership.py`.
+"""
+
+
+def build() -> str:
+    """Returns the page."""
+    return "".join(
+        (
+            _HEAD,
+            _CALLS,
+            _call_table(),
+            _ABSENT,
+            _SWITCHES,
+            _switch_table(),
+            _SWITCH_ABSENT,
+            _DRAINS,
+            _plain_table(test_drain_join_faults.DrainStep, "D"),
+            _JOINS,
+            _plain_table(test_drain_join_faults.JoinStep, "J"),
+            _STORE_AT_BOTH,
+            _KERNEL,
+        )
+    )
+
+
+def _call_table() -> str:
+    run = {
+        (blow.fault, blow.place, blow.step) for blow in test_call_faults.BLOWS
+    }
+    rows = []
+    for fault in cells.Fault:
+        for place in cells.Place:
+            marks = [
+                "C" if (fault, place, step) in run else ""
+                for step in cells.Step
+            ]
+            if any(marks):
+                rows.append((f"{fault.value}, {place.value}", marks))
+    return _table([step.value for step in cells.Step], rows)
+
+
+def _switch_table() -> str:
+    steps = list(judged_switch_model.Step)
+    rows = [
+        (fault.value, ["S"] * len(steps)) for fault in test_switch_faults.Fault
+    ]
+    return _table([step.value for step in steps], rows)
+
+
+def _plain_table(steps, mark: str) -> str:
+    names = [step.name.lower().replace("_", " ") for step in steps]
+    rows = [(fault.value, [mark] * len(names)) for fault in judged_faults.Fault]
+    return _table(names, rows)
+
+
+def _table(columns: list[str], rows: list[tuple[str, list[str]]]) -> str:
+    lines = [
+        "| fault | " + " | ".join(columns) + " |",
+        "|---" * (len(columns) + 1) + "|",
+    ]
+    for name, marks in rows:
+        lines.append(f"| {name} | " + " | ".join(marks) + " |")
+    return "\n" + "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    PATH.write_text(build())
--- /dev/null
+++ b/tests/matrix/test_page.py
@@ -0,0 +1,57 @@
+"""The page of faults and the tables of the tests say the same."""
+
+import dataclasses
+import pathlib
+import re
+import typing
+
+from bergamotdeal.calls import messages
+from tests.matrix import page
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+BRIEF_FAULTS = (
+    "slow deep service",
+    "surge",
+    "hard-retrying callers",
+    "store down",
+    "store slow",
+    "answer lost after the write",
+    "paused process",
+    "racing operators",
+    "crashing request",
+    "silent connection",
+    "node killed",
+    "server killed",
+    "data centre cut off",
+)
+
+
+def test_page_is_up_to_date():
+    assert page.PATH.read_text() == page.build()
+
+
+def test_every_fault_has_a_row_or_a_reason_in_each_section():
+    sections = page.build().split("\n## ")[1:3]
+    assert [s.partition("\n")[0] for s in sections] == [
+        "Steps of a call",
+        "Steps of a switch",
+    ]
+    for section in sections:
+        text = " ".join(section.split())
+        for fault in BRIEF_FAULTS:
+            assert fault in text
+
+
+def test_every_test_that_the_page_names_exists():
+    for name in set(re.findall(r"`(tests/[^`]+)`", page.build())):
+        path, _, function = name.partition("::")
+        text = (ROOT / path).read_text()
+        assert f"def {function}" in text
+
+
+def test_engine_has_no_business_with_the_store():
+    for union in (messages.Event, messages.Effect):
+        for kind in typing.get_args(union):
+            names = [f.name for f in dataclasses.fields(kind)]
+            assert "store" not in " ".join([kind.__name__, *names]).lower()
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -123,6 +123,17 @@
             read_all(connection)
 
 
+def test_bytes_count_from_the_setting_of_the_fault(proxy):
+    with proxy.dial() as connection:
+        connection.sendall(b"x")
+        assert connection.recv(100) == ANSWER
+        proxy.faults(
+            {"type": "Truncate", "direction": "down", "after_bytes": 4}
+        )
+        connection.sendall(b"x")
+        assert read_all(connection) == ANSWER[:4]
+
+
 def test_truncate_ends_in_good_order(proxy):
     proxy.faults({"type": "Truncate", "direction": "down", "after_bytes": 4})
     with proxy.dial() as connection:
