Measure the slopes of gossip, routing state and presets on the cores

Change: gossip cores of whole fleets of 10 to 80, an engine that knows 1,300 members, and presets of 34 services, under an injected clock.

--- a/standins/measure/__main__.py
+++ b/standins/measure/__main__.py
@@ -18,9 +18,18 @@
 from standins.measure import overload
 from standins.measure import profile
 from standins.measure import resends
+from standins.measure import scale
 
 FOLDER = pathlib.Path("build")
-PARTS = ("latency", "overload", "operations", "control", "resends", "profile")
+PARTS = (
+    "latency",
+    "overload",
+    "operations",
+    "control",
+    "scale",
+    "resends",
+    "profile",
+)
 
 
 @defer.inlineCallbacks
@@ -46,6 +55,8 @@
                 yield operations.measure(report)
             case "control":
                 yield threads.deferToThread(control.measure, report, sizes)
+            case "scale":
+                scale.measure(report)
             case "resends":
                 resends.measure(report)
             case "profile":
--- a/standins/measure/figures.py
+++ b/standins/measure/figures.py
@@ -66,7 +66,7 @@
     def add(self, name: str, value: float | None, unit: str, **rest) -> None:
         """Adds a figure; ``rest`` are further fields of ``Figure``."""
         if value is not None:
-            value = round(value, 4)
+            value = round(value, _DECIMALS)
         self.figures.append(Figure(name=name, value=value, unit=unit, **rest))
 
     def value(self, name: str, variant: str) -> float | None:
@@ -140,6 +140,7 @@
     )
 
 
+_DECIMALS = 6
 _HEAD = (
     f"{'figure':<44} {'variant':<26} {'value':>12} {'unit':<14} "
     f"{'target':>12} met"
--- a/standins/measure/latency.py
+++ b/standins/measure/latency.py
@@ -31,6 +31,7 @@
 _CALLS_PER_SLICE = {RATES_PER_S[0]: 220, RATES_PER_S[1]: 1000}
 _WARM_UP_CALLS = 300
 _TIMEOUT_S = 5.0
+_MB = 1e6
 
 
 class Way:
@@ -204,6 +205,13 @@
                     cpu_s.update(_cpu_s(entry, callee))
                     cpu_s.subtract(before)
         calls = count * _ROUNDS
+        for role, host in (("entry node", entry), ("callee node", callee)):
+            report.add(
+                f"resident memory, {role}",
+                psutil.Process(host.node.pid).memory_info().rss / _MB,
+                "MB",
+                variant=f"{rate_per_s} calls/s",
+            )
         _add_latencies(report, ways, rate_per_s)
         for role, seconds in cpu_s.items():
             report.add(
--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -302,6 +302,11 @@
             "share",
             _WASTE_TARGET,
         )
+        add(
+            "slots of the deepest service in use in overload",
+            deepest_busy_share(outcome, times.trigger, times.recovery),
+            "share",
+        )
         add(
             "sendings per user request in overload",
             _sendings(outcome.requests, "trigger"),
@@ -381,3 +386,15 @@
         busy_s[is_useful] += line["busy_s"]
     total_s = sum(busy_s.values())
     return busy_s[False] / total_s if total_s else None
+
+
+def deepest_busy_share(outcome: Outcome, start: float, end: float) -> float:
+    """Returns the share of the deepest service's slots that worked."""
+    busy_s = sum(
+        line["busy_s"]
+        for line in outcome.ledger
+        if line["service"] == presets.SERVICES[-1]
+        and line["step"] != "started"
+        and start <= line["time"] < end
+    )
+    return busy_s / (SERVERS_PER_SERVICE * DEEP_SLOTS * (end - start))
