Measure control with a preset in force

Cause: the fleets of the control measure had no preset, so that every node asked the store for one again and again. Change: the settings name a preset.

--- a/standins/measure/control.py
+++ b/standins/measure/control.py
@@ -10,6 +10,7 @@
 import psutil
 
 from standins import cluster
+from standins import presets
 from standins.measure import figures
 
 SIZES = (5, 10, 20, 40)
@@ -78,7 +79,11 @@
 
 
 def _measure_size(folder: pathlib.Path, size: int) -> Cost:
-    with cluster.Cluster(folder=folder, with_store=True) as built:
+    preset = presets.with_control()
+    # A preset in force ends the search for one, as in any fleet in use.
+    with cluster.Cluster(
+        folder=folder, with_store=True, preset=preset
+    ) as built:
         for number in range(size):
             centre = _DATA_CENTRES[number % len(_DATA_CENTRES)]
             built.add(f"host-{number}", centre)
