--- /dev/null
+++ b/standins/capacity_rows.py
@@ -0,0 +1,418 @@
+"""The lines of the capacity page: formulas over measured slopes."""
+
+import dataclasses
+
+from standins.measure import figures
+
+NODES = 1300
+SERVICES = 34
+CALLS_PER_S = 70_000
+DEPTH = 16
+DATA_CENTRES = 8
+REGIONS = 2
+CHANGES_PER_DAY = 3600
+FAILURES_PER_DAY = 7
+RESTARTS_PER_DAY = 220
+RACK_NODES = 40
+DAY_S = 86_400
+
+BYTES_BOUND_PER_S = 19_000
+CPU_BOUND = 0.036
+MEMORY_BOUND_MB = 32.0
+ADDED_MS_BOUND = 0.56
+SWITCH_BOUND_S = 5.0
+STORE_READS_BOUND = 2000
+STORE_WRITES_BOUND = 300
+
+WATCHERS = 2 * DATA_CENTRES
+WRITERS = 2 * DATA_CENTRES
+WATCH_RENEWAL_S = 50
+ROSTER_VERIFY_S = 600
+OPERATOR_READS = 2
+RUMOUR_BUDGET_PER_S = 8000
+
+NODE_CALLS_PER_S = CALLS_PER_S / NODES
+USER_REQUESTS_PER_S = CALLS_PER_S / DEPTH
+NODE_ENTRY_PER_S = USER_REQUESTS_PER_S / NODES
+NODE_EGRESS_PER_S = NODE_CALLS_PER_S - NODE_ENTRY_PER_S
+
+_LOAD = "54 calls/s"
+_KEPT_ANSWERS_MB = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Row:
+    """One line of the page.
+
+    Attributes:
+      role: Who carries it.
+      item: State, messages, processor time or memory.
+      formula: How the result comes from the measured slope.
+      result: The result at the letter's size.
+      unit: Its unit.
+      bound: The letter's bound, or None when it sets none.
+      run: The figure that gave the slope.
+      mechanism: What carries it.
+    """
+
+    role: str
+    item: str
+    formula: str
+    result: float
+    unit: str
+    bound: float | None = None
+    run: str
+    mechanism: str
+
+    @property
+    def verdict(self) -> str:
+        """Whether the line is within its bound."""
+        if self.bound is None:
+            return "no bound set"
+        return "yes" if self.result <= self.bound else "**NO**"
+
+
+class Slopes:
+    """Measured values by name; a missing one is an error.
+
+    Args:
+      report: The measuring run.
+    """
+
+    def __init__(self, *, report: figures.Report):
+        self._report = report
+
+    def get(self, name: str, variant: str) -> float:
+        """Returns a value that the run must have taken."""
+        value = self._report.value(name, variant)
+        if value is None:
+            raise KeyError(f"{name} ({variant}) was not measured")
+        return value
+
+    def largest(self, name: str, suffix: str) -> float:
+        """Returns a figure's value at the largest size taken."""
+        taken = [
+            (int(figure.variant.split()[0]), figure.value)
+            for figure in self._report.figures
+            if figure.name == name and figure.variant.endswith(suffix)
+        ]
+        return max(taken)[1]
+
+    def at_size(self, kind: str) -> float:
+        """Extends a control figure to the letter's size, never downwards."""
+        slope = max(0.0, self.get(f"control slope, {kind}", "fit"))
+        return self.get(f"control base, {kind}", "fit") + slope * NODES
+
+
+def rows(report: figures.Report) -> list[Row]:
+    """Returns all lines of the page."""
+    slopes = Slopes(report=report)
+    return [
+        *_data_path(slopes),
+        *_member(slopes),
+        *_store_roles(slopes),
+        *_operator(slopes),
+    ]
+
+
+def _data_path(slopes: Slopes) -> list[Row]:
+    entry_ms = slopes.get("processor time per call, entry node", _LOAD)
+    callee_ms = slopes.get("processor time per call, callee node", _LOAD)
+    entry_mb = slopes.get("resident memory, entry node", "540 calls/s")
+    callee_mb = slopes.get("resident memory, callee node", "540 calls/s")
+    import_mb = slopes.get("resident memory after import", "node")
+    deadline_s = 5.0
+    entry_run = f"processor time per call, entry node, {_LOAD}"
+    callee_run = f"processor time per call, callee node, {_LOAD}"
+    return [
+        Row(
+            role="entry",
+            item="state",
+            formula=f"{NODE_ENTRY_PER_S:.2f}/s x {deadline_s:g} s deadline",
+            result=NODE_ENTRY_PER_S * deadline_s,
+            unit="open exchanges at most",
+            run="the letter's rates; default deadline of a preset",
+            mechanism="each exchange ends by its deadline",
+        ),
+        Row(
+            role="entry",
+            item="messages",
+            formula=f"2 frames x {NODE_ENTRY_PER_S:.2f} user requests/s",
+            result=2 * NODE_ENTRY_PER_S,
+            unit="frames/s",
+            run="the letter's rates",
+            mechanism="one call frame and one answer frame a dispatch",
+        ),
+        Row(
+            role="entry",
+            item="processor",
+            formula=f"{NODE_ENTRY_PER_S:.2f}/s x {entry_ms:.3g} ms",
+            result=NODE_ENTRY_PER_S * entry_ms / 1000,
+            unit="cores",
+            run=entry_run,
+            mechanism="one parse of HTTP, one frame each way",
+        ),
+        Row(
+            role="entry",
+            item="memory",
+            formula=f"{entry_mb:.1f} MB under load - {import_mb:.1f} MB code",
+            result=entry_mb - import_mb,
+            unit="MB",
+            run="resident memory, entry node, 540 calls/s",
+            mechanism="open exchanges, links, the ring of events",
+        ),
+        Row(
+            role="egress",
+            item="state",
+            formula=f"{NODE_EGRESS_PER_S:.1f}/s x {deadline_s:g} s deadline",
+            result=NODE_EGRESS_PER_S * deadline_s,
+            unit="open exchanges at most",
+            run="the letter's rates; default deadline of a preset",
+            mechanism="each exchange ends by its parent's deadline",
+        ),
+        Row(
+            role="egress",
+            item="messages",
+            formula=f"2 frames x {NODE_EGRESS_PER_S:.1f} calls/s",
+            result=2 * NODE_EGRESS_PER_S,
+            unit="frames/s",
+            run="the letter's rates",
+            mechanism="thresholds, load and unspent re-sends ride on answers",
+        ),
+        Row(
+            role="egress",
+            item="processor",
+            formula=f"{NODE_EGRESS_PER_S:.1f}/s x {entry_ms:.3g} ms",
+            result=NODE_EGRESS_PER_S * entry_ms / 1000,
+            unit="cores",
+            run=entry_run + " (same path as the entry's)",
+            mechanism="two random choices by load, no scan of the fleet",
+        ),
+        Row(
+            role="egress",
+            item="memory",
+            formula=f"routing state of {NODES} members",
+            result=slopes.get("engine's routing state", f"{NODES} members"),
+            unit="MB",
+            run=f"engine's routing state, {NODES} members",
+            mechanism="members by service; load known for picked ones only",
+        ),
+        Row(
+            role="callee",
+            item="state",
+            formula=f"{NODE_CALLS_PER_S:.1f}/s x {deadline_s:g} s deadline",
+            result=NODE_CALLS_PER_S * deadline_s,
+            unit="runs and queued calls at most",
+            run="the letter's rates; default deadline of a preset",
+            mechanism="bounded queue, concurrency limit, deadlines",
+        ),
+        Row(
+            role="callee",
+            item="messages",
+            formula=f"2 frames x {NODE_CALLS_PER_S:.1f} calls/s",
+            result=2 * NODE_CALLS_PER_S,
+            unit="frames/s",
+            run="the letter's rates",
+            mechanism="one answer frame a call",
+        ),
+        Row(
+            role="callee",
+            item="processor",
+            formula=f"{NODE_CALLS_PER_S:.1f}/s x {callee_ms:.3g} ms",
+            result=NODE_CALLS_PER_S * callee_ms / 1000,
+            unit="cores",
+            run=callee_run,
+            mechanism="admission in constant time a call",
+        ),
+        Row(
+            role="callee",
+            item="memory",
+            formula=f"{callee_mb:.1f} MB - {import_mb:.1f} MB code "
+            f"+ {_KEPT_ANSWERS_MB:g} MB answers kept for tickets",
+            result=callee_mb - import_mb + _KEPT_ANSWERS_MB,
+            unit="MB",
+            run="resident memory, callee node, 540 calls/s",
+            mechanism="answer_bytes and table_size of the preset",
+        ),
+        Row(
+            role="two nodes",
+            item="added latency p99",
+            formula="two nodes - direct call, same run",
+            result=slopes.get("added latency p99", f"two nodes, {_LOAD}"),
+            unit="ms",
+            bound=ADDED_MS_BOUND,
+            run=f"added latency p99, two nodes, {_LOAD}; the null relay of "
+            "the same run added "
+            f"{slopes.get('added latency p99', f'null relay, {_LOAD}'):.3g}"
+            " ms",
+            mechanism="one parse, one frame, one write a hop",
+        ),
+    ]
+
+
+def _member(slopes: Slopes) -> list[Row]:
+    members_mb = slopes.get("records of the members", f"{NODES} members")
+    routing_mb = slopes.get("engine's routing state", f"{NODES} members")
+    idle_mb = slopes.largest("resident memory of an idle node", " nodes")
+    change_ms = slopes.get(
+        "processor time of one membership change", f"{NODES} members"
+    )
+    events_per_s = 3 * (FAILURES_PER_DAY + 2 * RESTARTS_PER_DAY) / DAY_S
+    death_bytes = slopes.largest("bytes sent per node for one death", " cores")
+    bytes_per_s = slopes.at_size("bytes_per_s")
+    cpu = slopes.at_size("cpu_share")
+    return [
+        Row(
+            role="member",
+            item="state",
+            formula=f"records of {NODES} members",
+            result=members_mb,
+            unit="MB",
+            run=f"records of the members, {NODES} members",
+            mechanism="one record a member; the dead are dropped in time",
+        ),
+        Row(
+            role="member",
+            item="messages, at rest",
+            formula=f"base + max(0, slope) x {NODES}",
+            result=bytes_per_s,
+            unit="bytes/s",
+            bound=BYTES_BOUND_PER_S,
+            run="control base and slope, bytes_per_s",
+            mechanism="one probe a second whatever the size; sync each 15 s",
+        ),
+        Row(
+            role="member",
+            item="messages, ordinary day",
+            formula=f"at rest + {death_bytes:.0f} bytes x "
+            f"{events_per_s:.4f} events/s",
+            result=bytes_per_s + death_bytes * events_per_s,
+            unit="bytes/s",
+            bound=BYTES_BOUND_PER_S,
+            run="bytes sent per node for one death, largest size",
+            mechanism="each rumour is told a bounded number of times",
+        ),
+        Row(
+            role="member",
+            item="processor",
+            formula=f"base + max(0, slope) x {NODES} + {change_ms:.3g} ms x "
+            f"{events_per_s:.4f} changes/s",
+            result=cpu + change_ms / 1000 * events_per_s,
+            unit="cores",
+            bound=CPU_BOUND,
+            run="control base and slope, cpu_share; processor time of one "
+            "membership change",
+            mechanism="probes at a fixed rate; changes published together",
+        ),
+        Row(
+            role="member",
+            item="memory, whole process",
+            formula=f"{idle_mb:.1f} MB idle + {members_mb:.2f} MB "
+            f"+ {routing_mb:.2f} MB",
+            result=idle_mb + members_mb + routing_mb,
+            unit="MB",
+            bound=MEMORY_BOUND_MB,
+            run="resident memory of an idle node, largest size",
+            mechanism="libraries are the most of it; see below",
+        ),
+    ]
+
+
+def _store_roles(slopes: Slopes) -> list[Row]:
+    changes_per_s = CHANGES_PER_DAY / DAY_S
+    watch_calls = WATCHERS * (1 / WATCH_RENEWAL_S + changes_per_s)
+    turnover_per_s = (FAILURES_PER_DAY + RESTARTS_PER_DAY) / DAY_S
+    roster_reads = WRITERS * (1 / ROSTER_VERIFY_S + turnover_per_s)
+    start_reads = (DATA_CENTRES + 1) * turnover_per_s
+    preset_bytes = slopes.get("preset pulled whole", "10 routes a service")
+    reads = watch_calls + roster_reads + start_reads
+    reads += OPERATOR_READS * changes_per_s
+    writes = changes_per_s + DATA_CENTRES * turnover_per_s
+    return [
+        Row(
+            role="store watcher",
+            item="state",
+            formula="one waiting watch and the object in force",
+            result=preset_bytes / 1e6,
+            unit="MB",
+            run="preset pulled whole, 10 routes a service",
+            mechanism="two hash-chosen nodes a data centre",
+        ),
+        Row(
+            role="store watcher",
+            item="messages",
+            formula=f"1/{WATCH_RENEWAL_S} s + {CHANGES_PER_DAY}/day",
+            result=watch_calls / WATCHERS,
+            unit="store calls/s each",
+            run="constants of store_watch",
+            mechanism="a watch waits; the others hear by rumour",
+        ),
+        Row(
+            role="roster writer",
+            item="messages",
+            formula=f"1/{ROSTER_VERIFY_S} s + {RESTARTS_PER_DAY} restarts and "
+            f"{FAILURES_PER_DAY} failures a day at most",
+            result=roster_reads / WRITERS,
+            unit="store calls/s each",
+            run="constants of the roster task",
+            mechanism="conditional update; an old writer conflicts",
+        ),
+        Row(
+            role="store",
+            item="reads and watches",
+            formula=f"{WATCHERS} watchers + {WRITERS} writers + starting "
+            f"nodes + {OPERATOR_READS} a change",
+            result=reads,
+            unit="calls/s",
+            bound=STORE_READS_BOUND,
+            run="sum of the lines above",
+            mechanism="nothing on the path of a request waits for the store",
+        ),
+        Row(
+            role="store",
+            item="writes",
+            formula=f"{CHANGES_PER_DAY}/day + rosters of {DATA_CENTRES} "
+            "data centres at most once a restart",
+            result=writes,
+            unit="calls/s",
+            bound=STORE_WRITES_BOUND,
+            run="sum of the lines above",
+            mechanism="one conditional write a switch",
+        ),
+        Row(
+            role="store",
+            item="state",
+            formula=f"object in force + {DATA_CENTRES} rosters of 8 contacts",
+            result=preset_bytes / 1e6 + DATA_CENTRES * 0.001,
+            unit="MB",
+            run="preset pulled whole, 10 routes a service",
+            mechanism="the last 16 switches are kept, no more",
+        ),
+    ]
+
+
+def _operator(slopes: Slopes) -> list[Row]:
+    switch_s = slopes.get(
+        "switch accepted to in force everywhere, maximum", "12 nodes"
+    )
+    return [
+        Row(
+            role="operator's command",
+            item="messages",
+            formula=f"{OPERATOR_READS} reads and 1 write a switch",
+            result=(OPERATOR_READS + 1) * CHANGES_PER_DAY / DAY_S,
+            unit="store calls/s",
+            run="test_few_nodes_use_the_store",
+            mechanism="hands the accepted switch to nodes that it knows",
+        ),
+        Row(
+            role="operator's command",
+            item="time to in force everywhere",
+            formula="measured on 12 nodes; rumours reach n nodes in log n",
+            result=switch_s,
+            unit="s",
+            bound=SWITCH_BOUND_S,
+            run="switch accepted to in force everywhere, maximum, 12 nodes",
+            mechanism="rumour by datagram, then a pull of changed sections",
+        ),
+    ]
