--- a/bergamotdeal/membership/contacts.py
+++ b/bergamotdeal/membership/contacts.py
@@ -26,7 +26,8 @@
         self._rng = rng
         self._seeds: tuple[messages.Endpoint, ...] = ()
         self._next_seed = now
-        self.next_sync = now + rng.random() * SYNC_INTERVAL_S
+        self._sync_interval_s = SYNC_RETRY_S
+        self.next_sync = now + SYNC_RETRY_S
 
     def add_seeds(
         self, seeds: tuple[messages.Endpoint, ...], now: float
@@ -53,13 +54,22 @@
         """Returns whether to compare views now, and sets the next time."""
         if now < self.next_sync:
             return False
-        jitter = 0.5 + self._rng.random()
-        self.next_sync = now + jitter * SYNC_INTERVAL_S
+        self._set_next_sync(now)
         return True
 
-    def sync_failed(self, now: float) -> None:
-        """Brings the next comparison forward after one that failed."""
-        self.next_sync = min(self.next_sync, now + SYNC_RETRY_S)
+    def sync_answered(self, now: float) -> None:
+        """Makes comparisons rarer step by step, after a join."""
+        self._sync_interval_s = min(2 * self._sync_interval_s, SYNC_INTERVAL_S)
+        self._set_next_sync(now)
+
+    def sync_again(self, now: float) -> None:
+        """Makes comparisons frequent again; the last was not enough."""
+        self._sync_interval_s = SYNC_RETRY_S
+        self._set_next_sync(now)
+
+    def _set_next_sync(self, now: float) -> None:
+        jitter = 0.5 + self._rng.random()
+        self.next_sync = now + jitter * self._sync_interval_s
 
     def sync_soon(self, now: float) -> None:
         """Makes the next comparison due at once."""
--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -32,7 +32,6 @@
       spread_interval_s: Time between rounds of rumours while there are any.
       spread_fanout: Members that hear each round.
       pause_s: Time without any event that counts as a pause of the process.
-      welcome_datagrams: Datagrams about others that a new member is sent.
       bounds: Bounds of suspicion.
     """
 
@@ -42,7 +41,6 @@
     spread_interval_s: float = 0.2
     spread_fanout: int = 3
     pause_s: float = 2.5
-    welcome_datagrams: int = 1
     bounds: suspicion.Bounds = dataclasses.field(
         default_factory=suspicion.Bounds
     )
@@ -140,7 +138,7 @@
             case messages.SyncAnswered():
                 self._on_sync_answer(event.endpoint, event.answer, now)
             case messages.SyncFailed():
-                self._contacts.sync_failed(now)
+                self._contacts.sync_again(now)
             case messages.SeedsFound(seeds=seeds):
                 self._contacts.add_seeds(seeds, now)
                 self._contact_seeds(now)
@@ -184,7 +182,7 @@
         self._effects.clear()
         self._notice_pause(now)
         if isinstance(request, messages.SyncPush):
-            self._knowledge.merge_entries(request.entries, now)
+            self._merge_entries(request.entries, now)
             return messages.SyncDone(), list(self._effects)
         buckets = self._knowledge.view.differing(request.digests)
         answer = messages.SyncResponse(
@@ -306,7 +304,6 @@
         if sender.host_id == self.own.host_id:
             self._knowledge.refute_record(sender, now)
             return
-        is_new = self._knowledge.view.entry(sender.host_id) is None
         self._knowledge.merge_record(sender, Health.ALIVE, now)
         for rumour in datagram.rumours:
             self._knowledge.hear(rumour, now)
@@ -324,8 +321,6 @@
                 self._on_ack(number, now)
             case messages.Spread():
                 pass
-        if is_new and entry is not None:
-            self._welcome(reply_to, sender.host_id)
 
     def _relay(
         self,
@@ -356,24 +351,6 @@
         if relay is not None:
             self._send(relay.requester, messages.Ack(number=relay.number))
 
-    def _welcome(self, endpoint: messages.Endpoint, host_id: str) -> None:
-        """Tells a new member some others, before its first anti-entropy."""
-        others = [
-            messages.RecordRumour(member=entry.record)
-            for entry in self._knowledge.view.others(worst=Health.ALIVE)
-            if entry.record.host_id != host_id
-        ]
-        self._rng.shuffle(others)
-        body = messages.Spread()
-        for _ in range(self._timing.welcome_datagrams):
-            room = rumours.room_for_rumours(self.own, body)
-            batch: list[messages.Rumour] = []
-            while others and rumours.rumour_bytes(others[-1]) <= room:
-                room -= rumours.rumour_bytes(others[-1])
-                batch.append(others.pop())
-            if batch:
-                self._send_exactly(endpoint, body, tuple(batch))
-
     def _send(
         self,
         endpoint: messages.Endpoint,
@@ -452,15 +429,25 @@
         )
         self._effects.append(messages.SendBulk(endpoint=endpoint, bulk=request))
 
+    def _merge_entries(
+        self, entries: tuple[messages.KnownMember, ...], now: float
+    ) -> None:
+        """Compares again soon while views are far apart."""
+        if not self._knowledge.merge_entries(entries, now):
+            self._contacts.sync_again(now)
+
     def _on_sync_answer(
         self,
         endpoint: messages.Endpoint,
         answer: messages.SyncResponse | messages.SyncDone,
         now: float,
     ) -> None:
-        if isinstance(answer, messages.SyncDone) or not answer.buckets:
+        if isinstance(answer, messages.SyncDone):
+            return
+        self._contacts.sync_answered(now)
+        if not answer.buckets:
             return
-        self._knowledge.merge_entries(answer.entries, now)
+        self._merge_entries(answer.entries, now)
         push = messages.SyncPush(
             entries=self._knowledge.view.entries_in(answer.buckets)
         )
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -156,12 +156,15 @@
 
     def merge_entries(
         self, entries: tuple[messages.KnownMember, ...], now: float
-    ) -> None:
+    ) -> bool:
         """Takes in entries of another node's view.
 
         Args:
           entries: The entries; one about this node itself is refuted.
           now: Monotonic seconds.
+
+        Returns:
+          Whether the news were few, so that they are passed on as rumours.
         """
         news: list[messages.KnownMember] = []
         for entry in entries:
@@ -174,9 +177,11 @@
                 self.refute(member.state_number, now)
             self.refute_record(member, now)
         # A newcomer learns the whole fleet at once; to it alone that is news.
-        if len(news) <= MAX_RUMOURS_FROM_SYNC:
-            for entry in news:
-                self._pass_on(entry.member, entry.health)
+        if len(news) > MAX_RUMOURS_FROM_SYNC:
+            return False
+        for entry in news:
+            self._pass_on(entry.member, entry.health)
+        return True
 
 
 def verdict_on(record: core.Member, health: Health) -> messages.VerdictRumour:
--- a/bergamotdeal/membership/rumours.py
+++ b/bergamotdeal/membership/rumours.py
@@ -16,7 +16,8 @@
 SPREAD_BYTES_PER_S = 8_000.0
 SPREAD_BURST_BYTES = 24_000.0
 
-_SENDS_FACTOR = 4
+_SENDS_PER_LOG = 2
+_SENDS_BASE = 6
 _WORD_BYTES = 8
 _MAC_BYTES = 16
 _ENVELOPE_BYTES = 112
@@ -82,6 +83,18 @@
     return used + sum(rumour_bytes(rumour) for rumour in datagram.rumours)
 
 
+def sends_for(fleet_size: int) -> int:
+    """Returns how often each node sends a rumour.
+
+    With k sends a node, a given member misses a rumour with probability
+    exp(-k), so that any of n misses it with about exp(-6) / n.
+
+    Args:
+      fleet_size: Number of members.
+    """
+    return math.ceil(_SENDS_PER_LOG * math.log(fleet_size + 1)) + _SENDS_BASE
+
+
 class Pacer:
     """Bounds the bytes that rounds of rumours may send.
 
@@ -164,7 +177,7 @@
         """
         chosen = list(first)
         room -= sum(rumour_bytes(rumour) for rumour in first)
-        max_sends = _SENDS_FACTOR * math.ceil(math.log10(fleet_size + 1))
+        max_sends = sends_for(fleet_size)
         newest_first = reversed(list(self._queued_by_subject.items()))
         candidates = sorted(newest_first, key=lambda item: item[1].sends)
         for subject, queued in candidates:
--- a/bergamotdeal/membership/tests/fleet.py
+++ b/bergamotdeal/membership/tests/fleet.py
@@ -20,6 +20,8 @@
       seed: Seed of every random source.
       size: Number of nodes.
       timing: Timing of each core.
+      datagram_bytes: Returns the bytes of a datagram.
+      bulk_bytes: Returns the bytes of a bulk message.
     """
 
     def __init__(
@@ -28,7 +30,12 @@
         seed: int = 1,
         size: int,
         timing: gossip.Timing = gossip.DEFAULT_TIMING,
+        datagram_bytes: Callable = rumours.datagram_bytes,
+        bulk_bytes: Callable = lambda bulk: 0,
     ) -> None:
+        self._datagram_bytes = datagram_bytes
+        self._bulk_bytes = bulk_bytes
+        self.bulk_bytes_by_id: dict[str, int] = {}
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.timing = timing
@@ -73,6 +80,7 @@
         self.stopped.discard(host_id)
         self.bytes_by_id.setdefault(host_id, 0)
         self.syncs_by_id.setdefault(host_id, 0)
+        self.bulk_bytes_by_id.setdefault(host_id, 0)
         self.heard_by_id.setdefault(host_id, [])
         endpoints = tuple(
             messages.Endpoint(address=seed, port=1) for seed in seeds
@@ -153,7 +161,7 @@
         for effect in effects:
             match effect:
                 case messages.SendDatagram():
-                    size = rumours.datagram_bytes(effect.datagram)
+                    size = self._datagram_bytes(effect.datagram)
                     assert size <= rumours.MAX_DATAGRAM_BYTES
                     self.bytes_by_id[host_id] += size
                     target = effect.endpoint.address
@@ -173,6 +181,7 @@
     def _exchange(self, host_id: str, effect: messages.SendBulk) -> None:
         target = effect.endpoint.address
         self.syncs_by_id[host_id] += 1
+        self.bulk_bytes_by_id[host_id] += self._bulk_bytes(effect.bulk)
 
         def serve() -> None:
             gone = target in self.stopped | self.paused
@@ -183,6 +192,7 @@
             else:
                 node = self.cores_by_id[target]
                 answer, effects = node.serve(effect.bulk, self.now)
+                self.bulk_bytes_by_id[target] += self._bulk_bytes(answer)
                 self._carry_out(target, effects)
                 self._schedule(target)
                 event = messages.SyncAnswered(
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -250,6 +250,34 @@
     assert rates[1] < 2_000
 
 
+def test_newcomer_whose_first_seed_is_dead_learns_the_fleet():
+    fleet = joined(1, size=25)
+    fleet.stopped.add("host-0")
+    fleet.add("newcomer", seeds=("host-0", "host-1"))
+    known = fleet.run_until(
+        lambda: len(fleet.cores_by_id["newcomer"].members_by_id()) == 26,
+        within_s=10,
+    )
+    assert known < 3
+
+
+def test_rumours_miss_hardly_anyone():
+    """Fifty changes in a row; none waits for a comparison of views."""
+    fleet = joined(1, size=25)
+    for number in range(50):
+        host_id = f"host-{number % 25}"
+        server = core.Server(service=f"s-{number}", slots=1, connections=1)
+        fleet.tell(host_id, messages.ServerChanged(server=server))
+
+        def known(host_id=host_id, server=server) -> bool:
+            return all(
+                node.members_by_id()[host_id].server == server
+                for node in fleet.cores_by_id.values()
+            )
+
+        assert fleet.run_until(known, within_s=30) < 3
+
+
 def test_newcomer_does_not_repeat_the_whole_fleet():
     """Old members are news to it alone, and it must not pass them on."""
     fleet = joined(1, size=80)
