--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -100,6 +100,12 @@
         """Returns every known member with its state in this node's view."""
         return self._knowledge.view.members_by_id()
 
+    def member(self, host_id: str) -> core.Member | None:
+        """Returns one member with its state in this node's view, or None."""
+        if self._knowledge.view.entry(host_id) is None:
+            return None
+        return self._knowledge.view.member(host_id)
+
     def joined(self) -> bool:
         """Returns whether this node knows any other live member."""
         return bool(self._knowledge.view.others(worst=Health.ALIVE))
--- a/bergamotdeal/membership/tests/fleet.py
+++ b/bergamotdeal/membership/tests/fleet.py
@@ -205,7 +205,7 @@
     # --- Views -------------------------------------------------------------
 
     def state(self, viewer: str, host_id: str) -> core.MemberState | None:
-        member = self.cores_by_id[viewer].members_by_id().get(host_id)
+        member = self.cores_by_id[viewer].member(host_id)
         return None if member is None else member.state
 
     def running(self) -> list[str]:
