Pull a preset that can't be read ever more seldom

A node that rejects a preset, say one of a later release, heard of its epoch with each ping and pulled it again each time. After a rejection it waits 0.25 to 30 s, doubling; the new test saw 6,000 rumours in 600 s lead to at most 60 pulls.

--- a/bergamotdeal/membership/view.py
+++ b/bergamotdeal/membership/view.py
@@ -1,10 +1,11 @@
 """One node's view of the fleet and the rules by which it changes.
 
 Each entry is ordered by (state number, health, incarnation). A member raises
-its state number with each change of its own record, so a merge in any order
-and any number of times ends in the same view. A new incarnation starts from
-the wall clock in milliseconds; should that lie behind an older incarnation's
-number, the member raises its number above it as soon as it hears of it.
+its state number with each change of its own record, so that records merged in
+any order and any number of times end in the same view. A new incarnation
+starts from the wall clock in milliseconds; should that lie behind an older
+incarnation's number, the member raises its number above it as soon as it hears
+of it.
 """
 
 import dataclasses
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -21,6 +21,8 @@
 PULL_PATIENCE_S = 0.7
 PEER_WAIT_S = 1.0
 WATCH_DELAY_S = 2.0
+REJECTED_WAIT_MIN_S = 0.25
+REJECTED_WAIT_MAX_S = 30.0
 READ_RETRY_MIN_S = 0.5
 READ_RETRY_MAX_S = 30.0
 
@@ -179,6 +181,8 @@
         self._members_by_id: dict[str, membership.Member] = {}
         self._epochs_by_teller: dict[str, int] = {}
         self._pulls_by_host: dict[str, float] = {}
+        self._pull_not_before = now
+        self._rejected_wait_s = REJECTED_WAIT_MIN_S
         self._sections: tuple[gossip.Section, ...] = ()
         self._operation_id = ""
         self._watching = False
@@ -217,6 +221,8 @@
             for sent in self._pulls_by_host.values()
             if sent + PULL_PATIENCE_S > self._now
         ]
+        if self._epochs_by_teller and self._pull_not_before > self._now:
+            times.append(self._pull_not_before)
         if self.epoch == NO_EPOCH and not self._reading:
             times.append(self._next_read)
         if self._watch_at is not None:
@@ -243,7 +249,7 @@
                 self._choose_watchers(now)
             case PullAnswered():
                 self._pulls_by_host.pop(event.host_id, None)
-                self._on_pulled(event.host_id, event.response)
+                self._on_pulled(event.host_id, event.response, now)
             case PullFailed(host_id=host_id):
                 self._pulls_by_host.pop(host_id, None)
                 self._epochs_by_teller.pop(host_id, None)
@@ -283,6 +289,8 @@
 
     def _pull_if_behind(self, now: float) -> None:
         """Pulls from one teller at a time, and from a second if it is slow."""
+        if now < self._pull_not_before:
+            return
         late = now - PULL_PATIENCE_S
         if any(sent > late for sent in self._pulls_by_host.values()):
             return
@@ -300,7 +308,9 @@
         digests = tuple(section.digest for section in self._sections)
         self._effects.append(Pull(host_id=host_id, known_digests=digests))
 
-    def _on_pulled(self, host_id: str, response: gossip.PresetResponse) -> None:
+    def _on_pulled(
+        self, host_id: str, response: gossip.PresetResponse, now: float
+    ) -> None:
         told = self._epochs_by_teller.pop(host_id, None)
         if response.epoch <= max(self.epoch, INITIAL_EPOCH):
             return
@@ -310,6 +320,15 @@
             case result.Err(reason):
                 epoch = response.epoch if told is None else told
                 self._effects.append(Reject(epoch=epoch, reason=reason))
+                self._wait_after_rejection(now)
+
+    def _wait_after_rejection(self, now: float) -> None:
+        """Keeps a preset that can't be read from being pulled all the time."""
+        jitter = 0.5 + self._rng.random()
+        self._pull_not_before = now + jitter * self._rejected_wait_s
+        self._rejected_wait_s = min(
+            2 * self._rejected_wait_s, REJECTED_WAIT_MAX_S
+        )
 
     # --- The store and operators -------------------------------------------
 
@@ -392,6 +411,7 @@
         self.preset = preset
         self._operation_id = operation_id
         self._sections = preset_sections.split(preset)
+        self._rejected_wait_s = REJECTED_WAIT_MIN_S
         self._epochs_by_teller = {
             host_id: told
             for host_id, told in self._epochs_by_teller.items()
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -134,6 +134,28 @@
     assert target.epoch == follower.NO_EPOCH
 
 
+def test_preset_that_cannot_be_read_is_pulled_ever_more_seldom():
+    target = node()
+    hand(target, 1)
+    section = gossip.Section(name="header", digest=b"x", content=b"{}")
+    response = gossip.PresetResponse(
+        epoch=2, operation_id="2-a", sections=(section,)
+    )
+    pulls = 0
+    for tenth in range(6000):
+        now = tenth / 10
+        heard = follower.EpochHeard(epoch=2, host_id=f"host-{tenth % 40}")
+        for pull in only(target.handle(heard, now), follower.Pull):
+            pulls += 1
+            answered = follower.PullAnswered(
+                host_id=pull.host_id, response=response
+            )
+            target.handle(answered, now)
+    assert 10 <= pulls <= 60
+    hand(target, 3, now=600.0)
+    assert target.epoch == 3
+
+
 def test_silent_teller_is_passed_over():
     target = node()
     hand(target, 1)
