--- a/bergamotdeal/node/roster.py
+++ b/bergamotdeal/node/roster.py
@@ -1,5 +1,6 @@
 """The roster task: first contact through the store, and its upkeep."""
 
+from collections.abc import Callable
 import random
 import time
 
@@ -29,6 +30,7 @@
       rng: Random source.
       store: The platform's object API.
       membership: The membership task.
+      clock: Returns monotonic seconds.
     """
 
     def __init__(
@@ -39,7 +41,9 @@
         rng: random.Random,
         store: store_core.Store,
         membership: membership_task.MembershipTask,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._node = settings.node
         self._reactor = reactor
         self._rng = rng
@@ -126,7 +130,7 @@
         wanted = None
         if self._membership.joined():
             wanted = roster.wanted(members_by_id, self._node.data_centre)
-        age = time.monotonic() - self._verified
+        age = self._clock() - self._verified
         fresh = age < VERIFY_INTERVAL_S
         if wanted is not None and wanted == self._known and fresh:
             return
@@ -159,4 +163,4 @@
             if written.is_err():
                 return  # Another writer was first, or the next check retries.
         self._known = wanted
-        self._verified = time.monotonic()
+        self._verified = self._clock()
