Keep a restarted node from falling back on its settings' preset

Without a store, a node restarted while its seeds were out of reach for a second put the settings' preset in force at epoch 0, though the fleet had switched since. With seeds it now waits up to 10 s to know another node.

--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -66,6 +66,7 @@
             host_id=settings.node.host_id,
             data_centre=settings.node.data_centre,
             has_store=store is not None,
+            has_seeds=bool(settings.peer.seeds),
             initial=initial,
             rng=rng,
             now=clock(),
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -20,6 +20,7 @@
 MAX_TELLERS = 16
 PULL_PATIENCE_S = 0.7
 PEER_WAIT_S = 1.0
+SEED_WAIT_S = 10.0
 WATCH_DELAY_S = 2.0
 REJECTED_WAIT_MIN_S = 0.25
 REJECTED_WAIT_MAX_S = 30.0
@@ -158,6 +159,7 @@
       host_id: This node's host.
       data_centre: Its data centre.
       has_store: Whether the settings name a store.
+      has_seeds: Whether the settings name other nodes.
       initial: Preset of the settings, for a fleet without any switch yet.
       rng: Random source.
       now: Monotonic seconds.
@@ -169,6 +171,7 @@
         host_id: str,
         data_centre: str,
         has_store: bool,
+        has_seeds: bool = False,
         initial: model.Preset | None = None,
         rng: random.Random,
         now: float,
@@ -190,6 +193,9 @@
         self._reading = False
         self._read_delay_s = READ_RETRY_MIN_S
         self._next_read = now + PEER_WAIT_S * (0.5 + rng.random())
+        # A restarted node must not fall back on its settings' preset while
+        # the others, who may have switched since, are still out of reach.
+        self._initial_not_before = now + (SEED_WAIT_S if has_seeds else 0.0)
         self._now = now
         self._store_problem = ""
         self._effects: list[Effect] = []
@@ -381,7 +387,9 @@
             self._effects.append(ReadStore())
             return
         self._next_read = now + PEER_WAIT_S
-        self._apply_initial()
+        alone = len(self._members_by_id) <= 1
+        if not alone or now >= self._initial_not_before:
+            self._apply_initial()
 
     def _apply_initial(self) -> None:
         """Falls back on the settings' preset when there was no switch yet."""
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -32,11 +32,12 @@
     )
 
 
-def node(host_id="a", *, has_store=True, initial=None):
+def node(host_id="a", *, has_store=True, has_seeds=False, initial=None):
     return follower.Follower(
         host_id=host_id,
         data_centre="odori",
         has_store=has_store,
+        has_seeds=has_seeds,
         initial=initial,
         rng=random.Random(1),
         now=0.0,
@@ -243,6 +244,23 @@
     assert told.epoch == follower.NO_EPOCH
 
 
+def test_settings_preset_waits_for_the_seeds():
+    """A restarted node must not go back to what was in force at first."""
+    target = node(initial=preset("initial"), has_store=False, has_seeds=True)
+    while (now := target.next_wakeup()) < follower.SEED_WAIT_S - 1:
+        assert not target.handle(follower.TimePassed(), now)
+    known = follower.MembersKnown(members_by_id=members("a", "b"))
+    target.handle(known, now)
+    target.handle(follower.EpochHeard(epoch=3, host_id="b"), now)
+    target.handle(follower.TimePassed(), now)
+    assert target.epoch == follower.NO_EPOCH
+    alone = node(initial=preset("initial"), has_store=False, has_seeds=True)
+    while alone.epoch == follower.NO_EPOCH:
+        now = alone.next_wakeup()
+        alone.handle(follower.TimePassed(), now)
+    assert follower.SEED_WAIT_S <= now < follower.SEED_WAIT_S + 2
+
+
 def test_two_nodes_of_a_data_centre_watch():
     host_ids = [f"host-{n}" for n in range(20)]
     known = members(*host_ids)
