--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -32,11 +32,12 @@
     )
 
 
-def node(host_id="a", *, has_store=True, initial=None):
+def node(host_id="a", *, has_store=True, has_seeds=False, initial=None):
     return follower.Follower(
         host_id=host_id,
         data_centre="odori",
         has_store=has_store,
+        has_seeds=has_seeds,
         initial=initial,
         rng=random.Random(1),
         now=0.0,
@@ -134,6 +135,28 @@
     assert target.epoch == follower.NO_EPOCH
 
 
+def test_preset_that_cannot_be_read_is_pulled_ever_more_seldom():
+    target = node()
+    hand(target, 1)
+    section = gossip.Section(name="header", digest=b"x", content=b"{}")
+    response = gossip.PresetResponse(
+        epoch=2, operation_id="2-a", sections=(section,)
+    )
+    pulls = 0
+    for tenth in range(6000):
+        now = tenth / 10
+        heard = follower.EpochHeard(epoch=2, host_id=f"host-{tenth % 40}")
+        for pull in only(target.handle(heard, now), follower.Pull):
+            pulls += 1
+            answered = follower.PullAnswered(
+                host_id=pull.host_id, response=response
+            )
+            target.handle(answered, now)
+    assert 10 <= pulls <= 60
+    hand(target, 3, now=600.0)
+    assert target.epoch == 3
+
+
 def test_silent_teller_is_passed_over():
     target = node()
     hand(target, 1)
@@ -221,6 +244,23 @@
     assert told.epoch == follower.NO_EPOCH
 
 
+def test_settings_preset_waits_for_the_seeds():
+    """A restarted node must not go back to what was in force at first."""
+    target = node(initial=preset("initial"), has_store=False, has_seeds=True)
+    while (now := target.next_wakeup()) < follower.SEED_WAIT_S - 1:
+        assert not target.handle(follower.TimePassed(), now)
+    known = follower.MembersKnown(members_by_id=members("a", "b"))
+    target.handle(known, now)
+    target.handle(follower.EpochHeard(epoch=3, host_id="b"), now)
+    target.handle(follower.TimePassed(), now)
+    assert target.epoch == follower.NO_EPOCH
+    alone = node(initial=preset("initial"), has_store=False, has_seeds=True)
+    while alone.epoch == follower.NO_EPOCH:
+        now = alone.next_wakeup()
+        alone.handle(follower.TimePassed(), now)
+    assert follower.SEED_WAIT_S <= now < follower.SEED_WAIT_S + 2
+
+
 def test_two_nodes_of_a_data_centre_watch():
     host_ids = [f"host-{n}" for n in range(20)]
     known = members(*host_ids)
