Take a shed status after calls below for an ordinary answer

Cause: a backend server's shed status was reported as not-run even when the request had already made calls, so its effects below were denied. Change: the status counts as a refusal only for a request without calls. Figures: the new test said not-run before and completed with 503 after. Conclusion: what has called others has run.

--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -122,7 +122,9 @@
         run = self._table.runs_by_id.get(event.run_id)
         if run is None:
             return
-        if event.status == self._server.policy().shed_status:
+        # A request that has made calls did run, whatever its status says.
+        says_shed = event.status == self._server.policy().shed_status
+        if says_shed and not run.made_calls:
             self._free_slot(run, completed=False)
             self._server.run_ended(run.run_id)
             self._refuse(run, _KINDS.SERVER_SHED)
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -153,6 +153,7 @@
         exchange.depth = call.depth + 1
         exchange.allowance = parent.allowance
         parent.children.add(exchange.origin_id)
+        parent.made_calls = True
         if not exchange.key:
             return
         # A parent that runs again makes the same call under the same key.
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -40,6 +40,7 @@
         over.
       threshold: The tightest threshold that its own calls reported.
       children: Origin ids of the open calls that it made.
+      made_calls: Whether it ever made a call.
       timer: Timer of the deadline.
       fingerprint: Digest of the request.
       record: Record of its ticket, or None.
@@ -62,6 +63,7 @@
     repeatable: bool = True
     threshold: float = 1.0
     children: set[int] = dataclasses.field(default_factory=set)
+    made_calls: bool = False
     timer: deadlines.Timer | None = None
     fingerprint: str = ""
     record: tickets.Record | None = None
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -12,6 +12,7 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
 from bergamotdeal.telemetry import catalogue
+from standins import fleet
 from standins import fleet_model
 
 KINDS = errors.ErrorKind
@@ -240,6 +241,19 @@
         assert reply.outcome is outcome
 
 
+def test_a_shed_status_after_a_call_below_is_an_ordinary_answer():
+    def late(_start):
+        yield fleet_model.Invoke(requests=[scenarios.get("feederdesk")])
+        return fleet_model.Response(status=503)
+
+    made = fleet.Fleet(preset=scenarios.preset())
+    made.add_node("kitview", service="kitview", program=late)
+    made.add_node("feederdesk", service="feederdesk")
+    reply = made.call("kitview", scenarios.get("kitview"), user_request_id="r")
+    made.run_until(lambda: reply.done)
+    assert (reply.outcome, reply.answer.status) == (COMPLETED, 503)
+
+
 def test_an_internal_failure_answers_its_own_call_only():
     pool = scenarios.pool(scenarios.preset(), count=1)
     target = pool.nodes_by_id["orderline-1"].engine
