Let the random servers that refuse at last keep their own body

Cause: the property over random fleets counted every 503 as not run; since a shed status after calls is an ordinary answer, its body was the default one and read as another request's. Change: such a server answers with the body of its program, and a run that called others counts as run whatever its status; both checks are as strict. Conclusion: the property now also covers servers that refuse after work.

--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -32,8 +32,9 @@
     """Does the program's work and answers that it did none."""
 
     def shedding_program(start):
-        yield from program(start)
-        return fleet_model.Response(status=503)
+        response = yield from program(start)
+        response.status = 503
+        return response
 
     return shedding_program
 
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -63,11 +63,12 @@
             self.reply.when_done = self.take
 
     def own_runs(self):
-        """Returns the runs that the server did not declare as refused."""
+        """Returns the runs that the server did not truthfully refuse."""
         return [
             run
             for run in self.made.runs_of(self.user_request_id)
-            if run.start.request == self.request and run.status != SHED_STATUS
+            if run.start.request == self.request
+            and (run.status != SHED_STATUS or run.invoked)
         ]
 
     def take(self, reply):
--- a/standins/fleet_model.py
+++ b/standins/fleet_model.py
@@ -96,6 +96,7 @@
       finished: Whether the program ran to its end.
       status: Status that the program returned, zero before.
       stopped: Whether a cancellation or the server's death ended it.
+      invoked: Whether its program called other services.
     """
 
     host_id: str
@@ -105,6 +106,7 @@
     finished: bool = False
     status: int = 0
     stopped: bool = False
+    invoked: bool = False
     deadline_at: float = 0.0
     incarnation: str = ""
 
--- a/standins/fleet_servers.py
+++ b/standins/fleet_servers.py
@@ -110,6 +110,7 @@
                     seconds, lambda: self._advance(node, run, program, None)
                 )
             case fleet_model.Invoke():
+                run.invoked = True
                 self._invoke(node, run, program, step)
 
     def _invoke(
