--- a/bergamotdeal/caller/__init__.py
+++ b/bergamotdeal/caller/__init__.py
@@ -1,3 +1,3 @@
 """Client library for callers of the fleet."""
 
-__all__ = ["blocking", "core"]
+__all__ = ["blocking", "core", "deferred"]
