--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -156,6 +156,7 @@
             exchange,
             succeeded=answer.error not in truth.LOSSES,
             load=answer.load,
+            has_run=answer.error is None,
         )
         self._take_answer(exchange, answer)
 
@@ -207,6 +208,8 @@
             host_id = self._router.choose(
                 service, exclude=exchange.tried, now=self._state.now
             )
+            for outlier in self._router.take_found_outliers():
+                self._state.record(_CODES.OUTLIER_FOUND, host=outlier)
         if host_id is None:
             return result.Err(_KINDS.NO_SERVER)
         return result.Ok(host_id)
@@ -276,14 +279,16 @@
         *,
         succeeded: bool,
         load: core.Load | None,
+        has_run: bool = True,
     ) -> None:
         """Closes the dispatch in flight."""
         now = self._state.now
+        latency_s = now - exchange.sent_at if has_run else None
         del self._exchanges_by_number[exchange.number]
         exchange.number = 0
         self._router.finished(
             exchange.host_id,
-            latency_s=now - exchange.sent_at,
+            latency_s=latency_s,
             succeeded=succeeded,
             load=load,
             now=now,
--- a/standins/study/simulation.py
+++ b/standins/study/simulation.py
@@ -17,6 +17,7 @@
 _ERLANG_STAGES = 4
 _CLASSES = (presets.CRITICAL, presets.BROWSE)
 _CONNECTIONS_PER_SLOT = 8
+_COLD_FACTOR = 4.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -49,6 +50,7 @@
     usage: Usage = dataclasses.field(default_factory=Usage)
     started: float = 0.0
     own_work_s: float = 0.0
+    threshold: float = 1.0
     child: "_Call | None" = None
     node: "Node | None" = None
     job_id: int = 0
@@ -86,7 +88,6 @@
         self._depth = depth
         self.name = name
         self._level = scenario.levels[depth]
-        self._children = feedback.ThresholdTable(policy=scenario.policy)
         self.controller = controller.Controller(
             policy=scenario.policy,
             service_policy=presets.ServicePolicy(
@@ -111,9 +112,6 @@
         call.job_id = next(self._job_ids)
         share = self._chain.share(call)
         rank = 0 if call.user.critical else 1
-        if share >= self._child_threshold(call):
-            self._reply(call, succeeded=False)
-            return
         self._calls_by_job[call.job_id] = call
         job = core.Job(
             job_id=call.job_id,
@@ -133,16 +131,9 @@
         verdicts = self.controller.withdraw(call.job_id, self._clock.now)
         self._apply(verdicts)
 
-    def _child_threshold(self, call: _Call) -> float:
-        if self._depth + 1 >= len(self._chain.scenario.levels):
-            return 1.0
-        return self._children.threshold(
-            str(self._depth + 1), _PREFIX, _class(call), self._clock.now
-        )
-
     def _threshold(self, call: _Call) -> float:
         own = self.controller.threshold(0 if call.user.critical else 1)
-        return min(own, self._child_threshold(call))
+        return min(own, call.threshold)
 
     def _apply(self, verdicts: list[core.Verdict]) -> None:
         for verdict in verdicts:
@@ -186,7 +177,7 @@
         self._busy += 1
         call.working = True
         call.started = self._clock.now
-        call.own_work_s = self._chain.duration(self._depth)
+        call.own_work_s = self._chain.duration(self._depth, self._busy)
         self._clock.at(self._clock.now + call.own_work_s, self._worked, call)
 
     def _worked(self, call: _Call) -> None:
@@ -208,20 +199,10 @@
             tries_left=self._chain.scenario.tries,
         )
         call.child = child
-        admitted = self._chain.share(child) < self._child_threshold(call)
-        if not admitted:
-            self._end(call, succeeded=False)
-            return
         self._chain.send(child)
 
     def _answered(self, call: _Call, succeeded: bool, threshold: float) -> None:
-        self._children.observe(
-            str(self._depth + 1),
-            _PREFIX,
-            _class(call),
-            threshold,
-            self._clock.now,
-        )
+        call.threshold = min(call.threshold, threshold)
         if not call.working:
             return
         if succeeded:
@@ -312,12 +293,24 @@
         scenario = self.scenario
         return scenario.calm_s <= self.clock.now < scenario.trigger_end()
 
-    def duration(self, depth: int) -> float:
-        """Draws the own work of a request at a level, seconds."""
-        mean = self.scenario.levels[depth].service_s
-        deepest = depth + 1 == len(self.scenario.levels)
-        if deepest and self.in_trigger():
-            mean *= self.scenario.slowdown
+    def duration(self, depth: int, busy: int) -> float:
+        """Draws the own work of a request, seconds.
+
+        Args:
+          depth: Level of its service.
+          busy: Requests that the server runs, this one included.
+        """
+        scenario = self.scenario
+        mean = scenario.levels[depth].service_s
+        if self.clock.now < scenario.cold_s:
+            mean *= 1.0 + _COLD_FACTOR * (
+                1.0 - self.clock.now / scenario.cold_s
+            )
+        if depth + 1 == len(scenario.levels):
+            if self.in_trigger():
+                mean *= scenario.slowdown
+            if scenario.knee is not None:
+                mean *= max(1.0, busy / scenario.knee) ** 2
         return self._rng.gammavariate(_ERLANG_STAGES, mean / _ERLANG_STAGES)
 
     def share(self, call: _Call) -> float:
