Let a run under a ticket end after its caller's deadline

Cause: a reservation that took longer than its caller waited was aborted one second after the deadline, and its outcome stayed unknown for good. Change: such a run goes on up to five seconds beyond the deadline, so that the caller's next sending joins it or gets its answer.

--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -22,7 +22,10 @@
 _KINDS = errors.ErrorKind
 
 LINGER_MS = 1000
-"""Time for which a run that can't be cancelled keeps its slot at most."""
+"""Time after its deadline for which a run that can't be cancelled goes on."""
+
+TICKET_LINGER_MS = 5000
+"""The same for a run under a ticket, whose late answer is still asked for."""
 
 _KINDS_BY_FAILURE = {
     messages.RunFailure.UNREACHABLE: _KINDS.SERVER_UNREACHABLE,
@@ -304,7 +307,7 @@
         )
         left_ms = engine_state.milliseconds_left(run.deadline, state.now)
         if not self._can_cancel(run):
-            left_ms += LINGER_MS
+            left_ms += _linger_ms(run)
         state.emit(
             messages.StartRun(
                 run_id=run.run_id,
@@ -367,7 +370,7 @@
         if self._can_cancel(run):
             self._stop(run)
             return
-        self._set_timer(run, run.deadline + LINGER_MS / 1000)
+        self._set_timer(run, run.deadline + _linger_ms(run) / 1000)
 
     def _stop(self, run: runs.Run) -> None:
         """Aborts a run whose call is answered."""
@@ -457,3 +460,7 @@
         )
         answer.load = self._server.load()
         answer.epoch = self._state.epoch
+
+
+def _linger_ms(run: runs.Run) -> int:
+    return LINGER_MS if run.record is None else TICKET_LINGER_MS
--- a/bergamotdeal/calls/tests/test_fleet_tickets.py
+++ b/bergamotdeal/calls/tests/test_fleet_tickets.py
@@ -341,6 +341,31 @@
     scenarios.only_run(pool, "r")
 
 
+def test_an_answer_that_comes_after_the_deadline_is_replayed():
+    pool = make_pool(program=scenarios.working(3))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket, deadline_ms=500)
+    pool.run_until(lambda: first.done)
+    assert (first.error, first.outcome) == (KINDS.DEADLINE_EXCEEDED, UNKNOWN)
+    again = use(pool, ticket, attempt=1)
+    pool.run_until(lambda: again.done)
+    assert (again.outcome, again.answer.body) == (COMPLETED, b"ok")
+    scenarios.only_run(pool, "r")
+
+
+def test_a_run_that_never_ends_frees_its_slot_after_all():
+    pool = make_pool(count=1, slots=1, program=scenarios.working(600))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket, deadline_ms=500)
+    pool.run_until(lambda: first.done)
+    pool.run_for(6)
+    assert pool.nodes_by_id["orderline-1"].engine.idle()
+    again = use(pool, ticket, attempt=1)
+    pool.run_until(lambda: again.done)
+    assert again.outcome is UNKNOWN
+    scenarios.only_run(pool, "r")
+
+
 def test_a_joined_call_takes_over_when_the_first_caller_leaves_the_queue():
     pool = make_pool(count=1, slots=1, program=scenarios.working(0.2))
     ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
