Follow the ticket table's records in the mutation test

Cause: the mutant that forgets used tickets patched the records under a name that the table no longer has, so it raised and forgot nothing. Change: it reaches for the young records, where a used ticket is for its first minute; what it forgets and what has to catch it are as before.

--- a/tests/mutations/test_mutants.py
+++ b/tests/mutations/test_mutants.py
@@ -109,7 +109,7 @@
 
     def forgetful(self, encoded, request, now):
         serial = tickets.decode(encoded).unwrap().serial
-        record = self._records_by_serial.get(serial)
+        record = self._young.get(serial)
         if record is not None:
             record.state = table.TicketState.ISSUED
         return present(self, encoded, request, now)
