Take a shorter queue as the target and a longer window

The target depth is 0.15 of the queue bound in place of 0.25, an important class is cut from 0.6 of it, and a window holds 30 completions (default of window_completions in the preset model, which was 20). A bound on the small queue: depth targets of at least one job could not be passed by servers with few slots, so these never cut the first class; test added.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -13,7 +13,6 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
 
-_TARGET_DEPTH_SHARE = 0.25
 _PEAK_DECAY = 0.95
 _URGENT_RUN_TIMES = 2.0
 _MS_PER_S = 1000.0
@@ -236,7 +235,7 @@
             now=now,
             limit=limit,
             depth_by_rank=self._waiting.depth_by_rank(self._class_count),
-            target_depth=max(1.0, _TARGET_DEPTH_SHARE * self._bound(limit)),
+            queue_bound=self._bound(limit),
         )
 
     def _bound(self, limit: int) -> int:
--- a/bergamotdeal/admission/tests/test_window.py
+++ b/bergamotdeal/admission/tests/test_window.py
@@ -53,7 +53,7 @@
             now=self.now,
             limit=self.slots,
             depth_by_rank=[int(queue) for queue in self.queues],
-            target_depth=5.0,
+            queue_bound=self.slots,
         )
 
 
@@ -112,3 +112,10 @@
     for _ in range(100):
         thresholds.count_arrival(1, server.rng.uniform(0.0, 0.05))
     assert counts.offered(max(estimate, 0.2)) == pytest.approx(2000, rel=0.3)
+
+
+@pytest.mark.parametrize("slots", [1, 2, 4, 100])
+def test_a_server_of_any_size_cuts_the_first_class_when_it_must(slots):
+    server = _Server(slots=slots, offered=(400.0, 400.0))
+    critical, _ = server.run(60)
+    assert critical == pytest.approx(0.5, abs=0.1)
--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -9,13 +9,13 @@
 _OPEN_STEP = 0.005
 _MOVE_SHARE = 0.5
 _MEMORY_SHARE = 0.5
-_CAP_MEMORY = 0.5
 _PROBES_PER_S = 2.0
 _FLOOR_MIN = 0.002
 _FLOOR_MAX = 0.05
 _PRIOR_ARRIVALS = 2.0
 _GIVING_SHARE = 0.1
-_PATIENCE = 2.0
+_TARGET_DEPTH_SHARE = 0.15
+_PATIENT_DEPTH_SHARE = 0.6
 _BUSY_SHARE = 0.9
 _MS_PER_S = 1000.0
 
@@ -84,7 +84,6 @@
         self._completed = 0.0
         self._busy_s = 0.0
         self._elapsed_s = 0.0
-        self._cap_elapsed_s = 0.0
 
     def set_policy(
         self, *, policy: model.AdmissionPolicy, class_count: int
@@ -139,7 +138,7 @@
         now: float,
         limit: int,
         depth_by_rank: list[int],
-        target_depth: float,
+        queue_bound: int,
     ) -> None:
         """Sets the thresholds and opens the next window.
 
@@ -147,17 +146,17 @@
           now: Monotonic seconds.
           limit: Concurrency limit in force.
           depth_by_rank: Jobs of each class that wait now.
-          target_depth: Jobs that may wait.
+          queue_bound: Jobs that may wait at most.
         """
         window_s = now - self._started
         self._elapsed_s += window_s
-        self._cap_elapsed_s += window_s
         windows = max(1, int(window_s * _MS_PER_S / self._policy.window_max_ms))
         target_wait = self._policy.target_delay_ms / _MS_PER_S
+        target_depth = _TARGET_DEPTH_SHARE * queue_bound
         capacity = self._capacity(limit)
         correction_s = self._policy.window_completions / capacity
         correction_s = max(window_s, correction_s)
-        is_idle = self._busy_s < _BUSY_SHARE * limit * self._cap_elapsed_s
+        is_idle = self._busy_s < _BUSY_SHARE * limit * self._elapsed_s
         depth = 0
         taken = 0.0
         for rank, value in enumerate(self._values):
@@ -169,8 +168,9 @@
             moved = _moved(value, left, offered)
             has_standing_queue = depth and counts.shortest_wait > target_wait
             is_last = rank + 1 == len(self._values)
-            allowed = target_depth * (1.0 if is_last else _PATIENCE)
-            pressed = depth > allowed or (has_standing_queue and is_last)
+            share = _TARGET_DEPTH_SHARE if is_last else _PATIENT_DEPTH_SHARE
+            pressed = depth > share * queue_bound
+            pressed = pressed or (has_standing_queue and is_last)
             if not pressed or self._others_can_give(rank):
                 moved = max(value, moved)
                 if is_idle:
@@ -192,10 +192,9 @@
     def _begin_window(self, now: float) -> None:
         self._started = now
         self._completed_in_window = 0
-        self._completed *= _CAP_MEMORY
-        self._busy_s *= _CAP_MEMORY
+        self._completed *= _MEMORY_SHARE
+        self._busy_s *= _MEMORY_SHARE
         self._elapsed_s *= _MEMORY_SHARE
-        self._cap_elapsed_s *= _CAP_MEMORY
         for counts in self._counts:
             counts.decay()
 
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -108,7 +108,7 @@
     gain: Share = 0.5
     window_min_ms: Milliseconds = 50
     window_max_ms: Milliseconds = 250
-    window_completions: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 20
+    window_completions: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 30
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
