--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -23,6 +23,7 @@
     """The servers of one service.
 
     Attributes:
+      members_by_id: All its members by host id.
       usable: Digests by host id of the members to choose from.
       suspects: Digests by host id of the members to avoid.
       targets: The subset that this node uses.
@@ -30,7 +31,8 @@
       outliers_due: Time of the next search for outliers, monotonic seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, members_by_id: dict[str, membership.Member]):
+        self.members_by_id = members_by_id
         self.usable: dict[str, int] = {}
         self.suspects: dict[str, int] = {}
         self.targets: list[core.Target] = []
@@ -57,8 +59,6 @@
         self._data_centre = data_centre
         self._region = region
         self._rng = rng
-        self._members_by_id: dict[str, membership.Member] = {}
-        self._digests_by_id: dict[str, int] = {}
         self._targets_by_id: dict[str, core.Target] = {}
         self._services_by_name: dict[str, _Service] = {}
         self._found_outliers: list[str] = []
@@ -71,7 +71,15 @@
 
     def set_policy(self, policy: model.RoutingPolicy) -> None:
         """Takes the policy of a new preset."""
+        changes_rings = policy.prefer_near != self._policy.prefer_near
         self._policy = policy
+        if changes_rings:
+            for name, service in self._services_by_name.items():
+                members_by_id = service.members_by_id
+                self._services_by_name[name] = self._service(
+                    members_by_id, was_known=True
+                )
+            self._index_targets()
 
     def update_members(
         self, members_by_id: dict[str, membership.Member]
@@ -81,32 +89,21 @@
         Args:
           members_by_id: Every known member by host id.
         """
+        groups: dict[str, dict[str, membership.Member]] = {}
+        for host_id, member in members_by_id.items():
+            if member.server is not None:
+                group = groups.setdefault(member.server.service, {})
+                group[host_id] = member
         old = self._services_by_name
         services: dict[str, _Service] = {}
-        for host_id, member in members_by_id.items():
-            if member.server is None:
-                continue
-            service = services.setdefault(member.server.service, _Service())
-            if member.state is membership.MemberState.ALIVE:
-                service.usable[host_id] = self._digest(host_id)
-            elif member.state is membership.MemberState.SUSPECT:
-                service.suspects[host_id] = self._digest(host_id)
-        self._members_by_id = dict(members_by_id)
-        self._digests_by_id = {
-            host_id: digest
-            for host_id, digest in self._digests_by_id.items()
-            if host_id in members_by_id
-        }
-        targets_by_id: dict[str, core.Target] = {}
-        for name, service in services.items():
-            if len(service.suspects) > len(service.usable):
-                # Mass suspicion says more about this node than about them.
-                service.usable.update(service.suspects)
-                service.suspects.clear()
-            was_known = name in old and bool(old[name].targets)
-            self._fill(service, targets_by_id, was_known=was_known)
+        for name, group in groups.items():
+            service = old.get(name)
+            if service is None or service.members_by_id != group:
+                was_known = service is not None and bool(service.targets)
+                service = self._service(group, was_known=was_known)
+            services[name] = service
         self._services_by_name = services
-        self._targets_by_id = targets_by_id
+        self._index_targets()
 
     def knows(self, service: str) -> bool:
         """Tells whether any member announces a server of the service."""
@@ -209,42 +206,49 @@
             target.reported_at = now
             target.in_flight_at_report = target.in_flight
 
-    def _digest(self, host_id: str) -> int:
-        digest = self._digests_by_id.get(host_id)
-        if digest is None:
-            digest = rendezvous.digest(host_id)
-            self._digests_by_id[host_id] = digest
-        return digest
+    def _index_targets(self) -> None:
+        self._targets_by_id = {
+            target.member.host_id: target
+            for service in self._services_by_name.values()
+            for target in service.targets
+        }
 
-    def _fill(
-        self,
-        service: _Service,
-        targets_by_id: dict[str, core.Target],
-        *,
-        was_known: bool,
-    ) -> None:
+    def _service(
+        self, members_by_id: dict[str, membership.Member], *, was_known: bool
+    ) -> _Service:
+        service = _Service(members_by_id=members_by_id)
+        for host_id, member in members_by_id.items():
+            if member.state is membership.MemberState.ALIVE:
+                service.usable[host_id] = rendezvous.digest(host_id)
+            elif member.state is membership.MemberState.SUSPECT:
+                service.suspects[host_id] = rendezvous.digest(host_id)
+        if len(service.suspects) > len(service.usable):
+            # Mass suspicion says more about this node than about them.
+            service.usable.update(service.suspects)
+            service.suspects.clear()
+        self._fill(service, was_known=was_known)
+        return service
+
+    def _fill(self, service: _Service, *, was_known: bool) -> None:
         digests_by_ring: list[dict[str, int]] = [{} for _ in range(_RINGS)]
         for host_id, digest in service.usable.items():
-            ring = self._ring(self._members_by_id[host_id])
+            ring = self._ring(service.members_by_id[host_id])
             digests_by_ring[ring][host_id] = digest
-        count = 0
         for ring, share in enumerate(_RING_SHARES):
-            room = int(_SUBSET_MAX * share) - count
+            room = int(_SUBSET_MAX * share) - len(service.targets)
             names = rendezvous.ranked(
                 self._host_id, digests_by_ring[ring], room
             )
-            count += len(names)
             for host_id in names:
-                target = self._target(host_id, ring, was_known=was_known)
-                targets_by_id[host_id] = target
+                member = service.members_by_id[host_id]
+                target = self._target(member, ring, was_known=was_known)
                 service.targets.append(target)
                 service.targets_by_ring[ring].append(target)
 
     def _target(
-        self, host_id: str, ring: int, *, was_known: bool
+        self, member: membership.Member, ring: int, *, was_known: bool
     ) -> core.Target:
-        member = self._members_by_id[host_id]
-        old = self._targets_by_id.get(host_id)
+        old = self._targets_by_id.get(member.host_id)
         if old is not None and old.member.incarnation == member.incarnation:
             old.member = member
             old.ring = ring
--- a/bergamotdeal/routing/tests/test_router.py
+++ b/bergamotdeal/routing/tests/test_router.py
@@ -268,3 +268,21 @@
             _answer(target, name, 0.0, latency_s=latency_s)
     picks = _picks(target, count=4000, now=5.0)
     assert picks["a"] > 700
+
+
+def test_the_near_preference_can_be_switched_off():
+    target = _router(_member("near"), _member("far", dc="kotoni"))
+    assert set(_picks(target)) == {"near"}
+    target.set_policy(model.RoutingPolicy(prefer_near=False))
+    assert set(_picks(target)) == {"near", "far"}
+
+
+def test_calls_in_flight_survive_a_change_of_the_view():
+    members = [_member("a"), _member("b")]
+    target = _router(*members)
+    for _ in range(8):
+        target.started("a", 0.0)
+    members.append(_member("c", state=membership.MemberState.DEAD))
+    target.update_members({member.host_id: member for member in members})
+    picks = _picks(target)
+    assert picks["b"] > 2 * picks["a"]
