--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -8,7 +8,7 @@
 from bergamotdeal.membership import gossip
 from bergamotdeal.membership import messages
 from bergamotdeal.membership import suspicion
-from bergamotdeal.membership.tests import fleet as fleets
+from standins import gossip_fleet as fleets
 
 State = core.MemberState
 SEEDS = [1, 2, 3]
--- a/bergamotdeal/node/roster.py
+++ b/bergamotdeal/node/roster.py
@@ -83,6 +83,7 @@
     def _join(self) -> None:
         if self._membership.joined():
             # Alone again after a long outage, the node is to look again.
+            self._backoff.reset()
             self._later(CHECK_INTERVAL_S, self._join)
             return
         self._later(self._backoff.next_wait(), self._join)
--- a/bergamotdeal/membership/tests/fleet.py
+++ b/standins/gossip_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of gossip cores under one injected clock, for tests."""
+"""A fleet of gossip cores in memory, under one injected clock."""
 
 from collections.abc import Callable
 import heapq
@@ -31,7 +31,7 @@
         size: int,
         timing: gossip.Timing = gossip.DEFAULT_TIMING,
         datagram_bytes: Callable = rumours.datagram_bytes,
-        bulk_bytes: Callable = lambda bulk: 0,
+        bulk_bytes: Callable = lambda _: 0,
     ) -> None:
         self._datagram_bytes = datagram_bytes
         self._bulk_bytes = bulk_bytes
@@ -45,7 +45,7 @@
         self.bytes_by_id: dict[str, int] = {}
         self.syncs_by_id: dict[str, int] = {}
         self.heard_by_id: dict[str, list[messages.Effect]] = {}
-        self.passes: Callable[[str, str], bool] = lambda source, target: True
+        self.passes: Callable[[str, str], bool] = lambda *_: True
         self._held_by_id: dict[str, list] = {}
         self._queue: list = []
         self._wakeups: list[tuple[float, int, str]] = []
--- a/standins/gossip_study.py
+++ b/standins/gossip_study.py
@@ -13,8 +13,8 @@
 
 from bergamotdeal.membership import core
 from bergamotdeal.membership import messages
-from bergamotdeal.membership.tests import fleet as fleets
 from bergamotdeal.wire import gossip
+from standins import gossip_fleet as fleets
 
 KEY = b"study-key-0123456"
 OUTPUT_PATH = pathlib.Path("build/gossip_study.json")
--- a/tests/integration/test_fleet_presets.py
+++ b/tests/integration/test_fleet_presets.py
@@ -97,6 +97,16 @@
     assert {fleet.status(h)["preset_name"] for h in hosts} == {name}
 
 
+def test_slow_store_delays_the_acceptance_only(fleet):
+    hosts = fleet.hosts_by_id.values()
+    fleet.operator("ordinary").switch()
+    fleet.wait_epoch(1, hosts, within_s=fleets.SWITCH_DEADLINE_S)
+    fleet.wait_watched()
+    fleet.control_store(slow_s=1.5)
+    assert isinstance(fleet.operator("peak").switch(), switch.Accepted)
+    fleet.wait_epoch(2, hosts, within_s=fleets.SWITCH_DEADLINE_S)
+
+
 def test_few_nodes_use_the_store(fleet):
     hosts = fleet.hosts_by_id.values()
     fleet.operator("ordinary").switch()
