--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -87,10 +87,10 @@
             return [*verdicts, _refuse(job, errors.ErrorKind.SHED)]
         if self._is_late(job, now):
             return [*verdicts, self._refuse_late(job, now)]
+        if not len(self._waiting) and self._has_slot(rank, now):
+            return [*verdicts, self._start(job, now)]
         self._push(job)
-        verdicts += self._serve(now)
-        verdicts += self._trim(now)
-        return verdicts
+        return verdicts + self._serve(now) + self._trim(now)
 
     def finish(
         self, job_id: int, now: float, *, completed: bool
@@ -131,6 +131,8 @@
         self._count_time(now)
         if self._thresholds.is_due(now):
             self._close_window(now)
+        if not len(self._waiting):
+            return []
         return self._drop_late(now) + self._serve(now) + self._rescue(now)
 
     def set_slots(self, slots: int, now: float) -> list[core.Verdict]:
@@ -181,7 +183,7 @@
             return None
         times = [self._thresholds.window_end()]
         if self._policy.check_deadlines:
-            times.append(deadline - self._run_time.value())
+            times.append(self._latest_start(deadline))
         urgent = self._urgent_at(deadline)
         if urgent > self._advanced and self._policy.class_order:
             times.append(urgent)
@@ -209,14 +211,15 @@
             slow_start=self._policy.slow_start,
         )
 
-    def _limit_for(self, rank: int, now: float) -> int:
-        """Returns the running jobs at which a class gets no more slots."""
+    def _has_slot(self, rank: int, now: float) -> bool:
+        """Tells whether a job of a class may start."""
         limit = self._limit_now(now)
-        if rank == 0:
-            return limit
+        running = len(self._runs_by_id)
+        if rank == 0 or running >= limit:
+            return running < limit
         reserved = math.ceil(self._policy.reserved_share * limit)
         reserved = min(reserved, math.ceil(self._first_class_peak), limit - 1)
-        return limit - max(0, reserved - self._running_by_rank[0])
+        return running < limit - max(0, reserved - self._running_by_rank[0])
 
     def _count_time(self, now: float) -> None:
         slot_s = len(self._runs_by_id) * (now - self._advanced)
@@ -225,7 +228,7 @@
         self._advanced = now
 
     def _close_window(self, now: float) -> None:
-        self._run_time.update()
+        self._run_time.update(is_idle=not self._runs_by_id)
         self._limit.update(now)
         self._first_class_peak *= _PEAK_DECAY
         limit = self._limit_now(now)
@@ -283,7 +286,7 @@
     def _is_late(self, job: core.Job, now: float) -> bool:
         if not self._policy.check_deadlines:
             return False
-        return job.deadline <= now + self._run_time.value()
+        return now >= self._latest_start(job.deadline)
 
     def _refuse_late(self, job: core.Job, now: float) -> core.Refuse:
         if job.deadline <= now:
@@ -294,7 +297,7 @@
         earliest = self._waiting.earliest_deadline()
         if earliest is None or not self._policy.check_deadlines:
             return []
-        if earliest > now + self._run_time.value():
+        if now < self._latest_start(earliest):
             return []
         late = [job for job in self._waiting.jobs() if self._is_late(job, now)]
         for job in late:
@@ -304,8 +307,7 @@
     def _serve(self, now: float) -> list[core.Verdict]:
         verdicts: list[core.Verdict] = []
         while (job := self._waiting.first()) is not None:
-            limit = self._limit_for(self._rank(job), now)
-            if len(self._runs_by_id) >= limit:
+            if not self._has_slot(self._rank(job), now):
                 break
             self._waiting.remove(job.job_id)
             verdicts.append(self._start(job, now))
@@ -344,6 +346,9 @@
                 verdicts.append(self._start(job, now))
         return verdicts
 
+    def _latest_start(self, deadline: float) -> float:
+        return deadline - self._run_time.value()
+
     def _urgent_at(self, deadline: float) -> float:
         return deadline - _URGENT_RUN_TIMES * self._run_time.value()
 
