Bound the dispute of two processes with one host id

Each overrode the other's record with every message, so a copied settings file would have kept the whole fleet's rumours at their full rate. A node now overrides another incarnation at most once in 5 s and puts an event on the time line.

--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -11,6 +11,9 @@
 
 Health = messages.Health
 
+DISPUTE_INTERVAL_S = 5.0
+"""Time between raises above another process with the same host id."""
+
 MAX_RUMOURS_FROM_SYNC = 16
 """Entries of one comparison of views that are passed on as rumours."""
 
@@ -35,6 +38,7 @@
         self.queue = rumours.RumourQueue()
         self._crashes = crashes.KnownReports()
         self._effects = effects
+        self._next_dispute = now
 
     @property
     def own(self) -> core.Member:
@@ -150,9 +154,28 @@
             self._raise_above(state_number, now)
 
     def refute_record(self, record: core.Member, now: float) -> None:
-        """Overrides the record of an earlier incarnation of this host."""
-        if record.incarnation != self.own.incarnation:
-            self.refute(record.state_number, now)
+        """Overrides the record of another incarnation of this host.
+
+        One of an earlier process is overridden once. Should another process
+        run under the same host id, the two override each other, at a bounded
+        rate and with an event on the time line.
+
+        Args:
+          record: A record with this node's host id.
+          now: Monotonic seconds.
+        """
+        if record.incarnation == self.own.incarnation:
+            return
+        if record.state_number < self.own.state_number:
+            return
+        if now < self._next_dispute:
+            return
+        self._next_dispute = now + DISPUTE_INTERVAL_S
+        self._raise_above(record.state_number, now)
+        address = f"{record.address}:{record.peer_port}"
+        fields = {"address": address, "reason": "it has this node's host id"}
+        code = catalogue.EventCode.PEER_REJECTED
+        self._effects.append(messages.Note(code=code, fields=fields))
 
     def merge_entries(
         self, entries: tuple[messages.KnownMember, ...], now: float
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -6,8 +6,10 @@
 
 from bergamotdeal.membership import core
 from bergamotdeal.membership import gossip
+from bergamotdeal.membership import knowledge
 from bergamotdeal.membership import messages
 from bergamotdeal.membership import suspicion
+from bergamotdeal.telemetry import catalogue
 from standins import gossip_fleet as fleets
 
 State = core.MemberState
@@ -261,6 +263,51 @@
     assert known < 3
 
 
+def test_two_processes_with_one_host_id_cost_little():
+    fleet = joined(1, size=8)
+    twin = fleet.cores_by_id["host-7"].own
+    twin = dataclasses.replace(twin, incarnation="twin", address="twin")
+    source = messages.Endpoint(address="twin", port=1)
+    raises = 0
+    for _ in range(60):
+        fleet.run(1)
+        own = fleet.cores_by_id["host-7"].own
+        if twin.state_number <= own.state_number:
+            raised = own.state_number + 1
+            twin = dataclasses.replace(twin, state_number=raised)
+            raises += 1
+        datagram = messages.Datagram(
+            sender=twin, epoch=0, body=messages.Spread()
+        )
+        arrived = messages.DatagramArrived(datagram=datagram, source=source)
+        fleet.tell("host-0", arrived)
+    assert 2 <= raises <= 60 / knowledge.DISPUTE_INTERVAL_S + 2
+    notes = [
+        effect
+        for effect in fleet.heard_by_id["host-7"]
+        if isinstance(effect, messages.Note)
+        and effect.code is catalogue.EventCode.PEER_REJECTED
+    ]
+    assert notes[0].fields["address"] == "twin:1"
+
+
+def test_data_centre_cut_off_meets_the_others_again():
+    """A third of the fleet, as one of three data centres, for ten minutes."""
+    fleet = joined(1, size=14)
+    away = {f"host-{number}" for number in range(5)}
+    fleet.passes = lambda a, b: (a in away) == (b in away)
+    fleet.run(600)
+    for viewer in fleet.running():
+        side = away if viewer in away else set(fleet.running()) - away
+        assert all(
+            fleet.state(viewer, host_id) is State.ALIVE
+            for host_id in side
+            if host_id != viewer
+        )
+    fleet.passes = lambda *_: True
+    fleet.run_until(fleet.complete, within_s=60)
+
+
 def test_rumours_miss_hardly_anyone():
     """Fifty changes in a row; none waits for a comparison of views."""
     fleet = joined(1, size=25)
