Follow the rule for shed statuses after calls in the random walk

Change: the walk counts such a run, and all answers of its servers name the request, also those of shedding ones. Conclusion: the walk is as strict as before, and counts more runs.

--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -63,11 +63,16 @@
             self.reply.when_done = self.take
 
     def own_runs(self):
-        """Returns the runs that the server did not declare as refused."""
+        """Returns the runs, without those that the server refused.
+
+        A server that has made calls for a request has not refused it,
+        whatever status it answers.
+        """
         return [
             run
             for run in self.made.runs_of(self.user_request_id)
-            if run.start.request == self.request and run.status != SHED_STATUS
+            if run.start.request == self.request
+            and (run.calls or run.status != SHED_STATUS)
         ]
 
     def take(self, reply):
@@ -101,6 +106,7 @@
     del made.nodes_by_id["entry"]
     made.add_node("entry-1")
     made.add_node("entry-2")
+    random_fleet.add_random_faults(made, rng)
     for node in made.nodes_by_id.values():
         node.program = echoing(node.program)
     return made
@@ -111,7 +117,6 @@
 def test_no_caller_is_told_anything_false(seed):
     rng = random.Random(seed)
     made = build(rng)
-    random_fleet.add_random_faults(made, rng)
     callers = [
         Caller(
             made=made,
--- a/standins/fleet_model.py
+++ b/standins/fleet_model.py
@@ -95,6 +95,7 @@
       started_at: Time of the start.
       finished: Whether the program ran to its end.
       status: Status that the program returned, zero before.
+      calls: Calls that the program made.
       stopped: Whether a cancellation or the server's death ended it.
     """
 
@@ -104,6 +105,7 @@
     started_at: float
     finished: bool = False
     status: int = 0
+    calls: int = 0
     stopped: bool = False
     deadline_at: float = 0.0
     incarnation: str = ""
--- a/standins/fleet_servers.py
+++ b/standins/fleet_servers.py
@@ -119,6 +119,7 @@
         program,
         step: fleet_model.Invoke,
     ) -> None:
+        run.calls += len(step.requests)
         replies: list[fleet_model.Reply] = []
         keys = step.idempotency_keys or [""] * len(step.requests)
 
