--- a/standins/fleet_servers.py
+++ b/standins/fleet_servers.py
@@ -110,6 +110,7 @@
                     seconds, lambda: self._advance(node, run, program, None)
                 )
             case fleet_model.Invoke():
+                run.invoked = True
                 self._invoke(node, run, program, step)
 
     def _invoke(
@@ -119,7 +120,6 @@
         program,
         step: fleet_model.Invoke,
     ) -> None:
-        run.calls += len(step.requests)
         replies: list[fleet_model.Reply] = []
         keys = step.idempotency_keys or [""] * len(step.requests)
 
