--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -263,7 +263,9 @@
     calm = _success_share(outcome.requests, "calm")
     at_least = figures.Bound.AT_LEAST
 
-    def add(name, value, unit, target=None, bound=figures.Bound.AT_MOST):
+    def add(
+        name, value, unit, target=None, bound=figures.Bound.AT_MOST, note=""
+    ):
         report.add(
             name,
             value,
@@ -271,12 +273,14 @@
             variant=scenario.variant,
             target=target if scenario.has_targets else None,
             bound=bound,
+            note=note,
         )
 
     add("whole requests completed in calm", calm, "share")
     if scenario.trigger_s >= 1.0:
         duration_s = times.recovery - times.trigger
         carried = capacity_per_s(SLOW_FACTOR) * duration_s
+        busy = deepest_busy_share(outcome, times.trigger, times.recovery)
         done = sum(
             r.completed and times.trigger <= r.ended_at < times.recovery
             for r in outcome.requests
@@ -287,6 +291,8 @@
             "share",
             _GOODPUT_TARGET,
             at_least,
+            f"next cause: {1 - busy:.2f} of the deepest service's slot time "
+            "was idle, so admission above it was too tight",
         )
         critical = _success_share(outcome.requests, "trigger", critical=True)
         add(
@@ -301,10 +307,12 @@
             wasted_share(outcome, times.trigger, times.recovery),
             "share",
             _WASTE_TARGET,
+            note="next cause: "
+            + _waste_by_service(outcome, times.trigger, times.recovery),
         )
         add(
             "slots of the deepest service in use in overload",
-            deepest_busy_share(outcome, times.trigger, times.recovery),
+            busy,
             "share",
         )
         add(
@@ -317,6 +325,8 @@
         recovery_s(outcome, calm),
         "s",
         _RECOVERY_TARGET_S,
+        note="the cause is not traced yet; any half second in which more "
+        "than one request in twenty fails counts as not recovered",
     )
     add(
         "whole requests completed in recovery",
@@ -388,6 +398,17 @@
     return busy_s[False] / total_s if total_s else None
 
 
+def _waste_by_service(outcome: Outcome, start: float, end: float) -> str:
+    """Says where the failed runs held their slots."""
+    held_s = collections.Counter()
+    for line in outcome.ledger:
+        ended_badly = line["step"] in ("failed", "cancelled")
+        if ended_badly and start <= line["time"] < end:
+            held_s[line["service"]] += line["busy_s"]
+    parts = [f"{name} {value:.1f} s" for name, value in held_s.most_common()]
+    return "runs without an answer from below held " + ", ".join(parts)
+
+
 def deepest_busy_share(outcome: Outcome, start: float, end: float) -> float:
     """Returns the share of the deepest service's slots that worked."""
     busy_s = sum(
--- a/tests/standins/test_capacity.py
+++ b/tests/standins/test_capacity.py
@@ -1,5 +1,7 @@
 """The capacity page is whole and follows from its figures."""
 
+import re
+
 import pytest
 
 from standins import capacity
@@ -85,3 +87,9 @@
         if (row.role, row.item) == ("member", "processor")
     )
     assert 0.004 <= row.result < 0.0041
+
+
+def test_committed_page_names_its_run():
+    text = capacity.PAGE.read_text()
+    assert re.search(r"^- machine: ", text, re.MULTILINE)
+    assert "overload chain" in text
