--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -1,6 +1,7 @@
 """Thresholds set from the rates of control windows."""
 
 import dataclasses
+import math
 
 from bergamotdeal.presets import model
 
@@ -13,6 +14,9 @@
 _FLOOR_MAX = 0.05
 _PRIOR_ARRIVALS = 2.0
 _GIVING_SHARE = 0.1
+_TARGET_DEPTH_SHARE = 0.15
+_PATIENT_DEPTH_SHARE = 0.6
+_BUSY_SHARE = 0.9
 _MS_PER_S = 1000.0
 
 
@@ -24,13 +28,13 @@
       arrivals: Arrivals, admitted or not.
       hash_sum: Sum of their hash shares.
       started: Jobs that got a slot.
-      longest_wait: Longest queue wait in the open window, seconds.
+      shortest_wait: Shortest queue wait in the open window, seconds.
     """
 
     arrivals: float = 0.0
     hash_sum: float = 0.0
     started: float = 0.0
-    longest_wait: float = 0.0
+    shortest_wait: float = math.inf
 
     def offered(self, threshold: float) -> float:
         """Estimates the arrivals had no node refused any.
@@ -48,7 +52,7 @@
         self.arrivals *= _MEMORY_SHARE
         self.hash_sum *= _MEMORY_SHARE
         self.started *= _MEMORY_SHARE
-        self.longest_wait = 0.0
+        self.shortest_wait = math.inf
 
 
 class RateThresholds:
@@ -104,7 +108,7 @@
         """Counts a job that got a slot after a queue wait in seconds."""
         counts = self._counts[self._rank(class_rank)]
         counts.started += 1.0
-        counts.longest_wait = max(counts.longest_wait, wait_s)
+        counts.shortest_wait = min(counts.shortest_wait, wait_s)
 
     def count_completion(self) -> None:
         """Counts a job that gave back its slot."""
@@ -134,7 +138,7 @@
         now: float,
         limit: int,
         depth_by_rank: list[int],
-        target_depth: float,
+        queue_bound: int,
     ) -> None:
         """Sets the thresholds and opens the next window.
 
@@ -142,31 +146,37 @@
           now: Monotonic seconds.
           limit: Concurrency limit in force.
           depth_by_rank: Jobs of each class that wait now.
-          target_depth: Jobs that may wait.
+          queue_bound: Jobs that may wait at most.
         """
         window_s = now - self._started
         self._elapsed_s += window_s
         windows = max(1, int(window_s * _MS_PER_S / self._policy.window_max_ms))
         target_wait = self._policy.target_delay_ms / _MS_PER_S
+        target_depth = _TARGET_DEPTH_SHARE * queue_bound
         capacity = self._capacity(limit)
         correction_s = self._policy.window_completions / capacity
         correction_s = max(window_s, correction_s)
+        is_idle = self._busy_s < _BUSY_SHARE * limit * self._elapsed_s
         depth = 0
-        longest_wait = 0.0
         taken = 0.0
         for rank, value in enumerate(self._values):
             counts = self._counts[rank]
             depth += depth_by_rank[rank]
-            longest_wait = max(longest_wait, counts.longest_wait)
             offered = counts.offered(value) / self._elapsed_s
-            pressed = depth > target_depth or longest_wait > target_wait
-            if pressed and not self._others_can_give(rank):
-                surplus = self._policy.gain * (target_depth - depth)
-                left = capacity + surplus / correction_s - taken
-                self._values[rank] = _moved(value, left, offered)
-            else:
-                self._values[rank] = _opened(value, windows)
-            taken += offered * self._values[rank]
+            surplus = self._policy.gain * (target_depth - depth)
+            left = capacity + surplus / correction_s - taken
+            moved = _moved(value, left, offered)
+            has_standing_queue = depth and counts.shortest_wait > target_wait
+            is_last = rank + 1 == len(self._values)
+            share = _TARGET_DEPTH_SHARE if is_last else _PATIENT_DEPTH_SHARE
+            pressed = depth > share * queue_bound
+            pressed = pressed or (has_standing_queue and is_last)
+            if not pressed or self._others_can_give(rank):
+                moved = max(value, moved)
+                if is_idle:
+                    moved = max(moved, _opened(value, windows))
+            self._values[rank] = moved
+            taken += offered * moved
         self._begin_window(now)
 
     def _capacity(self, limit: int) -> float:
@@ -195,7 +205,7 @@
 def _moved(value: float, left: float, offered: float) -> float:
     """Returns the threshold halfway to the share that can be had."""
     if not offered:
-        return value
+        return _opened(value, 1)
     goal = min(1.0, max(0.0, left) / offered)
     floor = min(_FLOOR_MAX, max(_FLOOR_MIN, _PROBES_PER_S / offered))
     return max(floor, value + _MOVE_SHARE * (goal - value))
--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -32,8 +32,9 @@
     """Does the program's work and answers that it did none."""
 
     def shedding_program(start):
-        yield from program(start)
-        return fleet_model.Response(status=503)
+        response = yield from program(start)
+        response.status = 503
+        return response
 
     return shedding_program
 
@@ -111,17 +112,14 @@
 
 
 def count_resends(made):
-    """Counts the attempts beyond the first one of each call.
+    """Counts the frames that repeat an earlier one of the same call.
 
-    One attempt at a non-repeatable call asks for a ticket and uses it.
+    Asking for a ticket and using it are different frames.
     """
     dispatches = collections.Counter(
         (call.call_id, bool(call.ticket)) for _, _, call in made.calls_sent
     )
-    attempts = {}
-    for (call_id, _), count in dispatches.items():
-        attempts[call_id] = max(attempts.get(call_id, 0), count)
-    return sum(count - 1 for count in attempts.values())
+    return sum(count - 1 for count in dispatches.values())
 
 
 @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
--- a/bergamotdeal/calls/tests/test_fleet_tickets.py
+++ b/bergamotdeal/calls/tests/test_fleet_tickets.py
@@ -22,9 +22,9 @@
     return scenarios.pool(scenarios.preset(tickets=policy), **kwargs)
 
 
-def use(made, ticket, *, host_id="entry-1", request=POST, **kwargs):
+def use(made, ticket, *, host_id="entry-1", request=POST, name="r", **kwargs):
     return made.call(
-        host_id, request, user_request_id="r", ticket=ticket, **kwargs
+        host_id, request, user_request_id=name, ticket=ticket, **kwargs
     )
 
 
@@ -106,16 +106,49 @@
     assert pool.runs_of("r") == []
 
 
-def test_a_full_table_issues_no_ticket_and_forgets_none():
+def test_a_table_full_of_used_tickets_issues_none_and_forgets_none():
     pool = make_pool(tickets=model.TicketPolicy(table_size=2), count=1)
-    first = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
-    scenarios.fetch_ticket(pool, "entry-1", POST, "r2")
+    used = []
+    for name in ("r", "r2"):
+        ticket = scenarios.fetch_ticket(pool, "entry-1", POST, name)
+        used.append((name, ticket))
+        reply = use(pool, ticket, name=name)
+        pool.run_until(lambda reply=reply: reply.done)
     full = pool.call("entry-1", POST, user_request_id="r3")
     pool.run_until(lambda: full.done)
     assert (full.error, full.outcome) == (KINDS.TICKET_TABLE_FULL, NOT_RUN)
-    reply = use(pool, first)
+    for name, ticket in used:
+        reply = use(pool, ticket, name=name)
+        pool.run_until(lambda reply=reply: reply.done)
+        assert reply.outcome is COMPLETED
+        scenarios.only_run(pool, name)
+
+
+def test_a_flood_of_unused_tickets_takes_no_room_from_used_ones():
+    pool = make_pool(tickets=model.TicketPolicy(table_size=2), count=1)
+    early = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    for number in range(20):
+        scenarios.fetch_ticket(pool, "entry-1", POST, f"flood-{number}")
+    for _ in range(2):
+        reply = use(pool, early)
+        pool.run_until(lambda reply=reply: reply.done)
+        assert reply.outcome is COMPLETED
+    scenarios.only_run(pool, "r")
+
+
+def test_an_unused_ticket_that_finds_no_room_is_not_called_not_run():
+    pool = make_pool(tickets=model.TicketPolicy(table_size=1), count=1)
+    early = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    other = scenarios.fetch_ticket(pool, "entry-1", POST, "r2")
+    reply = use(pool, other, name="r2")
     pool.run_until(lambda: reply.done)
-    assert reply.outcome is COMPLETED
+    refused = use(pool, early)
+    pool.run_until(lambda: refused.done)
+    assert (refused.error, refused.outcome) == (
+        KINDS.TICKET_TABLE_FULL,
+        UNKNOWN,
+    )
+    assert pool.runs_of("r") == []
 
 
 def test_a_forged_ticket_is_refused():
@@ -308,6 +341,31 @@
     scenarios.only_run(pool, "r")
 
 
+def test_an_answer_that_comes_after_the_deadline_is_replayed():
+    pool = make_pool(program=scenarios.working(3))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket, deadline_ms=500)
+    pool.run_until(lambda: first.done)
+    assert (first.error, first.outcome) == (KINDS.DEADLINE_EXCEEDED, UNKNOWN)
+    again = use(pool, ticket, attempt=1)
+    pool.run_until(lambda: again.done)
+    assert (again.outcome, again.answer.body) == (COMPLETED, b"ok")
+    scenarios.only_run(pool, "r")
+
+
+def test_a_run_that_never_ends_frees_its_slot_after_all():
+    pool = make_pool(count=1, slots=1, program=scenarios.working(600))
+    ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
+    first = use(pool, ticket, deadline_ms=500)
+    pool.run_until(lambda: first.done)
+    pool.run_for(6)
+    assert pool.nodes_by_id["orderline-1"].engine.idle()
+    again = use(pool, ticket, attempt=1)
+    pool.run_until(lambda: again.done)
+    assert again.outcome is UNKNOWN
+    scenarios.only_run(pool, "r")
+
+
 def test_a_joined_call_takes_over_when_the_first_caller_leaves_the_queue():
     pool = make_pool(count=1, slots=1, program=scenarios.working(0.2))
     ticket = scenarios.fetch_ticket(pool, "entry-1", POST, "r")
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -11,6 +11,9 @@
 
 Health = messages.Health
 
+DISPUTE_INTERVAL_S = 5.0
+"""Time between raises above another process with the same host id."""
+
 MAX_RUMOURS_FROM_SYNC = 16
 """Entries of one comparison of views that are passed on as rumours."""
 
@@ -35,6 +38,7 @@
         self.queue = rumours.RumourQueue()
         self._crashes = crashes.KnownReports()
         self._effects = effects
+        self._next_dispute = now
 
     @property
     def own(self) -> core.Member:
@@ -150,18 +154,40 @@
             self._raise_above(state_number, now)
 
     def refute_record(self, record: core.Member, now: float) -> None:
-        """Overrides the record of an earlier incarnation of this host."""
-        if record.incarnation != self.own.incarnation:
-            self.refute(record.state_number, now)
+        """Overrides the record of another incarnation of this host.
+
+        One of an earlier process is overridden once. Should another process
+        run under the same host id, the two override each other, at a bounded
+        rate and with an event on the time line.
+
+        Args:
+          record: A record with this node's host id.
+          now: Monotonic seconds.
+        """
+        if record.incarnation == self.own.incarnation:
+            return
+        if record.state_number < self.own.state_number:
+            return
+        if now < self._next_dispute:
+            return
+        self._next_dispute = now + DISPUTE_INTERVAL_S
+        self._raise_above(record.state_number, now)
+        address = f"{record.address}:{record.peer_port}"
+        fields = {"address": address, "reason": "it has this node's host id"}
+        code = catalogue.EventCode.PEER_REJECTED
+        self._effects.append(messages.Note(code=code, fields=fields))
 
     def merge_entries(
         self, entries: tuple[messages.KnownMember, ...], now: float
-    ) -> None:
+    ) -> bool:
         """Takes in entries of another node's view.
 
         Args:
           entries: The entries; one about this node itself is refuted.
           now: Monotonic seconds.
+
+        Returns:
+          Whether the news were few, so that they are passed on as rumours.
         """
         news: list[messages.KnownMember] = []
         for entry in entries:
@@ -174,9 +200,11 @@
                 self.refute(member.state_number, now)
             self.refute_record(member, now)
         # A newcomer learns the whole fleet at once; to it alone that is news.
-        if len(news) <= MAX_RUMOURS_FROM_SYNC:
-            for entry in news:
-                self._pass_on(entry.member, entry.health)
+        if len(news) > MAX_RUMOURS_FROM_SYNC:
+            return False
+        for entry in news:
+            self._pass_on(entry.member, entry.health)
+        return True
 
 
 def verdict_on(record: core.Member, health: Health) -> messages.VerdictRumour:
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -20,7 +20,10 @@
 MAX_TELLERS = 16
 PULL_PATIENCE_S = 0.7
 PEER_WAIT_S = 1.0
+SEED_WAIT_S = 10.0
 WATCH_DELAY_S = 2.0
+REJECTED_WAIT_MIN_S = 0.25
+REJECTED_WAIT_MAX_S = 30.0
 READ_RETRY_MIN_S = 0.5
 READ_RETRY_MAX_S = 30.0
 
@@ -156,6 +159,7 @@
       host_id: This node's host.
       data_centre: Its data centre.
       has_store: Whether the settings name a store.
+      has_seeds: Whether the settings name other nodes.
       initial: Preset of the settings, for a fleet without any switch yet.
       rng: Random source.
       now: Monotonic seconds.
@@ -167,6 +171,7 @@
         host_id: str,
         data_centre: str,
         has_store: bool,
+        has_seeds: bool = False,
         initial: model.Preset | None = None,
         rng: random.Random,
         now: float,
@@ -179,6 +184,8 @@
         self._members_by_id: dict[str, membership.Member] = {}
         self._epochs_by_teller: dict[str, int] = {}
         self._pulls_by_host: dict[str, float] = {}
+        self._pull_not_before = now
+        self._rejected_wait_s = REJECTED_WAIT_MIN_S
         self._sections: tuple[gossip.Section, ...] = ()
         self._operation_id = ""
         self._watching = False
@@ -186,6 +193,9 @@
         self._reading = False
         self._read_delay_s = READ_RETRY_MIN_S
         self._next_read = now + PEER_WAIT_S * (0.5 + rng.random())
+        # A restarted node must not fall back on its settings' preset while
+        # the others, who may have switched since, are still out of reach.
+        self._initial_not_before = now + (SEED_WAIT_S if has_seeds else 0.0)
         self._now = now
         self._store_problem = ""
         self._effects: list[Effect] = []
@@ -217,6 +227,8 @@
             for sent in self._pulls_by_host.values()
             if sent + PULL_PATIENCE_S > self._now
         ]
+        if self._epochs_by_teller and self._pull_not_before > self._now:
+            times.append(self._pull_not_before)
         if self.epoch == NO_EPOCH and not self._reading:
             times.append(self._next_read)
         if self._watch_at is not None:
@@ -243,7 +255,7 @@
                 self._choose_watchers(now)
             case PullAnswered():
                 self._pulls_by_host.pop(event.host_id, None)
-                self._on_pulled(event.host_id, event.response)
+                self._on_pulled(event.host_id, event.response, now)
             case PullFailed(host_id=host_id):
                 self._pulls_by_host.pop(host_id, None)
                 self._epochs_by_teller.pop(host_id, None)
@@ -283,6 +295,8 @@
 
     def _pull_if_behind(self, now: float) -> None:
         """Pulls from one teller at a time, and from a second if it is slow."""
+        if now < self._pull_not_before:
+            return
         late = now - PULL_PATIENCE_S
         if any(sent > late for sent in self._pulls_by_host.values()):
             return
@@ -300,7 +314,9 @@
         digests = tuple(section.digest for section in self._sections)
         self._effects.append(Pull(host_id=host_id, known_digests=digests))
 
-    def _on_pulled(self, host_id: str, response: gossip.PresetResponse) -> None:
+    def _on_pulled(
+        self, host_id: str, response: gossip.PresetResponse, now: float
+    ) -> None:
         told = self._epochs_by_teller.pop(host_id, None)
         if response.epoch <= max(self.epoch, INITIAL_EPOCH):
             return
@@ -310,6 +326,15 @@
             case result.Err(reason):
                 epoch = response.epoch if told is None else told
                 self._effects.append(Reject(epoch=epoch, reason=reason))
+                self._wait_after_rejection(now)
+
+    def _wait_after_rejection(self, now: float) -> None:
+        """Keeps a preset that can't be read from being pulled all the time."""
+        jitter = 0.5 + self._rng.random()
+        self._pull_not_before = now + jitter * self._rejected_wait_s
+        self._rejected_wait_s = min(
+            2 * self._rejected_wait_s, REJECTED_WAIT_MAX_S
+        )
 
     # --- The store and operators -------------------------------------------
 
@@ -362,7 +387,9 @@
             self._effects.append(ReadStore())
             return
         self._next_read = now + PEER_WAIT_S
-        self._apply_initial()
+        alone = len(self._members_by_id) <= 1
+        if not alone or now >= self._initial_not_before:
+            self._apply_initial()
 
     def _apply_initial(self) -> None:
         """Falls back on the settings' preset when there was no switch yet."""
@@ -392,6 +419,7 @@
         self.preset = preset
         self._operation_id = operation_id
         self._sections = preset_sections.split(preset)
+        self._rejected_wait_s = REJECTED_WAIT_MIN_S
         self._epochs_by_teller = {
             host_id: told
             for host_id, told in self._epochs_by_teller.items()
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -15,15 +15,30 @@
 _OUTLIER_PERIOD_S = 1.0
 _SLOW_START_S = 10.0
 _SLOW_START_FLOOR = 0.1
+_CHOICES = 2
+_REDRAWS = 4
 
 
 class _Service:
-    """The servers of one service that this node uses."""
+    """The servers of one service.
 
-    def __init__(self) -> None:
-        self.usable_ids: list[str] = []
-        self.suspect_ids: list[str] = []
+    Attributes:
+      members_by_id: All its members by host id.
+      usable: Digests by host id of the members to choose from.
+      suspects: Digests by host id of the members to avoid.
+      targets: The subset that this node uses.
+      targets_by_ring: The same by distance.
+      outliers_due: Time of the next search for outliers, monotonic seconds.
+    """
+
+    def __init__(self, *, members_by_id: dict[str, membership.Member]):
+        self.members_by_id = members_by_id
+        self.usable: dict[str, int] = {}
+        self.suspects: dict[str, int] = {}
         self.targets: list[core.Target] = []
+        self.targets_by_ring: list[list[core.Target]] = [
+            [] for _ in range(_RINGS)
+        ]
         self.outliers_due = 0.0
 
 
@@ -44,13 +59,27 @@
         self._data_centre = data_centre
         self._region = region
         self._rng = rng
-        self._members_by_id: dict[str, membership.Member] = {}
         self._targets_by_id: dict[str, core.Target] = {}
         self._services_by_name: dict[str, _Service] = {}
+        self._found_outliers: list[str] = []
+
+    def take_found_outliers(self) -> list[str]:
+        """Returns the hosts that became outliers since the last time."""
+        found = self._found_outliers
+        self._found_outliers = []
+        return found
 
     def set_policy(self, policy: model.RoutingPolicy) -> None:
         """Takes the policy of a new preset."""
+        changes_rings = policy.prefer_near != self._policy.prefer_near
         self._policy = policy
+        if changes_rings:
+            for name, service in self._services_by_name.items():
+                members_by_id = service.members_by_id
+                self._services_by_name[name] = self._service(
+                    members_by_id, was_known=True
+                )
+            self._index_targets()
 
     def update_members(
         self, members_by_id: dict[str, membership.Member]
@@ -60,23 +89,21 @@
         Args:
           members_by_id: Every known member by host id.
         """
+        groups: dict[str, dict[str, membership.Member]] = {}
+        for host_id, member in members_by_id.items():
+            if member.server is not None:
+                group = groups.setdefault(member.server.service, {})
+                group[host_id] = member
         old = self._services_by_name
         services: dict[str, _Service] = {}
-        for host_id, member in members_by_id.items():
-            if member.server is None:
-                continue
-            service = services.setdefault(member.server.service, _Service())
-            if member.state is membership.MemberState.ALIVE:
-                service.usable_ids.append(host_id)
-            elif member.state is membership.MemberState.SUSPECT:
-                service.suspect_ids.append(host_id)
-        self._members_by_id = dict(members_by_id)
-        targets_by_id: dict[str, core.Target] = {}
-        for name, service in services.items():
-            was_known = name in old and bool(old[name].targets)
-            self._fill(service, targets_by_id, was_known=was_known)
+        for name, group in groups.items():
+            service = old.get(name)
+            if service is None or service.members_by_id != group:
+                was_known = service is not None and bool(service.targets)
+                service = self._service(group, was_known=was_known)
+            services[name] = service
         self._services_by_name = services
-        self._targets_by_id = targets_by_id
+        self._index_targets()
 
     def knows(self, service: str) -> bool:
         """Tells whether any member announces a server of the service."""
@@ -99,15 +126,16 @@
         if known is None:
             return None
         self._refresh_outliers(known, now)
-        targets = [
-            target
-            for target in known.targets
-            if target.member.host_id not in exclude
-        ]
-        if not targets:
-            return self._fallback(known, exclude)
-        ring = self._near_ring(targets, now)
-        return self._pick(ring, now).member.host_id
+        targets_by_ring = known.targets_by_ring
+        if exclude:
+            targets_by_ring = [
+                [each for each in ring if each.member.host_id not in exclude]
+                for ring in targets_by_ring
+            ]
+        target = self._pick(targets_by_ring, now)
+        if target is not None:
+            return target.member.host_id
+        return self._fallback(known, exclude)
 
     def choose_by_hash(
         self, service: str, key: str, *, exclude: frozenset[str]
@@ -122,8 +150,14 @@
         known = self._services_by_name.get(service)
         if known is None:
             return None
-        for host_ids in (known.usable_ids, known.suspect_ids):
-            names = [name for name in host_ids if name not in exclude]
+        for digests in (known.usable, known.suspects):
+            names = digests
+            if exclude:
+                names = {
+                    name: digest
+                    for name, digest in digests.items()
+                    if name not in exclude
+                }
             if names:
                 return rendezvous.best(key, names)
         return None
@@ -141,7 +175,7 @@
         self,
         host_id: str,
         *,
-        latency_s: float,
+        latency_s: float | None,
         succeeded: bool,
         load: calls.Load | None,
         now: float,
@@ -150,7 +184,8 @@
 
         Args:
           host_id: The server's host.
-          latency_s: Time from the sending to the end, seconds.
+          latency_s: Time from the sending to the end, seconds; None when the
+            call was refused, as a quick refusal makes no server quick.
           succeeded: False when the server or its node is to blame.
           load: Load that the answer carried, or None.
           now: Monotonic seconds.
@@ -163,7 +198,7 @@
         failed = 0.0 if succeeded else 1.0
         weight = core.LATENCY_WEIGHT
         target.failure_share += weight * (failed - target.failure_share)
-        if succeeded:
+        if succeeded and latency_s is not None:
             before = target.latency_s or latency_s
             target.latency_s = before + weight * (latency_s - before)
         if load is not None:
@@ -171,33 +206,49 @@
             target.reported_at = now
             target.in_flight_at_report = target.in_flight
 
-    def _fill(
-        self,
-        service: _Service,
-        targets_by_id: dict[str, core.Target],
-        *,
-        was_known: bool,
-    ) -> None:
-        ids_by_ring: list[list[str]] = [[] for _ in range(_RINGS)]
-        for host_id in service.usable_ids:
-            ids_by_ring[self._ring(self._members_by_id[host_id])].append(
-                host_id
-            )
-        count = 0
+    def _index_targets(self) -> None:
+        self._targets_by_id = {
+            target.member.host_id: target
+            for service in self._services_by_name.values()
+            for target in service.targets
+        }
+
+    def _service(
+        self, members_by_id: dict[str, membership.Member], *, was_known: bool
+    ) -> _Service:
+        service = _Service(members_by_id=members_by_id)
+        for host_id, member in members_by_id.items():
+            if member.state is membership.MemberState.ALIVE:
+                service.usable[host_id] = rendezvous.digest(host_id)
+            elif member.state is membership.MemberState.SUSPECT:
+                service.suspects[host_id] = rendezvous.digest(host_id)
+        if len(service.suspects) > len(service.usable):
+            # Mass suspicion says more about this node than about them.
+            service.usable.update(service.suspects)
+            service.suspects.clear()
+        self._fill(service, was_known=was_known)
+        return service
+
+    def _fill(self, service: _Service, *, was_known: bool) -> None:
+        digests_by_ring: list[dict[str, int]] = [{} for _ in range(_RINGS)]
+        for host_id, digest in service.usable.items():
+            ring = self._ring(service.members_by_id[host_id])
+            digests_by_ring[ring][host_id] = digest
         for ring, share in enumerate(_RING_SHARES):
-            room = int(_SUBSET_MAX * share) - count
-            names = rendezvous.ranked(self._host_id, ids_by_ring[ring], room)
-            count += len(names)
+            room = int(_SUBSET_MAX * share) - len(service.targets)
+            names = rendezvous.ranked(
+                self._host_id, digests_by_ring[ring], room
+            )
             for host_id in names:
-                target = self._target(host_id, ring, was_known=was_known)
-                targets_by_id[host_id] = target
+                member = service.members_by_id[host_id]
+                target = self._target(member, ring, was_known=was_known)
                 service.targets.append(target)
+                service.targets_by_ring[ring].append(target)
 
     def _target(
-        self, host_id: str, ring: int, *, was_known: bool
+        self, member: membership.Member, ring: int, *, was_known: bool
     ) -> core.Target:
-        member = self._members_by_id[host_id]
-        old = self._targets_by_id.get(host_id)
+        old = self._targets_by_id.get(member.host_id)
         if old is not None and old.member.incarnation == member.incarnation:
             old.member = member
             old.ring = ring
@@ -211,35 +262,38 @@
             return 0
         return 1 if member.region == self._region else 2
 
-    def _near_ring(
-        self, targets: list[core.Target], now: float
-    ) -> list[core.Target]:
-        for ring in range(_RINGS):
-            near = [target for target in targets if target.ring <= ring]
-            if not near:
+    def _pick(
+        self, targets_by_ring: list[list[core.Target]], now: float
+    ) -> core.Target | None:
+        """Returns the better of two servers of the nearest ring with room.
+
+        A ring spills by what is sampled: when the better of its two servers
+        is fuller than the policy allows, the next ring is sampled as well,
+        and the least filled server of all rings sampled is taken.
+        """
+        best: core.Target | None = None
+        best_score = 0.0
+        for targets in targets_by_ring:
+            if not targets:
                 continue
-            slots = sum(target.slots() for target in near)
-            used = sum(target.in_use(now) for target in near) / slots
-            spill = self._policy.spill_share
-            if used <= spill:
-                return near
-            if self._rng.random() >= (used - spill) / max(0.01, 1.0 - spill):
-                return near
-        return targets
-
-    def _pick(self, targets: list[core.Target], now: float) -> core.Target:
-        first = self._rng.choice(targets)
-        weight = self._weight(first, now)
-        if weight < 1.0 and self._rng.random() < weight:
-            return first
-        full = [
-            target for target in targets if self._weight(target, now) >= 1.0
-        ]
-        if not full:
-            full = targets
-        one = self._rng.choice(full)
-        other = self._rng.choice(full)
-        return one if one.score(now) <= other.score(now) else other
+            for _ in range(_CHOICES):
+                target = self._draw(targets, now)
+                score = target.score(now)
+                if best is None or score < best_score:
+                    best = target
+                    best_score = score
+            if best_score <= self._policy.spill_share:
+                break
+        return best
+
+    def _draw(self, targets: list[core.Target], now: float) -> core.Target:
+        target = self._rng.choice(targets)
+        for _ in range(_REDRAWS):
+            weight = self._weight(target, now)
+            if weight >= 1.0 or self._rng.random() < weight:
+                break
+            target = self._rng.choice(targets)
+        return target
 
     def _weight(self, target: core.Target, now: float) -> float:
         if target.is_outlier:
@@ -258,12 +312,12 @@
         if now < service.outliers_due:
             return
         service.outliers_due = now + _OUTLIER_PERIOD_S
-        outliers.mark(service.targets, self._policy)
+        self._found_outliers += outliers.mark(service.targets, self._policy)
 
     def _fallback(
         self, service: _Service, exclude: frozenset[str]
     ) -> str | None:
-        for host_ids in (service.usable_ids, service.suspect_ids):
+        for host_ids in (service.usable, service.suspects):
             names = [name for name in host_ids if name not in exclude]
             if names:
                 return self._rng.choice(names)
