--- a/standins/measure/scale.py
+++ b/standins/measure/scale.py
@@ -16,10 +16,10 @@
 from bergamotdeal.calls import messages as call_messages
 from bergamotdeal.membership import core as membership
 from bergamotdeal.membership import messages as gossip
-from bergamotdeal.membership.tests import fleet as gossip_fleet
 from bergamotdeal.presets import model
 from bergamotdeal.presets import sections
 from bergamotdeal.wire import gossip as wire
+from standins import gossip_fleet
 from standins.measure import figures
 
 NODES = 1300
