Encode the epoch of a node without a preset as zero

Cause: a node that knows no preset counts its epoch as -1, which the unsigned field of a frame can't hold, so its refusal failed to encode. Change: the codec writes zero for it. Figures: the new test raised before and passes after. Conclusion: a node that is not ready can say so to its peers.

--- a/bergamotdeal/wire/codec.py
+++ b/bergamotdeal/wire/codec.py
@@ -116,6 +116,10 @@
     return [(entry.name, entry.value) for entry in reader]
 
 
+# A node that knows no preset yet counts its epoch below zero, which the
+# unsigned field can't hold; on the wire it is zero.
+
+
 def _build_call(builder, call: calls.Call) -> None:
     request = call.request
     builder.number = call.number
@@ -135,7 +139,7 @@
     builder.ticket = call.ticket
     builder.className = call.class_name
     builder.depth = call.depth
-    builder.epoch = call.epoch
+    builder.epoch = max(0, call.epoch)
     builder.stamp = call.stamp
     builder.needsTicket = call.needs_ticket
     builder.onlyRepeatable = call.only_repeatable
@@ -188,7 +192,7 @@
         load.running = answer.load.running
         load.queued = answer.load.queued
         load.limit = answer.load.limit
-    builder.epoch = answer.epoch
+    builder.epoch = max(0, answer.epoch)
     builder.stamp = answer.stamp
 
 
--- a/bergamotdeal/wire/tests/test_codec.py
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -68,6 +68,19 @@
     assert codec.decode(codec.encode(frame)).unwrap() == frame
 
 
+def test_node_without_a_preset_can_answer():
+    frame = messages.AnswerFrame(
+        number=1,
+        user_request_id="r-1",
+        answer=calls.Answer(
+            outcome=errors.Outcome.NOT_RUN,
+            error=errors.ErrorKind.NOT_READY,
+            epoch=-1,
+        ),
+    )
+    assert codec.decode(codec.encode(frame)).unwrap().answer.epoch == 0
+
+
 @pytest.mark.parametrize("frame", FRAMES, ids=lambda f: type(f).__name__)
 def test_every_cut_is_rejected(frame):
     data = codec.encode(frame)
