--- a/bergamotdeal/node/observation.py
+++ b/bergamotdeal/node/observation.py
@@ -6,7 +6,6 @@
 import time
 import traceback
 
-from twisted import logger
 from twisted.internet import task
 
 from bergamotdeal.calls import messages
@@ -26,9 +25,6 @@
 FLUSHES_PER_GAUGES = 10
 
 
-_FAILURE_LEVELS = frozenset({logger.LogLevel.error, logger.LogLevel.critical})
-
-
 class Observation:
     """Records what the node decides and sends its metrics.
 
@@ -76,23 +72,6 @@
         self._flush_due = self._reactor.seconds() + metrics.FLUSH_INTERVAL_S
         self._flush.start(metrics.FLUSH_INTERVAL_S, now=False)
 
-    def _observe(self, event: logger.LogEvent) -> None:
-        # An exception that reaches the reactor or an unheard Deferred.
-        if event.get("log_level") not in _FAILURE_LEVELS:
-            return
-        failure = event.get("log_failure")
-        trace = (
-            failure.getTraceback()
-            if failure is not None
-            else logger.formatEvent(event)
-        )
-        self.recorder.record(
-            messages.Record(
-                code=catalogue.EventCode.TASK_FAILED,
-                fields={"task": "reactor", "trace": trace},
-            )
-        )
-
     def _flush_metrics(self) -> None:
         counts = self.recorder.metrics
         lag_s = max(0.0, self._reactor.seconds() - self._flush_due)
