Take rumours over 400 encoded cores into the measures and the page

Change: the gossip study's fleets of 25, 100 and 400 cores, with the wire's encoding, are part of the scale measure and of the capacity lines.

--- a/standins/capacity_rows.py
+++ b/standins/capacity_rows.py
@@ -281,6 +281,16 @@
             run="control base and slope, bytes_per_s",
             mechanism="one probe a second whatever the size; sync each 15 s",
         ),
+        Row(
+            role="member",
+            item="messages, at rest, cores alone",
+            formula="largest of three sizes, which grow with log n",
+            result=slopes.largest("encoded gossip sent", " cores"),
+            unit="bytes/s",
+            bound=BYTES_BOUND_PER_S,
+            run="encoded gossip sent, largest size",
+            mechanism="a sync sends a digest while the views agree",
+        ),
         Row(
             role="member",
             item="messages, ordinary day",
@@ -405,6 +415,16 @@
             run="test_few_nodes_use_the_store",
             mechanism="hands the accepted switch to nodes that it knows",
         ),
+        Row(
+            role="operator's command",
+            item="time until all are told",
+            formula="largest of three sizes, which grow with log n",
+            result=slopes.largest("epoch told to all by rumour", " cores"),
+            unit="s",
+            bound=SWITCH_BOUND_S,
+            run="epoch told to all by rumour, largest size",
+            mechanism="the epoch rides on every datagram",
+        ),
         Row(
             role="operator's command",
             item="time to in force everywhere",
--- a/standins/measure/scale.py
+++ b/standins/measure/scale.py
@@ -20,6 +20,7 @@
 from bergamotdeal.presets import sections
 from bergamotdeal.wire import gossip as wire
 from standins import gossip_fleet
+from standins import gossip_study
 from standins.measure import figures
 
 NODES = 1300
@@ -27,6 +28,7 @@
 ROUTES_PER_SERVICE = (2, 10, 50)
 
 _GOSSIP_SIZES = (10, 20, 40, 80)
+_RUMOUR_SIZES = (25, 100, 400)
 _JOIN_S = 20.0
 _DEATH_LIMIT_S = 60.0
 _STEADY_S = 15.0
@@ -38,6 +40,7 @@
 def measure(report: figures.Report) -> None:
     """Adds the slopes of gossip, the engine's state and preset sizes."""
     _measure_gossip(report)
+    _measure_rumours(report)
     _measure_engine(report)
     _measure_presets(report)
 
@@ -117,6 +120,29 @@
     )
 
 
+def _measure_rumours(report: figures.Report) -> None:
+    """Adds figures of larger fleets whose messages are encoded."""
+    for size in _RUMOUR_SIZES:
+        study = gossip_study.Study(size=size, seed=_SEED)
+        steady = study.steady(_STEADY_S)
+        sent = steady["udp_bytes_per_s"] + steady["bulk_bytes_per_s"]
+        for name, value, unit in (
+            ("encoded gossip sent", sent, "bytes/s"),
+            (
+                "processor share of encoded gossip",
+                steady["cpu_share"],
+                "share of a core",
+            ),
+            (
+                "epoch told to all by rumour",
+                study.epoch()["epoch_all_s"],
+                "s",
+            ),
+            ("drain told to all by rumour", study.drain()["drain_all_s"], "s"),
+        ):
+            report.add(name, value, unit, variant=f"{size} cores")
+
+
 def _measure_engine(report: figures.Report) -> None:
     gc.collect()
     tracemalloc.start()
--- a/tests/standins/test_capacity.py
+++ b/tests/standins/test_capacity.py
@@ -23,6 +23,8 @@
     (_IDLE, "10 nodes"): 48.0,
     (_IDLE, "18 nodes"): 49.0,
     ("bytes sent per node for one death", "80 cores"): 6000.0,
+    ("encoded gossip sent", "400 cores"): 570.0,
+    ("epoch told to all by rumour", "400 cores"): 0.4,
     ("control slope, bytes_per_s", "fit"): 0.5,
     ("control base, bytes_per_s", "fit"): 600.0,
     ("control slope, cpu_share", "fit"): -0.1,
