--- a/bergamotdeal/admission/limit.py
+++ b/bergamotdeal/admission/limit.py
@@ -6,19 +6,22 @@
 _MIN_SPAN_S = 0.5
 _MAX_SPAN_S = 3.0
 _SPAN_COMPLETIONS = 60
+_TRIAL_COMPLETIONS = 200
+_MAX_TRIAL_S = 10.0
 _SATURATED_SHARE = 0.9
 _INFLATED_RATIO = 2.0
 _CALM_RATIO = 1.5
 _BASELINE_S = 30.0
 _STEP = 0.2
 _KEPT_THROUGHPUT = 0.9
+_HOPELESS_THROUGHPUT = 0.85
 _GROWTH = 0.05
 _RAISE_PERIOD_S = 10.0
 _SUSPICION_S = 5.0
 _SUSPICION_COMPLETIONS = 500
 _CONFIRMED_FACTOR = 0.2
-_FIRST_BACKOFF_S = 30.0
-_MAX_BACKOFF_S = 300.0
+_FIRST_BACKOFF_S = 60.0
+_MAX_BACKOFF_S = 600.0
 _SLOW_START_SHARE = 0.1
 
 
@@ -106,6 +109,9 @@
 
     def update(self, now: float) -> None:
         """Adapts the limit when enough runs were seen."""
+        if self._trial is not None:
+            self._watch(self._trial, now)
+            return
         span = self._span
         elapsed = now - span.started
         enough = span.completed >= _SPAN_COMPLETIONS
@@ -117,9 +123,6 @@
         mean_run_s = span.run_s / span.completed
         throughput = span.completed / elapsed
         busy_share = span.busy_s / (max(1, self._adapted) * elapsed)
-        if self._trial is not None:
-            self._judge(self._trial, throughput, busy_share, now)
-            return
         baseline = self._note_baseline(mean_run_s, now)
         inflated = mean_run_s > _INFLATED_RATIO * baseline
         saturated = busy_share > _SATURATED_SHARE
@@ -131,7 +134,8 @@
         if mean_run_s < _CALM_RATIO * baseline:
             self._grow(math.ceil(_GROWTH * self._adapted))
         elif suspected and now >= self._next_trial:
-            self._try(1.0 - _STEP, throughput)
+            lasted = now - self._inflated_since
+            self._try(1.0 - _STEP, self._inflated_completions / lasted)
         elif self._adapted < self._slots and now >= self._next_raise:
             self._next_raise = now + _RAISE_PERIOD_S
             self._try(1.0 + _STEP, throughput)
@@ -164,11 +168,27 @@
         )
         self._adapted = limit
 
+    def _watch(self, trial: _Trial, now: float) -> None:
+        """Ends a trial once it has seen enough runs, or early if it fails."""
+        span = self._span
+        elapsed = now - span.started
+        is_long = elapsed >= _MAX_TRIAL_S
+        if span.completed < _SPAN_COMPLETIONS and not is_long:
+            return
+        ratio = span.completed / elapsed / trial.throughput_before
+        failed = trial.limit < trial.limit_before and ratio < _HOPELESS_THROUGHPUT
+        if span.completed < _TRIAL_COMPLETIONS and not (is_long or failed):
+            return
+        busy_share = span.busy_s / (self._adapted * elapsed)
+        self._span = _Span(started=now)
+        self._inflated_since = None
+        self._inflated_completions = 0
+        self._judge(trial, ratio, busy_share, now)
+
     def _judge(
-        self, trial: _Trial, throughput: float, busy_share: float, now: float
+        self, trial: _Trial, ratio: float, busy_share: float, now: float
     ) -> None:
         self._trial = None
-        ratio = throughput / trial.throughput_before
         if trial.limit > trial.limit_before:
             if ratio < 1.0 / _KEPT_THROUGHPUT:
                 self._adapted = trial.limit_before
--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -16,6 +16,7 @@
 _GIVING_SHARE = 0.1
 _TARGET_DEPTH_SHARE = 0.15
 _PATIENT_DEPTH_SHARE = 0.6
+_DOUBTFUL = 0.85
 _BUSY_SHARE = 0.9
 _MS_PER_S = 1000.0
 
@@ -29,12 +30,14 @@
       hash_sum: Sum of their hash shares.
       started: Jobs that got a slot.
       shortest_wait: Shortest queue wait in the open window, seconds.
+      was_pressed: Whether the window before was under pressure.
     """
 
     arrivals: float = 0.0
     hash_sum: float = 0.0
     started: float = 0.0
     shortest_wait: float = math.inf
+    was_pressed: bool = False
 
     def offered(self, threshold: float) -> float:
         """Estimates the arrivals had no node refused any.
@@ -171,7 +174,10 @@
             share = _TARGET_DEPTH_SHARE if is_last else _PATIENT_DEPTH_SHARE
             pressed = depth > share * queue_bound
             pressed = pressed or (has_standing_queue and is_last)
-            if not pressed or self._others_can_give(rank):
+            is_first = value >= 1.0 and not counts.was_pressed
+            counts.was_pressed = pressed
+            doubtful = is_first and moved > _DOUBTFUL
+            if not pressed or doubtful or self._others_can_give(rank):
                 moved = max(value, moved)
                 if is_idle:
                     moved = max(moved, _opened(value, windows))
--- a/standins/study/model.py
+++ b/standins/study/model.py
@@ -121,7 +121,8 @@
       recovery_s: Time from the trigger's end until user requests complete as
         in calm and go on doing so, or None when that never came.
       critical: Share of critical user requests of the trigger that completed.
-      calm: Share of user requests before the trigger that completed.
+      calm: Share of user requests that completed among those that arrived
+        early enough before the trigger to be done when it begins.
     """
 
     goodput: float
--- a/standins/study/report.py
+++ b/standins/study/report.py
@@ -6,6 +6,7 @@
 from standins.study import simulation
 
 _CALM_SHARE = 0.95
+_LATE_CALM_S = 0.5
 _RECOVERY_SPAN_S = 0.5
 _RECOVERY_STEP_S = 0.05
 _MIN_SPAN_REQUESTS = 40
@@ -32,7 +33,11 @@
     possible = min(scenario.demand * scenario.surge, scenario.slow_capacity())
     hit = [user for user in users if begin <= user.arrived < end]
     critical = [user for user in hit if user.critical]
-    calm = [user for user in users if scenario.warm_s <= user.arrived < begin]
+    calm = [
+        user
+        for user in users
+        if scenario.warm_s <= user.arrived < begin - _LATE_CALM_S
+    ]
     return model.Result(
         goodput=done / (possible * scenario.trigger_s),
         wasted=_share(chain.wasted.work_s, chain.useful.work_s),
--- a/standins/study/simulation.py
+++ b/standins/study/simulation.py
@@ -286,6 +286,7 @@
         scenario = self.scenario
         end = scenario.trigger_end() + scenario.after_s
         self.clock.at(0.0, self._next_user)
+        self.clock.at(scenario.warm_s, self._forget_usage)
         self.clock.run(end + scenario.deadline_s * (scenario.resends + 1))
 
     def in_trigger(self) -> bool:
@@ -336,6 +337,10 @@
             return
         call.node.cancel(call)
 
+    def _forget_usage(self) -> None:
+        self.wasted = Usage()
+        self.useful = Usage()
+
     def _next_user(self) -> None:
         now = self.clock.now
         scenario = self.scenario
