--- a/bergamotdeal/admission/tests/test_limit.py
+++ b/bergamotdeal/admission/tests/test_limit.py
@@ -1,5 +1,7 @@
 """Tests of the adaptive concurrency limit."""
 
+import random
+
 from bergamotdeal.admission import limit
 
 SLOTS = 50
@@ -61,3 +63,19 @@
     assert _value(target, 1.0) == 10
     _run(target, run_s_at=lambda _: 0.02, seconds=10.0, start=1.0)
     assert _value(target, 11.0) == 10
+
+
+def test_noise_seldom_keeps_a_step_that_costs_throughput():
+    kept = 0
+    for seed in range(20):
+        rng = random.Random(seed)
+        target = _limit()
+        target.set_slots(15, 0.0)
+        now = _run(target, run_s_at=lambda _: 0.15, seconds=5.0, start=0.0)
+
+        def slow(_, rng=rng):
+            return rng.gammavariate(120, 0.45 / 120)
+
+        now = _run(target, run_s_at=slow, seconds=55.0, start=now)
+        kept += _value(target, now) < 12
+    assert kept <= 1
