Tell the engine's events apart by match

Cause: the house style asks for match on data classes; the engine kept a table of handlers by type. Change: one match, the frequent events first.

--- a/bergamotdeal/admission/limit.py
+++ b/bergamotdeal/admission/limit.py
@@ -176,7 +176,9 @@
         if span.completed < _SPAN_COMPLETIONS and not is_long:
             return
         ratio = span.completed / elapsed / trial.throughput_before
-        failed = trial.limit < trial.limit_before and ratio < _HOPELESS_THROUGHPUT
+        failed = (
+            trial.limit < trial.limit_before and ratio < _HOPELESS_THROUGHPUT
+        )
         if span.completed < _TRIAL_COMPLETIONS and not (is_long or failed):
             return
         busy_share = span.busy_s / (self._adapted * elapsed)
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -1,7 +1,6 @@
 """The call engine: events in, effects out."""
 
 import collections
-from collections.abc import Callable
 import random
 
 from bergamotdeal.admission import feedback
@@ -84,17 +83,6 @@
             send_answer=self._send_answer,
             abandon_children=self._dispatcher.abandon_children,
         )
-        self._handlers_by_type: dict[type, Callable] = {
-            messages.CallArrived: self._dispatcher.arrive,
-            messages.PeerAnswered: self._dispatcher.answered,
-            messages.DispatchFailed: self._dispatcher.failed,
-            messages.PeerCalled: self._handle_call,
-            messages.RunAnswered: self._executor.run_answered,
-            messages.RunFailed: self._executor.run_failed,
-            messages.TimePassed: self._handle_time,
-            messages.MembersChanged: self._handle_members,
-            messages.PresetInForce: self._handle_preset,
-        }
 
     def handle(
         self, event: messages.Event, now: float
@@ -145,8 +133,7 @@
 
     def _handle_safely(self, event: messages.Event) -> None:
         try:
-            handler = self._handlers_by_type.get(type(event))
-            (handler or self._handle_change)(event)
+            self._handle(event)
         except Exception:
             self._state.record_failure()
             self._answer_failed(event)
@@ -189,8 +176,28 @@
             case messages.PeerCalled():
                 self._send_answer(event.link_id, event.call, answer)
 
-    def _handle_call(self, event: messages.PeerCalled) -> None:
-        self._executor.arrive(event.link_id, event.call)
+    def _handle(self, event: messages.Event) -> None:
+        match event:
+            case messages.CallArrived():
+                self._dispatcher.arrive(event)
+            case messages.PeerCalled():
+                self._executor.arrive(event.link_id, event.call)
+            case messages.RunAnswered():
+                self._executor.run_answered(event)
+            case messages.PeerAnswered():
+                self._dispatcher.answered(event)
+            case messages.TimePassed():
+                self._handle_time()
+            case messages.DispatchFailed():
+                self._dispatcher.failed(event)
+            case messages.RunFailed():
+                self._executor.run_failed(event)
+            case messages.MembersChanged():
+                self._handle_members(event)
+            case messages.PresetInForce():
+                self._handle_preset(event)
+            case _:
+                self._handle_change(event)
 
     def _handle_members(self, event: messages.MembersChanged) -> None:
         self._state.members_by_id = event.members_by_id
@@ -228,7 +235,7 @@
         self._ticketing.preset_changed()
         self._executor.apply(self._server.preset_changed())
 
-    def _handle_time(self, _event: messages.TimePassed) -> None:
+    def _handle_time(self) -> None:
         state = self._state
         while (item := state.timers.pop_due(state.now)) is not None:
             try:
