--- a/standins/capacity_rows.py
+++ b/standins/capacity_rows.py
@@ -48,9 +48,9 @@
       role: Who carries it.
       item: State, messages, processor time or memory.
       formula: How the result comes from the measured slope.
-      result: The result at the letter's size.
+      result: The result at the design size.
       unit: Its unit.
-      bound: The letter's bound, or None when it sets none.
+      bound: The design's bound, or None without one.
       run: The figure that gave the slope.
       mechanism: What carries it.
     """
@@ -99,7 +99,7 @@
         return max(taken)[1]
 
     def at_size(self, kind: str) -> float:
-        """Extends a control figure to the letter's size, never downwards."""
+        """Extends a control figure to the design size, never downwards."""
         slope = max(0.0, self.get(f"control slope, {kind}", "fit"))
         return self.get(f"control base, {kind}", "fit") + slope * NODES
 
@@ -131,7 +131,7 @@
             formula=f"{NODE_ENTRY_PER_S:.2f}/s x {deadline_s:g} s deadline",
             result=NODE_ENTRY_PER_S * deadline_s,
             unit="open exchanges at most",
-            run="the letter's rates; default deadline of a preset",
+            run="rates of the design size; default deadline of a preset",
             mechanism="each exchange ends by its deadline",
         ),
         Row(
@@ -140,7 +140,7 @@
             formula=f"2 frames x {NODE_ENTRY_PER_S:.2f} user requests/s",
             result=2 * NODE_ENTRY_PER_S,
             unit="frames/s",
-            run="the letter's rates",
+            run="rates of the design size",
             mechanism="one call frame and one answer frame a dispatch",
         ),
         Row(
@@ -167,7 +167,7 @@
             formula=f"{NODE_EGRESS_PER_S:.1f}/s x {deadline_s:g} s deadline",
             result=NODE_EGRESS_PER_S * deadline_s,
             unit="open exchanges at most",
-            run="the letter's rates; default deadline of a preset",
+            run="rates of the design size; default deadline of a preset",
             mechanism="each exchange ends by its parent's deadline",
         ),
         Row(
@@ -176,7 +176,7 @@
             formula=f"2 frames x {NODE_EGRESS_PER_S:.1f} calls/s",
             result=2 * NODE_EGRESS_PER_S,
             unit="frames/s",
-            run="the letter's rates",
+            run="rates of the design size",
             mechanism="thresholds, load and unspent re-sends ride on answers",
         ),
         Row(
@@ -203,7 +203,7 @@
             formula=f"{NODE_CALLS_PER_S:.1f}/s x {deadline_s:g} s deadline",
             result=NODE_CALLS_PER_S * deadline_s,
             unit="runs and queued calls at most",
-            run="the letter's rates; default deadline of a preset",
+            run="rates of the design size; default deadline of a preset",
             mechanism="bounded queue, concurrency limit, deadlines",
         ),
         Row(
@@ -212,7 +212,7 @@
             formula=f"2 frames x {NODE_CALLS_PER_S:.1f} calls/s",
             result=2 * NODE_CALLS_PER_S,
             unit="frames/s",
-            run="the letter's rates",
+            run="rates of the design size",
             mechanism="one answer frame a call",
         ),
         Row(
--- a/standins/measure/scale.py
+++ b/standins/measure/scale.py
@@ -1,6 +1,6 @@
 """Slopes over the size of the fleet, from the cores alone.
 
-A machine can't hold the letter's number of processes, so the cores run in one
+A machine can't hold the design's number of processes, so the cores run in one
 process under an injected clock: the gossip cores of whole fleets of several
 sizes, one call engine that knows all members, and presets of several sizes.
 """
--- a/tests/matrix/test_page.py
+++ b/tests/matrix/test_page.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 
-BRIEF_FAULTS = (
+EXPECTED_FAULTS = (
     "slow deep service",
     "surge",
     "hard-retrying callers",
@@ -39,7 +39,7 @@
     ]
     for section in sections:
         text = " ".join(section.split())
-        for fault in BRIEF_FAULTS:
+        for fault in EXPECTED_FAULTS:
             assert fault in text
 
 
