Split the process from the assembly and share the waits of the stand-ins

Cause: node.app held both the assembly and the process's clock, signals and collector; four places waited for the members in the same words. Change: node.process runs a node; Cluster.wait_joined and Cluster.entries serve the demo, the measures and the tests.

--- a/bergamotdeal/cli/node.py
+++ b/bergamotdeal/cli/node.py
@@ -21,9 +21,10 @@
     from twisted.internet import error
 
     from bergamotdeal.node import app
+    from bergamotdeal.node import process
 
     try:
-        app.run(settings)
+        process.run(settings)
     except (app.InvalidPresetError, OSError) as failed:
         raise files.failure(
             exit_codes.ExitCode.INVALID, f"{path}: [preset] file: {failed}"
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -262,6 +262,32 @@
             f"{host.host_id} ready",
         )
 
+    def wait_joined(self) -> None:
+        """Waits until each node knows every backend server."""
+        wanted = sum(bool(host.service) for host in self.hosts_by_id.values())
+
+        def knows_all(host: Host) -> bool:
+            members = self.status(host).get("members", [])
+            return sum(bool(m["service"]) for m in members) == wanted
+
+        for host in self.hosts_by_id.values():
+            wait_for(
+                lambda host=host: knows_all(host),
+                f"{host.host_id} knows all servers",
+            )
+
+    def entries(self, service: str) -> list[tuple[str, int]]:
+        """Returns address and port of the entry faces beside a service.
+
+        Args:
+          service: The service.
+        """
+        return [
+            (host.address, ENTRY_PORT)
+            for host in self.hosts_by_id.values()
+            if host.service == service
+        ]
+
     def status(self, host: Host) -> dict:
         """Returns a node's status, empty when it can't be reached.
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -158,14 +158,11 @@
     built = build_cluster(folder, control=control)
     try:
         yield threads.deferToThread(built.start)
-        yield threads.deferToThread(wait_until_joined, built)
-        entries = [
-            (host.address, cluster.ENTRY_PORT)
-            for host in built.hosts_by_id.values()
-            if host.service == presets.SERVICES[0]
-        ]
+        yield threads.deferToThread(built.wait_joined)
         callers = load.Callers(
-            reactor=twisted_reactor, entries=entries, seed=SEED
+            reactor=twisted_reactor,
+            entries=built.entries(presets.SERVICES[0]),
+            seed=SEED,
         )
         yield run_phases(built, callers)
         timeline = yield threads.deferToThread(
@@ -176,22 +173,6 @@
     return summarize(callers.requests), timeline
 
 
-def wait_until_joined(running: cluster.Cluster) -> None:
-    """Waits until each node knows every backend server.
-
-    Args:
-      running: The cluster.
-    """
-    wanted = len(running.hosts_by_id)
-
-    def joined(host: cluster.Host) -> bool:
-        members = running.status(host).get("members", [])
-        return sum(bool(member["service"]) for member in members) == wanted
-
-    for host in running.hosts_by_id.values():
-        cluster.wait_for(lambda host=host: joined(host), "members joined")
-
-
 def shed_request_timeline(
     running: cluster.Cluster, requests: list[load.UserRequest]
 ) -> list[str]:
--- a/standins/measure/operations.py
+++ b/standins/measure/operations.py
@@ -150,7 +150,7 @@
         built = overload.build_cluster(pathlib.Path(folder), scenario)
         try:
             yield threads.deferToThread(built.start)
-            yield threads.deferToThread(overload.wait_until_joined, built)
+            yield threads.deferToThread(built.wait_joined)
             yield _drain_under_load(report, built)
         finally:
             yield threads.deferToThread(built.stop)
--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -174,31 +174,16 @@
     return built
 
 
-def wait_until_joined(running: cluster.Cluster) -> None:
-    """Waits until each node knows every backend server."""
-    wanted = sum(bool(host.service) for host in running.hosts_by_id.values())
-
-    def joined(host: cluster.Host) -> bool:
-        members = running.status(host).get("members", [])
-        return sum(bool(member["service"]) for member in members) == wanted
-
-    for host in running.hosts_by_id.values():
-        cluster.wait_for(lambda host=host: joined(host), "members joined")
-
-
 @defer.inlineCallbacks
 def _run(scenario: Scenario, folder: pathlib.Path):
     built = build_cluster(folder, scenario)
     try:
         yield threads.deferToThread(built.start)
-        yield threads.deferToThread(wait_until_joined, built)
-        entries = [
-            (host.address, cluster.ENTRY_PORT)
-            for host in built.hosts_by_id.values()
-            if host.service == presets.SERVICES[0]
-        ]
+        yield threads.deferToThread(built.wait_joined)
         callers = load.Callers(
-            reactor=twisted_reactor, entries=entries, seed=SEED
+            reactor=twisted_reactor,
+            entries=built.entries(presets.SERVICES[0]),
+            seed=SEED,
         )
         times = yield _run_phases(scenario, built, callers)
         ledger = yield threads.deferToThread(built.ledger)
--- a/tests/integration/test_drain.py
+++ b/tests/integration/test_drain.py
@@ -64,17 +64,7 @@
         )
     with built:
         built.start()
-        for host in built.hosts_by_id.values():
-            clusters.wait_for(
-                lambda host=host: (
-                    sum(
-                        bool(member["service"])
-                        for member in built.status(host).get("members", [])
-                    )
-                    == 2
-                ),
-                "servers known",
-            )
+        built.wait_joined()
         yield built
 
 
