--- a/bergamotdeal/admission/tests/test_limit.py
+++ b/bergamotdeal/admission/tests/test_limit.py
@@ -1,5 +1,7 @@
 """Tests of the adaptive concurrency limit."""
 
+import random
+
 from bergamotdeal.admission import limit
 
 SLOTS = 50
@@ -61,3 +63,21 @@
     assert _value(target, 1.0) == 10
     _run(target, run_s_at=lambda _: 0.02, seconds=10.0, start=1.0)
     assert _value(target, 11.0) == 10
+
+
+def test_noise_seldom_keeps_a_step_that_costs_throughput():
+    lowered_s = 0.0
+    seeds = 20
+    for seed in range(seeds):
+        rng = random.Random(seed)
+        target = _limit()
+        target.set_slots(15, 0.0)
+        now = _run(target, run_s_at=lambda _: 0.15, seconds=5.0, start=0.0)
+
+        def slow(_, rng=rng):
+            return rng.gammavariate(4, 0.45 / 4)
+
+        while now < 60.0:
+            now = _run(target, run_s_at=slow, seconds=0.5, start=now)
+            lowered_s += 0.5 if _value(target, now) < 15 else 0.0
+    assert lowered_s / seeds < 6.0
