Measure overload at the users' server sizes and at small ones

Change: the usual chain has 15 slots of 120 ms and 1.5 s for a sending; the old one stays as the variant 'small servers' with the same targets. The demo has the same sizes.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,8 +18,8 @@
 SERVERS_PER_SERVICE = 2
 DEEPEST = presets.SERVICES[-1]
 SLOW_FACTOR = 3.0
-CALM_PER_S = 40.0
-DEADLINE_MS = 800
+CALM_PER_S = 80.0
+DEADLINE_MS = 1500
 BASELINE_TRIES = 3
 SEED = 7
 
@@ -65,8 +65,8 @@
                 "bayan-lepas",
                 service=service,
                 next_service=next_service,
-                slots=4 if is_deepest else 20,
-                service_ms=80.0 if is_deepest else 3.0,
+                slots=15 if is_deepest else 20,
+                service_ms=120.0 if is_deepest else 3.0,
                 tries=1 if control else BASELINE_TRIES,
             )
     return built
--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -18,13 +18,10 @@
 
 SERVERS_PER_SERVICE = 2
 SLOTS = 20
-DEEP_SLOTS = 5
 SERVICE_MS = 3.0
-DEEP_SERVICE_MS = 40.0
 SLOW_FACTOR = 3.0
 CALM_PER_S = 80.0
-DEADLINE_MS = 800
-PATIENCE_MS = 3200
+SENDINGS_PER_PATIENCE = 4
 TRIES_WITHOUT_CONTROL = 3
 SEED = 11
 
@@ -44,6 +41,40 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Deepest:
+    """The deepest service, which the trigger slows down.
+
+    Attributes:
+      slots: Slots of each server.
+      service_ms: Mean service time before the trigger.
+      deadline_ms: Time that a caller grants each sending.
+    """
+
+    slots: int
+    service_ms: float
+    deadline_ms: int
+
+    @property
+    def patience_ms(self) -> int:
+        """Time that a caller grants all its sendings."""
+        return SENDINGS_PER_PATIENCE * self.deadline_ms
+
+    def capacity_per_s(self, slow_factor: float) -> float:
+        """Returns what all servers together carry, in requests a second.
+
+        Args:
+          slow_factor: Factor on the service time.
+        """
+        slots = SERVERS_PER_SERVICE * self.slots
+        return slots / (self.service_ms / 1000 * slow_factor)
+
+
+USUAL = Deepest(slots=15, service_ms=120.0, deadline_ms=1500)
+SMALL = Deepest(slots=5, service_ms=40.0, deadline_ms=800)
+"""The same capacity in fewer slots, where chance weighs more."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Scenario:
     """One run.
@@ -51,6 +82,7 @@
     Attributes:
       variant: Name of the rules in force, and of the trigger.
       preset: Preset in INI.
+      deepest: The deepest service.
       tries: Sendings of each call by the backend servers.
       calm_s: Length of the calm phase.
       trigger_s: Length of the overload.
@@ -60,6 +92,7 @@
 
     variant: str
     preset: str
+    deepest: Deepest = USUAL
     tries: int = 1
     calm_s: float = 4.0
     trigger_s: float = 8.0
@@ -103,6 +136,14 @@
             tries=TRIES_WITHOUT_CONTROL,
         ),
     ]
+    runs.append(
+        Scenario(
+            variant="small servers",
+            preset=on,
+            deepest=SMALL,
+            has_targets=True,
+        )
+    )
     for rule in _RULES:
         ablated = f"{on}\n[admission]\n{rule} = no\n"
         runs.append(Scenario(variant=f"without {rule}", preset=ablated))
@@ -135,11 +176,12 @@
     """
     report.conditions["overload chain"] = (
         f"{len(presets.SERVICES)} services of {SERVERS_PER_SERVICE} servers, "
-        f"deepest {DEEP_SLOTS} slots of {DEEP_SERVICE_MS:g} ms a server, "
+        f"deepest {USUAL.slots} slots of {USUAL.service_ms:g} ms a server "
+        f"({SMALL.slots} of {SMALL.service_ms:g} ms in 'small servers'), "
         f"{CALM_PER_S:g} user requests/s in calm, twice that and a deepest "
         f"service {SLOW_FACTOR:g}x slow in overload, callers that send up to "
-        f"{load.Plan.tries} times, each with {DEADLINE_MS} ms, within "
-        f"{PATIENCE_MS} ms, seed {SEED}"
+        f"{load.Plan.tries} times, each with {USUAL.deadline_ms} ms "
+        f"({SMALL.deadline_ms} ms), seed {SEED}"
     )
     for scenario in runs:
         with tempfile.TemporaryDirectory() as folder:
@@ -147,12 +189,6 @@
         _add_figures(report, scenario, outcome)
 
 
-def capacity_per_s(slow_factor: float) -> float:
-    """Returns what the deepest service can carry, in requests a second."""
-    slots = SERVERS_PER_SERVICE * DEEP_SLOTS
-    return slots / (DEEP_SERVICE_MS / 1000 * slow_factor)
-
-
 def build_cluster(folder: pathlib.Path, scenario: Scenario) -> cluster.Cluster:
     """Returns the cluster of a scenario; nothing runs yet."""
     built = cluster.Cluster(folder=folder, preset=scenario.preset)
@@ -167,8 +203,10 @@
                 "bayan-lepas",
                 service=service,
                 next_service=next_service,
-                slots=DEEP_SLOTS if is_deepest else SLOTS,
-                service_ms=DEEP_SERVICE_MS if is_deepest else SERVICE_MS,
+                slots=scenario.deepest.slots if is_deepest else SLOTS,
+                service_ms=(
+                    scenario.deepest.service_ms if is_deepest else SERVICE_MS
+                ),
                 tries=scenario.tries,
             )
     return built
@@ -214,8 +252,8 @@
             name=name,
             rate_per_s=CALM_PER_S * factor,
             duration_s=duration_s,
-            deadline_ms=DEADLINE_MS,
-            patience_ms=PATIENCE_MS,
+            deadline_ms=scenario.deepest.deadline_ms,
+            patience_ms=scenario.deepest.patience_ms,
         )
 
     trigger_at_s = scenario.calm_s
@@ -264,8 +302,11 @@
     add("whole requests completed in calm", calm, "share")
     if scenario.trigger_s >= 1.0:
         duration_s = times.recovery - times.trigger
-        carried = capacity_per_s(SLOW_FACTOR) * duration_s
-        busy = deepest_busy_share(outcome, times.trigger, times.recovery)
+        deepest = scenario.deepest
+        carried = deepest.capacity_per_s(SLOW_FACTOR) * duration_s
+        busy = deepest_busy_share(
+            outcome, times.trigger, times.recovery, slots=deepest.slots
+        )
         done = sum(
             r.completed and times.trigger <= r.ended_at < times.recovery
             for r in outcome.requests
@@ -394,8 +435,17 @@
     return "runs without an answer from below held " + ", ".join(parts)
 
 
-def deepest_busy_share(outcome: Outcome, start: float, end: float) -> float:
-    """Returns the share of the deepest service's slots that worked."""
+def deepest_busy_share(
+    outcome: Outcome, start: float, end: float, *, slots: int
+) -> float:
+    """Returns the share of the deepest service's slots that worked.
+
+    Args:
+      outcome: What a run gave.
+      start: Start of the span, on the callers' clock.
+      end: Its end.
+      slots: Slots of each server.
+    """
     busy_s = sum(
         line["busy_s"]
         for line in outcome.ledger
@@ -403,4 +453,4 @@
         and line["step"] != "started"
         and start <= line["time"] < end
     )
-    return busy_s / (SERVERS_PER_SERVICE * DEEP_SLOTS * (end - start))
+    return busy_s / (SERVERS_PER_SERVICE * slots * (end - start))
--- a/tests/standins/test_measure.py
+++ b/tests/standins/test_measure.py
@@ -79,12 +79,14 @@
 
 
 def test_busy_share_of_the_deepest_service():
-    slots = overload.SERVERS_PER_SERVICE * overload.DEEP_SLOTS
+    slots = overload.SERVERS_PER_SERVICE * overload.USUAL.slots
     lines = [
         line("completed", "r", 5.0 * slots),
         line("completed", "r", 99.0, service="kitview"),
     ]
-    share = overload.deepest_busy_share(outcome([], lines), 10.0, 20.0)
+    share = overload.deepest_busy_share(
+        outcome([], lines), 10.0, 20.0, slots=overload.USUAL.slots
+    )
     assert share == pytest.approx(0.5)
 
 
