Name faults, sources and successors by the field's words

Cause: tests spoke of blows that strike, the follower of tellers and ticketing of heirs; the field says fault injection, source and successor. Conclusion: a newcomer meets the usual terms.

--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -355,12 +355,12 @@
 
     def _withdrawn(self, run: runs.Run, answer: core.Answer | None) -> None:
         """Ends a request that left the queue unrun."""
-        heir = self._ticketing.pass_on(run)
+        successor = self._ticketing.pass_on(run)
         self._table.remove(run)
         self._answer(run, answer)
-        if heir is not None:
-            heir.fingerprint = run.fingerprint
-            self._admit(heir)
+        if successor is not None:
+            successor.fingerprint = run.fingerprint
+            self._admit(successor)
 
     def _detach(self, run: runs.Run, answer: core.Answer | None) -> None:
         """Answers the call of a running request and cancels the run.
--- a/bergamotdeal/calls/tests/test_fleet_allowance.py
+++ b/bergamotdeal/calls/tests/test_fleet_allowance.py
@@ -75,7 +75,7 @@
     return made
 
 
-def inflict(made, fault, host_id):
+def inject(made, fault, host_id):
     match fault:
         case "kill_node":
             made.kill_node(host_id, noticed=False)
@@ -105,7 +105,7 @@
         host_id = rng.choice(hosts)
         made.after(
             rng.uniform(0, 0.05),
-            lambda fault=fault, host_id=host_id: inflict(made, fault, host_id),
+            lambda fault=fault, host_id=host_id: inject(made, fault, host_id),
         )
     fates = list(FATES.values())
     made.links.deliver = lambda _frame: rng.choices(fates, FATE_WEIGHTS)[0]
--- a/bergamotdeal/calls/ticketing.py
+++ b/bergamotdeal/calls/ticketing.py
@@ -118,16 +118,16 @@
         if record is None:
             return None
         run.record = None
-        heir = run.joined.pop(0) if run.joined else None
-        if heir is None:
+        successor = run.joined.pop(0) if run.joined else None
+        if successor is None:
             del self._runs_by_serial[record.serial]
             self._table.release(record)
             return None
-        heir.joined, run.joined = run.joined, []
-        heir.waits_for = None
-        heir.record = record
-        self._runs_by_serial[record.serial] = heir
-        return heir
+        successor.joined, run.joined = run.joined, []
+        successor.waits_for = None
+        successor.record = record
+        self._runs_by_serial[record.serial] = successor
+        return successor
 
     def refuse(self, run: runs.Run, answers: list[core.Answer]) -> None:
         """Settles the ticket of a request that was not handed over.
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -17,7 +17,7 @@
 from bergamotdeal.presets import sections as preset_sections
 
 WATCHERS_PER_DATA_CENTRE = 2
-MAX_TELLERS = 16
+MAX_SOURCES = 16
 PULL_PATIENCE_S = 0.7
 PEER_WAIT_S = 1.0
 SEED_WAIT_S = 10.0
@@ -182,7 +182,7 @@
         self._initial = initial
         self._rng = rng
         self._members_by_id: dict[str, membership.Member] = {}
-        self._epochs_by_teller: dict[str, int] = {}
+        self._epochs_by_source: dict[str, int] = {}
         self._pulls_by_host: dict[str, float] = {}
         self._pull_not_before = now
         self._rejected_wait_s = REJECTED_WAIT_MIN_S
@@ -227,7 +227,7 @@
             for sent in self._pulls_by_host.values()
             if sent + PULL_PATIENCE_S > self._now
         ]
-        if self._epochs_by_teller and self._pull_not_before > self._now:
+        if self._epochs_by_source and self._pull_not_before > self._now:
             times.append(self._pull_not_before)
         if self.epoch == NO_EPOCH and not self._reading:
             times.append(self._next_read)
@@ -258,7 +258,7 @@
                 self._on_pulled(event.host_id, event.response, now)
             case PullFailed(host_id=host_id):
                 self._pulls_by_host.pop(host_id, None)
-                self._epochs_by_teller.pop(host_id, None)
+                self._epochs_by_source.pop(host_id, None)
             case PresetHanded(document=document):
                 self._on_document(document)
             case StoreRead(document=document):
@@ -288,13 +288,13 @@
     def _hear(self, event: EpochHeard) -> None:
         if event.epoch <= max(self.epoch, INITIAL_EPOCH):
             return
-        self._epochs_by_teller.pop(event.host_id, None)
-        self._epochs_by_teller[event.host_id] = event.epoch
-        while len(self._epochs_by_teller) > MAX_TELLERS:
-            del self._epochs_by_teller[next(iter(self._epochs_by_teller))]
+        self._epochs_by_source.pop(event.host_id, None)
+        self._epochs_by_source[event.host_id] = event.epoch
+        while len(self._epochs_by_source) > MAX_SOURCES:
+            del self._epochs_by_source[next(iter(self._epochs_by_source))]
 
     def _pull_if_behind(self, now: float) -> None:
-        """Pulls from one teller at a time, and from a second if it is slow."""
+        """Pulls from one source at a time, and from a second if it is slow."""
         if now < self._pull_not_before:
             return
         late = now - PULL_PATIENCE_S
@@ -302,13 +302,13 @@
             return
         candidates = [
             host_id
-            for host_id, epoch in self._epochs_by_teller.items()
+            for host_id, epoch in self._epochs_by_source.items()
             if epoch > self.epoch and host_id not in self._pulls_by_host
         ]
         if not candidates:
             return
-        newest = max(self._epochs_by_teller[host] for host in candidates)
-        best = [h for h in candidates if self._epochs_by_teller[h] == newest]
+        newest = max(self._epochs_by_source[host] for host in candidates)
+        best = [h for h in candidates if self._epochs_by_source[h] == newest]
         host_id = self._rng.choice(best)
         self._pulls_by_host[host_id] = now
         digests = tuple(section.digest for section in self._sections)
@@ -317,7 +317,7 @@
     def _on_pulled(
         self, host_id: str, response: gossip.PresetResponse, now: float
     ) -> None:
-        told = self._epochs_by_teller.pop(host_id, None)
+        told = self._epochs_by_source.pop(host_id, None)
         if response.epoch <= max(self.epoch, INITIAL_EPOCH):
             return
         match preset_sections.join(response.sections, self._sections):
@@ -393,7 +393,7 @@
 
     def _apply_initial(self) -> None:
         """Falls back on the settings' preset when there was no switch yet."""
-        if self._epochs_by_teller or self._initial is None:
+        if self._epochs_by_source or self._initial is None:
             return
         if self.epoch == NO_EPOCH:
             self._apply(INITIAL_EPOCH, self._initial, "")
@@ -420,9 +420,9 @@
         self._operation_id = operation_id
         self._sections = preset_sections.split(preset)
         self._rejected_wait_s = REJECTED_WAIT_MIN_S
-        self._epochs_by_teller = {
+        self._epochs_by_source = {
             host_id: told
-            for host_id, told in self._epochs_by_teller.items()
+            for host_id, told in self._epochs_by_source.items()
             if told > epoch
         }
         self._effects.append(Apply(epoch=epoch, preset=preset))
--- a/bergamotdeal/presets/tests/test_switch.py
+++ b/bergamotdeal/presets/tests/test_switch.py
@@ -58,7 +58,7 @@
 
 
 def advance(m, step, memory, fault="none"):
-    """Carries out one step; ``fault`` strikes it."""
+    """Carries out one step; ``fault`` applies to it."""
     match step:
         case switch.Read():
             if fault != "none":
@@ -183,7 +183,7 @@
     st.integers(0, 9),
 )
 def test_every_interleaving_tells_the_truth(moves, seed):
-    """Three operators race; faults strike any step."""
+    """Three operators race; faults at any step."""
     memory = MemoryStore()
     names = ["ordinary", "peak", "maintenance"]
     machines = [machine(name, seed=seed) for name in names]
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -132,7 +132,7 @@
         line(
             "regions apart for an hour",
             region_nodes,
-            "eviction is frozen; on return one sync a node mends the view",
+            "eviction is frozen; on return one sync a node repairs the view",
         ),
     ]
 
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -278,7 +278,7 @@
     entries: list[ledger.Entry], ended_at: dict[str, float]
 ) -> Iterator[Violation]:
     """Yields runs that a planned stop cut, or whose answers it cut."""
-    struck = {
+    injected = {
         entry.host_id
         for kind in (ledger.HostDown, ledger.HostDisturbed)
         for entry in _of(entries, kind)
@@ -300,7 +300,7 @@
     }
     for run in _of(entries, ledger.RunStarted):
         end = ended_at.get(run.host_id)
-        if end is None or run.at > end or run.host_id in struck:
+        if end is None or run.at > end or run.host_id in injected:
             continue
         sending = (run.label.key, run.label.sending)
         if sending in gave_up:
--- a/standins/fleet_link.py
+++ b/standins/fleet_link.py
@@ -76,7 +76,7 @@
         self._close(one, other)
         self._close(other, one)
 
-    def mend(self, one: str, other: str) -> None:
+    def restore(self, one: str, other: str) -> None:
         """Lets two hosts dial each other again."""
         self._cut.discard(frozenset({one, other}))
 
--- a/standins/judged.py
+++ b/standins/judged.py
@@ -1,7 +1,7 @@
 """An in-memory fleet whose servers and callers write the ledger.
 
 A chain of services behind two entry hosts. Hooks tell when a chosen request
-reaches a chosen step at its last service, so that a fault can strike there.
+reaches a chosen step at its last service, where a fault can be injected.
 """
 
 from collections.abc import Callable
@@ -33,7 +33,7 @@
 
 
 class Step(enum.Enum):
-    """Where a call stands at its target when a fault strikes."""
+    """Where a call stands at its target when a fault is injected."""
 
     BEFORE_ADMISSION = "before admission"
     QUEUED = "queued"
@@ -44,7 +44,7 @@
 
 
 class Place(enum.Enum):
-    """Which host on the way of a request a fault strikes."""
+    """At which host on the way of a request a fault is injected."""
 
     TARGET = "target"
     PARENT = "parent"
@@ -60,7 +60,7 @@
     step: Step
     key: str
     service: str
-    strike: Strike
+    inject: Strike
 
 
 def make_preset(
@@ -118,7 +118,7 @@
       shed_share: Share of requests that servers refuse without a run.
       crashing: Effects that end each server which runs them.
       silenced: Pairs of hosts whose open links swallow all frames.
-      struck: Steps at which a hook was called, with the host.
+      injected: Steps at which a hook was called, with the host.
       on_crash: Called when a request ends the server that runs it.
     """
 
@@ -135,7 +135,7 @@
         self.crashing: set[str] = set()
         self.shed_share = 0.0
         self.silenced: set[frozenset[str]] = set()
-        self.struck: list[tuple[Step, str]] = []
+        self.injected: list[tuple[Step, str]] = []
         self.on_crash: Strike = _ignore
         self._services = services
         self._hooks: list[_Hook] = []
@@ -232,10 +232,10 @@
     # --- Hooks -------------------------------------------------------------
 
     def on_step(
-        self, step: Step, key: str, strike: Strike, *, service: str = "deep"
+        self, step: Step, key: str, inject: Strike, *, service: str = "deep"
     ) -> None:
         """Calls a fault once a user request reaches a step at a service."""
-        hook = _Hook(step=step, key=key, service=service, strike=strike)
+        hook = _Hook(step=step, key=key, service=service, inject=inject)
         self._hooks.append(hook)
 
     def _reach(self, step: Step, key: str, service: str, host_id: str) -> None:
@@ -243,8 +243,8 @@
             if (hook.step, hook.key, hook.service) != (step, key, service):
                 continue
             self._hooks.remove(hook)
-            self.struck.append((step, host_id))
-            self.after(0.0, lambda hook=hook: hook.strike(host_id))
+            self.injected.append((step, host_id))
+            self.after(0.0, lambda hook=hook: hook.inject(host_id))
 
     def _deliver(self, frame: fleet_link.Frame) -> list[float]:
         content = frame.content
--- a/standins/judged_faults.py
+++ b/standins/judged_faults.py
@@ -1,4 +1,4 @@
-"""Faults that strike an in-memory fleet, as the kernel would show them."""
+"""Faults that inject an in-memory fleet, as the kernel would show them."""
 
 import enum
 
@@ -21,7 +21,7 @@
 
 
 class Fault(enum.Enum):
-    """What can strike; the names are those of the fault matrix."""
+    """What can inject; the names are those of the fault matrix."""
 
     SLOW_SERVICE = "slow deep service"
     SURGE = "surge"
@@ -51,7 +51,7 @@
         self._extra_callers = 0
         judged.on_crash = self.kill_server
 
-    def strike(
+    def inject(
         self,
         fault: Fault,
         host_id: str,
@@ -60,7 +60,7 @@
         """Strikes once.
 
         Args:
-          fault: What strikes.
+          fault: What is injected.
           host_id: Where.
           caller: The caller whose request reached the step.
         """
@@ -268,7 +268,7 @@
     def _mend(self, pairs: list[tuple[str, str]], inside: set[str]) -> None:
         for one, other in pairs:
             self._judged.silenced.discard(frozenset({one, other}))
-            self._fleet.links.mend(one, other)
+            self._fleet.links.restore(one, other)
         for host_id in inside:
             self._judged.note_up(host_id)
 
--- a/standins/judged_switch.py
+++ b/standins/judged_switch.py
@@ -46,7 +46,7 @@
       store_down: Whether the store answers nothing.
       store_slow: Whether each answer of the store is late.
       lose_writes: Number of writes whose answers are lost.
-      hooks: Faults to strike, by step; each strikes once.
+      hooks: Faults to inject, by step; each is injected once.
       cut_off: Data centre that is cut off, or empty.
     """
 
--- a/standins/judged_switch_model.py
+++ b/standins/judged_switch_model.py
@@ -12,7 +12,7 @@
 
 
 class Step(enum.Enum):
-    """Where a switch stands when a fault strikes."""
+    """Where a switch stands when a fault is injected."""
 
     READING = "reading"
     WRITING = "writing"
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -246,7 +246,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HostDisturbed:
-    """A fault struck a host's backend server or open connections.
+    """A fault hit a host's backend server or open connections.
 
     Its node was not away, so that everything but the loss of what was in
     flight there still holds.
--- a/standins/measure/resends.py
+++ b/standins/measure/resends.py
@@ -64,8 +64,8 @@
     elapsed_s = 0.2
     while elapsed_s < _LOAD_S:
         host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
-        strike = rng.choice((faults.kill_server, faults.kill_node))
-        judged.after(elapsed_s, lambda host_id=host_id, s=strike: s(host_id))
+        inject = rng.choice((faults.kill_server, faults.kill_node))
+        judged.after(elapsed_s, lambda host_id=host_id, s=inject: s(host_id))
         elapsed_s += _KILL_EVERY_S
     judged.run_for(_LOAD_S + _SETTLE_S)
     resends = checker.resends_by_root(judged.entries)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -31,7 +31,7 @@
 
     Attributes:
       seed: Its seed.
-      faults: What struck, in order.
+      faults: The faults injected, in order.
       violations: What the checker found.
       open_callers: Callers that never came to an end.
       runs: Runs on backend servers.
@@ -50,7 +50,7 @@
 
 
 def run_walk(seed: int) -> Walk:
-    """Runs callers of all kinds while random faults strike random hosts.
+    """Runs callers of all kinds while random faults inject random hosts.
 
     Args:
       seed: Decides everything in the walk.
@@ -61,23 +61,23 @@
     callers = [_make_caller(judged, rng, n) for n in range(_CALLERS)]
     for caller in callers:
         judged.after(rng.uniform(0.2, _LOAD_S), caller.send)
-    struck = []
+    injected = []
 
-    def strike(fault: judged_faults.Fault, host_id: str) -> None:
-        struck.append(f"{judged.now:.3f} {fault.value} {host_id}")
-        faults.strike(fault, host_id, rng.choice(callers))
+    def inject(fault: judged_faults.Fault, host_id: str) -> None:
+        injected.append(f"{judged.now:.3f} {fault.value} {host_id}")
+        faults.inject(fault, host_id, rng.choice(callers))
 
     for _ in range(rng.randint(1, _MAX_FAULTS)):
         fault = rng.choice(list(judged_faults.Fault))
         host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
         judged.after(
             rng.uniform(0.2, _LOAD_S),
-            lambda fault=fault, host_id=host_id: strike(fault, host_id),
+            lambda fault=fault, host_id=host_id: inject(fault, host_id),
         )
     judged.run_for(_LOAD_S + _SETTLE_S)
     return Walk(
         seed=seed,
-        faults=struck,
+        faults=injected,
         violations=checker.check(judged.entries),
         open_callers=[c.key for c in callers if not c.done],
         runs=sum(isinstance(e, ledger.RunStarted) for e in judged.entries),
@@ -105,7 +105,7 @@
 def _report(walk: Walk) -> None:
     click.echo(f"walk {walk.seed}: FAILED")
     for fault in walk.faults:
-        click.echo(f"  struck: {fault}")
+        click.echo(f"  injected: {fault}")
     for violation in walk.violations:
         click.echo(
             f"  {violation.promise.value}: "
--- a/standins/store.py
+++ b/standins/store.py
@@ -149,8 +149,8 @@
 
     def put(self, request: server.Request, key: str) -> None:
         self.puts_by_key[key] = self.puts_by_key.get(key, 0) + 1
-        struck = self.behaviour.write_key in ("", key)
-        if struck and self.behaviour.refuse_writes > 0:
+        injected = self.behaviour.write_key in ("", key)
+        if injected and self.behaviour.refuse_writes > 0:
             self.behaviour.refuse_writes -= 1
             request.transport.abortConnection()
             return
@@ -169,7 +169,7 @@
         version += 1
         self._values_by_key[key] = (version, value)
         self.writes_by_key[key] = self.writes_by_key.get(key, 0) + 1
-        if struck and self.behaviour.lose_writes > 0:
+        if injected and self.behaviour.lose_writes > 0:
             self.behaviour.lose_writes -= 1
             request.transport.abortConnection()
         else:
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -42,13 +42,13 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Blow:
+class Injection:
     """One fault of a plan.
 
     Attributes:
-      step: Step at the last service at which it strikes.
-      fault: What strikes.
-      place: Host on the request's way that it strikes.
+      step: Step at the last service at which it is injected.
+      fault: What is injected.
+      place: Host on the request's way that it is injected.
     """
 
     step: Step
@@ -74,24 +74,26 @@
 
 
 def run_cell(kind: Kind, plan: list[tuple[Step, Fault]], *, seed: int) -> Cell:
-    """Runs a request whose faults strike at the steps of the plan."""
+    """Runs a request whose faults inject at the steps of the plan."""
     judged = judged_fleet.JudgedFleet(seed=seed)
     faults = judged_faults.Faults(judged=judged)
     target = judged_callers.Caller(
         judged=judged, key=KEY, path=kind.path, repeatable=kind.repeatable
     )
 
-    def strike(blow: Blow, host_id: str) -> None:
-        struck_host = judged.host_at(blow.place, KEY, host_id)
-        faults.strike(blow.fault, struck_host, target)
+    def inject(injection: Injection, host_id: str) -> None:
+        struck_host = judged.host_at(injection.place, KEY, host_id)
+        faults.inject(injection.fault, struck_host, target)
 
-    for blow in plan:
+    for injection in plan:
         judged.on_step(
-            blow.step, KEY, lambda host_id, blow=blow: strike(blow, host_id)
+            injection.step,
+            KEY,
+            lambda host_id, injection=injection: inject(injection, host_id),
         )
     judged.run_for(_WARM_UP_S)
     callers = [target, *_background(judged)]
-    if any(blow.step is Step.QUEUED for blow in plan):
+    if any(injection.step is Step.QUEUED for injection in plan):
         callers += _fill_deep(judged)
         judged.run_for(0.002)
     for caller in callers:
@@ -102,11 +104,11 @@
         judged=judged,
         callers=callers,
         violations=checker.check(judged.entries),
-        reached=len(judged.struck) == len(plan),
+        reached=len(judged.injected) == len(plan),
     )
 
 
-def run_reached_cell(kind: Kind, plan: list[Blow]) -> Cell:
+def run_reached_cell(kind: Kind, plan: list[Injection]) -> Cell:
     """Runs a cell with the first seed under which its steps are reached."""
     for seed in SEEDS:
         cell = run_cell(kind, plan, seed=seed)
--- a/tests/matrix/page.py
+++ b/tests/matrix/page.py
@@ -17,9 +17,9 @@
 _HEAD = """\
 # Fault matrix
 
-Each row is a fault, each column a step at which it strikes. A mark names the
-test that runs the cell; all cells end with the checker of `standins/checker.py`
-over an independent ledger of what servers ran and what callers were told, so
+Each row is a fault, each column a step at which it is injected. A mark names
+the test that runs the cell; all cells end with the checker of
+`standins/checker.py` over an independent ledger of what servers ran and what callers were told, so
 each cell asserts all promises of [promises.md](promises.md). This page is
 written by `python -m tests.matrix.page`, and a test keeps it in step with the
 tables that the tests run.
@@ -35,7 +35,7 @@
 
 `C` is `tests/matrix/test_call_faults.py::test_fault_at_step`; it runs each cell
 for browse, ticketed and browse over ticketed requests, and, where the fault
-strikes a host, at the target, its parent and the entry. Every pair of the
+concerns a host, at the target, its parent and the entry. Every pair of the
 faults is `test_pair_of_faults` in the same file.
 """
 
@@ -44,7 +44,7 @@
 
 - **store down**, **store slow**, **answer lost after the write**: no event and
   no effect of the call engine concerns the store, which
-  `tests/matrix/test_page.py::test_engine_has_no_business_with_the_store` holds.
+  `tests/matrix/test_page.py::test_engine_does_not_use_the_store` holds.
   They have cells under the steps of a switch.
 """
 
@@ -62,7 +62,7 @@
   request**, **server killed**: a switch passes through no backend server and
   no call, and the followers' core takes no event from either. What they cost a
   node in time is a late event, which the paused process covers.
-- **drain** and **join** change the watchers and the tellers, as **node
+- **drain** and **join** change the watchers and the sources, as **node
   killed** does, whose node also joins again.
 """
 
@@ -80,7 +80,7 @@
 """
 
 _STORE_AT_BOTH = """
-A drain and a join of the call engine have no business with the store either.
+A drain and a join of the call engine do not use the store either.
 First contact without the store and a node that starts while the store is down
 are `tests/integration/test_fleet_membership.py`.
 """
@@ -123,7 +123,8 @@
 
 def _call_table() -> str:
     run = {
-        (blow.fault, blow.place, blow.step) for blow in test_call_faults.BLOWS
+        (injection.fault, injection.place, injection.step)
+        for injection in test_call_faults.INJECTIONS
     }
     rows = []
     for fault in cells.Fault:
--- a/tests/matrix/test_call_faults.py
+++ b/tests/matrix/test_call_faults.py
@@ -15,8 +15,8 @@
     cells.Fault.CRASHING_REQUEST,
     cells.Fault.JOIN,
 )
-BLOWS = [
-    cells.Blow(step, fault, place)
+INJECTIONS = [
+    cells.Injection(step, fault, place)
     for step in cells.Step
     for fault in cells.Fault
     for place in cells.Place
@@ -26,14 +26,15 @@
 PAIRS = list(itertools.combinations(cells.Fault, 2))
 
 
-def name_of(blow):
-    return f"{blow.fault.value} at {blow.place.value}, {blow.step.value}"
+def name_of(injection):
+    fault, step = injection.fault, injection.step
+    return f"{fault.value} at {injection.place.value}, {step.value}"
 
 
 @pytest.mark.parametrize("kind", cells.KINDS)
-@pytest.mark.parametrize("blow", BLOWS, ids=name_of)
-def test_fault_at_step(blow, kind):
-    cell = cells.run_reached_cell(cells.KINDS[kind], [blow])
+@pytest.mark.parametrize("injection", INJECTIONS, ids=name_of)
+def test_fault_at_step(injection, kind):
+    cell = cells.run_reached_cell(cells.KINDS[kind], [injection])
     assert cell.violations == []
     assert cells.unfinished(cell) == []
 
@@ -43,12 +44,15 @@
     "pair", PAIRS, ids=lambda pair: f"{pair[0].value} and {pair[1].value}"
 )
 def test_pair_of_faults(pair, kind):
-    """Two faults strike, at steps and places that the pair's number fixes."""
+    """Two faults inject, at steps and places that the pair's number fixes."""
     rng = random.Random(f"{pair[0].value} {pair[1].value} {kind}")
-    blows = [
-        cells.Blow(rng.choice(list(cells.Step)[2:]), fault) for fault in pair
+    injections = [
+        cells.Injection(rng.choice(list(cells.Step)[2:]), fault)
+        for fault in pair
     ]
-    cell = cells.run_cell(cells.KINDS[kind], blows, seed=rng.randrange(1000))
-    assert cell.judged.struck
+    cell = cells.run_cell(
+        cells.KINDS[kind], injections, seed=rng.randrange(1000)
+    )
+    assert cell.judged.injected
     assert cell.violations == []
     assert cells.unfinished(cell) == []
--- a/tests/matrix/test_drain_join_faults.py
+++ b/tests/matrix/test_drain_join_faults.py
@@ -73,7 +73,7 @@
     judged.after(_OPERATION_AT_S, lambda: faults.drain(host_id))
     judged.after(
         _OPERATION_AT_S + step.value,
-        lambda: faults.strike(fault, host_id, callers[0]),
+        lambda: faults.inject(fault, host_id, callers[0]),
     )
     judged.run_for(_TRAFFIC_S + _SETTLE_S)
     assert_all_well(judged, callers)
@@ -89,7 +89,7 @@
     judged.after(_OPERATION_AT_S, lambda: faults.join("deep"))
     judged.after(
         _OPERATION_AT_S + step.value + 1e-6,
-        lambda: faults.strike(fault, new_host, callers[0]),
+        lambda: faults.inject(fault, new_host, callers[0]),
     )
     judged.run_for(_TRAFFIC_S + _SETTLE_S)
     assert_all_well(judged, callers)
--- a/tests/matrix/test_page.py
+++ b/tests/matrix/test_page.py
@@ -50,7 +50,7 @@
         assert f"def {function}" in text
 
 
-def test_engine_has_no_business_with_the_store():
+def test_engine_does_not_use_the_store():
     for union in (messages.Event, messages.Effect):
         for kind in typing.get_args(union):
             names = [f.name for f in dataclasses.fields(kind)]
--- a/tests/matrix/test_switch_faults.py
+++ b/tests/matrix/test_switch_faults.py
@@ -29,7 +29,7 @@
     CENTRE_CUT_OFF = "data centre cut off"
 
 
-def strike(fleet, fault, host_id):
+def inject(fleet, fault, host_id):
     match fault:
         case Fault.STORE_DOWN:
             fleet.store_down = True
@@ -55,25 +55,25 @@
             fleet.cut(fleet.nodes_by_id[host_id].member.data_centre)
 
 
-def run_cell(blows, *, seed):
+def run_cell(injections, *, seed):
     """Switches once in peace, then once under the faults."""
     fleet = judged_switch.SwitchFleet(seed=seed)
     fleet.run_for(4.0)
     fleet.switch("ordinary")
     fleet.run_for(6.0)
     assert {n.core.epoch for n in fleet.nodes_by_id.values()} == {1}
-    left = set(range(len(blows)))
+    left = set(range(len(injections)))
 
     def hook(step):
         def strike_all(host_id):
-            for number, (blow_step, fault) in enumerate(blows):
+            for number, (blow_step, fault) in enumerate(injections):
                 if blow_step is step and number in left:
                     left.discard(number)
-                    strike(fleet, fault, host_id)
+                    inject(fleet, fault, host_id)
 
         return strike_all
 
-    for step, _ in blows:
+    for step, _ in injections:
         fleet.hooks[step] = hook(step)
     fleet.switch("peak")
     fleet.run_for(_SETTLE_S)
@@ -116,5 +116,5 @@
 def test_pair_of_faults(pair, seed):
     rng = random.Random(f"{pair[0].value} {pair[1].value} {seed}")
     steps = [Step.READING, Step.WRITING, Step.WRITTEN]
-    blows = [(rng.choice(steps), fault) for fault in pair]
-    assert_promises_hold(run_cell(blows, seed=seed))
+    injections = [(rng.choice(steps), fault) for fault in pair]
+    assert_promises_hold(run_cell(injections, seed=seed))
--- a/tests/mutations/test_mutants.py
+++ b/tests/mutations/test_mutants.py
@@ -29,14 +29,16 @@
 
 def run_double_send():
     """A ticketed request is sent again while it runs."""
-    blow = cells.Blow(Step.RUNNING, Fault.HARD_RETRIES)
-    return cells.run_cell(cells.BOOK, [blow], seed=1).violations
+    injection = cells.Injection(Step.RUNNING, Fault.HARD_RETRIES)
+    return cells.run_cell(cells.BOOK, [injection], seed=1).violations
 
 
 def run_lost_answer():
     """The node of a ticketed request dies while the request runs."""
-    blow = cells.Blow(Step.RUNNING, Fault.NODE_KILLED, cells.Place.PARENT)
-    return cells.run_cell(cells.BOOK, [blow], seed=1).violations
+    injection = cells.Injection(
+        Step.RUNNING, Fault.NODE_KILLED, cells.Place.PARENT
+    )
+    return cells.run_cell(cells.BOOK, [injection], seed=1).violations
 
 
 def run_shed_after_loss():
@@ -45,13 +47,13 @@
     faults = judged_faults.Faults(judged=judged)
     target = judged_callers.Caller(judged=judged, key=cells.KEY)
 
-    def strike(host_id):
+    def inject(host_id):
         for service in judged_fleet.SERVICES:
             for host in list(judged.fleet.nodes_by_id):
                 if judged.service_of(host) == service:
                     faults.kill_server(host)
 
-    judged.on_step(Step.RUNNING, cells.KEY, strike, service="front")
+    judged.on_step(Step.RUNNING, cells.KEY, inject, service="front")
     judged.after(0.5, target.send)
     judged.run_for(30)
     return checker.check(judged.entries)
