Call the fleet that the checker watches the checked fleet

Cause: module names spoke of a judge; the thing is a fleet with a checker. Change: standins.judged* are standins.checked_fleet, checked_callers, checked_faults, checked_switch and checked_switch_model. Conclusion: names only.

--- a/standins/judged_callers.py
+++ b/standins/checked_callers.py
@@ -4,8 +4,8 @@
 
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from standins import checked_fleet
 from standins import fleet_model
-from standins import judged as judged_fleet
 from standins import ledger
 
 _RESEND_AFTER_S = 0.05
@@ -17,7 +17,7 @@
     """A caller that resends until it has a complete answer.
 
     Attributes:
-      judged: The fleet.
+      checked: The fleet.
       key: Key of its request, also the user request id.
       path: Path of its request.
       repeatable: Whether it may run twice.
@@ -29,13 +29,13 @@
       done: Whether it will send no more.
     """
 
-    judged: judged_fleet.JudgedFleet
+    checked: checked_fleet.CheckedFleet
     key: str
-    path: str = judged_fleet.BROWSE_PATH
+    path: str = checked_fleet.BROWSE_PATH
     repeatable: bool = True
     tries: int = 3
     patience_s: float = 2.5
-    service: str = judged_fleet.SERVICES[0]
+    service: str = checked_fleet.SERVICES[0]
     ticket: bytes = b""
     sendings: int = 0
     attempt: int = 0
@@ -43,7 +43,7 @@
 
     def send(self) -> None:
         """Sends the request to one of the entries."""
-        judged = self.judged
+        checked = self.checked
         label = ledger.Label.for_user(
             self.key,
             service=self.service,
@@ -52,10 +52,10 @@
             sending=self.sendings,
         )
         self.sendings += 1
-        judged.entries.append(ledger.Sent(at=judged.now, label=label))
-        reply = judged.fleet.call(
-            judged.rng.choice(judged_fleet.ENTRIES),
-            judged_fleet.make_request(label, path=self.path),
+        checked.entries.append(ledger.Sent(at=checked.now, label=label))
+        reply = checked.fleet.call(
+            checked.rng.choice(checked_fleet.ENTRIES),
+            checked_fleet.make_request(label, path=self.path),
             user_request_id=self.key,
             attempt=self.attempt,
             ticket=self.ticket,
@@ -65,7 +65,7 @@
         if reply.done:
             self._receive(label, reply)
             return
-        judged.after(self.patience_s, lambda: judged.fleet.hang_up(reply))
+        checked.after(self.patience_s, lambda: checked.fleet.hang_up(reply))
 
     def send_again_at_once(self) -> None:
         """Sends the same request without waiting for an answer."""
@@ -73,13 +73,15 @@
         self.send()
 
     def _receive(self, label: ledger.Label, reply: fleet_model.Reply) -> None:
-        judged = self.judged
+        checked = self.checked
         answer = reply.answer
-        judged.entries.append(judged_fleet.entry_for(judged.now, label, answer))
+        checked.entries.append(
+            checked_fleet.entry_for(checked.now, label, answer)
+        )
         if answer is not None and answer.ticket:
             self.ticket = answer.ticket
         if answer is not None and answer.status == 428 and answer.ticket:
-            judged.after(0.001, self.send)
+            checked.after(0.001, self.send)
             return
         if answer is not None and answer.error is None:
             self.done = True
@@ -90,4 +92,4 @@
         self.attempt += 1
         if answer is not None and answer.outcome is errors.Outcome.NOT_RUN:
             self.ticket = b""
-        judged.after(_RESEND_AFTER_S, self.send)
+        checked.after(_RESEND_AFTER_S, self.send)
--- a/standins/judged_faults.py
+++ b/standins/checked_faults.py
@@ -4,8 +4,8 @@
 
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
-from standins import judged as judged_fleet
-from standins import judged_callers
+from standins import checked_callers
+from standins import checked_fleet
 from standins import ledger
 
 _DRAIN_POLL_S = 0.02
@@ -41,21 +41,21 @@
     """Strikes a fleet with faults.
 
     Args:
-      judged: The fleet.
+      checked: The fleet.
     """
 
-    def __init__(self, *, judged: "judged_fleet.JudgedFleet"):
-        self._judged = judged
-        self._fleet = judged.fleet
+    def __init__(self, *, checked: "checked_fleet.CheckedFleet"):
+        self._checked = checked
+        self._fleet = checked.fleet
         self._extra_hosts = 10
         self._extra_callers = 0
-        judged.on_crash = self.kill_server
+        checked.on_crash = self.kill_server
 
     def inject(
         self,
         fault: Fault,
         host_id: str,
-        caller: "judged_callers.Caller",
+        caller: "checked_callers.Caller",
     ) -> None:
         """Strikes once.
 
@@ -66,7 +66,7 @@
         """
         match fault:
             case Fault.SLOW_SERVICE:
-                self.slow_down(self._judged.service_of(host_id))
+                self.slow_down(self._checked.service_of(host_id))
             case Fault.SURGE:
                 self.surge()
             case Fault.HARD_RETRIES:
@@ -76,7 +76,7 @@
                 self.switch()
                 self.switch(reverse=True)
             case Fault.CRASHING_REQUEST:
-                self._judged.crashing.add(caller.key)
+                self._checked.crashing.add(caller.key)
                 self.kill_server(host_id)
             case _:
                 self._strike_host(fault, host_id)
@@ -97,36 +97,36 @@
             case Fault.DRAIN:
                 self.drain(host_id)
             case Fault.JOIN:
-                self.join(self._judged.service_of(host_id))
+                self.join(self._checked.service_of(host_id))
 
     def slow_down(self, service: str) -> None:
         """Slows a service down for a time."""
-        self._judged.slow_by_service[service] = _SLOW_FACTOR
-        self._judged.after(
+        self._checked.slow_by_service[service] = _SLOW_FACTOR
+        self._checked.after(
             _SLOW_S,
-            lambda: self._judged.slow_by_service.pop(service, None),
+            lambda: self._checked.slow_by_service.pop(service, None),
         )
 
     def surge(self) -> None:
         """Lets many more callers send at the same moment."""
-        judged = self._judged
+        checked = self._checked
         for _ in range(_SURGE_CALLERS):
             self._extra_callers += 1
             number = self._extra_callers
-            caller = judged_callers.Caller(
-                judged=judged,
+            caller = checked_callers.Caller(
+                checked=checked,
                 key=f"surge-{number}",
-                path=judged_fleet.BROWSE_PATH
+                path=checked_fleet.BROWSE_PATH
                 if number % 4
-                else judged_fleet.BOOK_PATH,
+                else checked_fleet.BOOK_PATH,
                 repeatable=bool(number % 4),
             )
-            judged.after(judged.rng.uniform(0, _SURGE_S), caller.send)
+            checked.after(checked.rng.uniform(0, _SURGE_S), caller.send)
 
     def join(self, service: str) -> None:
         """Adds a host to a service."""
         self._extra_hosts += 1
-        self._judged.add_host(service, self._extra_hosts)
+        self._checked.add_host(service, self._extra_hosts)
 
     def kill_server(self, host_id: str, *, restart_after_s: float = 1) -> None:
         """Kills a backend server; a new one starts later."""
@@ -135,37 +135,37 @@
             return
         self._disturb(host_id)
         self._fleet.kill_server(host_id)
-        self._judged.after(
+        self._checked.after(
             restart_after_s, lambda: self._fleet.start_server(host_id)
         )
 
     def kill_node(self, host_id: str, *, restart_after_s: float = 3) -> None:
         """Kills a node; its server runs on and a new node starts later."""
-        if not self._judged.is_up(host_id):
+        if not self._checked.is_up(host_id):
             return
-        self._judged.note_down(host_id)
+        self._checked.note_down(host_id)
         self._fleet.kill_node(host_id, noticed=False)
-        self._judged.after(
+        self._checked.after(
             _DEATH_SEEN_S,
             lambda: self._set_state(host_id, membership.MemberState.DEAD),
         )
-        self._judged.after(restart_after_s, lambda: self._restart(host_id))
+        self._checked.after(restart_after_s, lambda: self._restart(host_id))
 
     def pause_node(self, host_id: str, *, seconds: float = 5) -> None:
         """Stops a node's process; heartbeats close its links."""
         node = self._fleet.nodes_by_id[host_id]
         if node.engine is None or node.held is not None:
             return
-        self._judged.note_down(host_id)
+        self._checked.note_down(host_id)
         self._fleet.pause_node(host_id)
-        self._judged.after(
+        self._checked.after(
             _HEARTBEAT_LOSS_S, lambda: self._fleet.links.close_all(host_id)
         )
-        self._judged.after(
+        self._checked.after(
             _SUSPICION_S,
             lambda: self._set_state(host_id, membership.MemberState.SUSPECT),
         )
-        self._judged.after(seconds, lambda: self._resume(host_id))
+        self._checked.after(seconds, lambda: self._resume(host_id))
 
     def silence_links(self, host_id: str) -> None:
         """Silences the open links of a host; new ones work."""
@@ -174,10 +174,10 @@
             for other in self._fleet.nodes_by_id
             if other != host_id
         }
-        self._judged.silenced |= pairs
+        self._checked.silenced |= pairs
         for other in self._fleet.nodes_by_id:
             self._disturb(other)
-        self._judged.after(
+        self._checked.after(
             _HEARTBEAT_LOSS_S, lambda: self._replace_links(host_id, pairs)
         )
 
@@ -187,24 +187,24 @@
         outside = set(self._fleet.nodes_by_id) - inside
         pairs = [(one, other) for one in inside for other in outside]
         for host_id in inside:
-            self._judged.note_down(host_id)
+            self._checked.note_down(host_id)
         for host_id in outside:
             self._disturb(host_id)
-        self._judged.silenced |= {frozenset(pair) for pair in pairs}
-        self._judged.after(_HEARTBEAT_LOSS_S, lambda: self._cut(pairs))
-        self._judged.after(seconds, lambda: self._mend(pairs, inside))
+        self._checked.silenced |= {frozenset(pair) for pair in pairs}
+        self._checked.after(_HEARTBEAT_LOSS_S, lambda: self._cut(pairs))
+        self._checked.after(seconds, lambda: self._mend(pairs, inside))
 
     def drain(self, host_id: str) -> None:
         """Starts a graceful shutdown of a node."""
         node = self._fleet.nodes_by_id[host_id]
         if node.engine is None or node.held is not None:
             return
-        self._judged.entries.append(
-            ledger.DrainAsked(at=self._judged.now, host_id=host_id)
+        self._checked.entries.append(
+            ledger.DrainAsked(at=self._checked.now, host_id=host_id)
         )
         self._fleet.drain(host_id)
         incarnation = node.member.incarnation
-        self._judged.after(
+        self._checked.after(
             _DRAIN_POLL_S, lambda: self._end_drain(host_id, incarnation)
         )
 
@@ -212,11 +212,11 @@
         """Puts the next preset in force, told to each node at its own time."""
         self._fleet.epoch += 1
         epoch = self._fleet.epoch
-        preset = judged_fleet.make_preset(f"epoch-{epoch}")
+        preset = checked_fleet.make_preset(f"epoch-{epoch}")
         self._fleet.preset = preset
-        self._judged.entries.append(
+        self._checked.entries.append(
             ledger.SwitchAccepted(
-                at=self._judged.now,
+                at=self._checked.now,
                 operation_id=f"operation-{epoch}",
                 epoch=epoch,
                 preset_name=preset.name,
@@ -229,8 +229,8 @@
 
     def _disturb(self, host_id: str) -> None:
         """Notes that what is in flight at a host may be lost."""
-        self._judged.entries.append(
-            ledger.HostDisturbed(at=self._judged.now, host_id=host_id)
+        self._checked.entries.append(
+            ledger.HostDisturbed(at=self._checked.now, host_id=host_id)
         )
 
     def _set_state(self, host_id: str, state: membership.MemberState) -> None:
@@ -240,18 +240,18 @@
             self._fleet.set_state(host_id, state)
 
     def _restart(self, host_id: str) -> None:
-        if not self._judged.is_up(host_id):
+        if not self._checked.is_up(host_id):
             self._fleet.start_node(host_id)
-            self._judged.note_up(host_id, fresh=True)
+            self._checked.note_up(host_id, fresh=True)
 
     def _resume(self, host_id: str) -> None:
-        if self._judged.is_up(host_id):
+        if self._checked.is_up(host_id):
             self._fleet.resume_node(host_id)
             self._fleet.set_state(host_id, membership.MemberState.ALIVE)
-            self._judged.note_up(host_id)
+            self._checked.note_up(host_id)
 
     def _replace_links(self, host_id: str, pairs: set[frozenset[str]]) -> None:
-        self._judged.silenced -= pairs
+        self._checked.silenced -= pairs
         self._fleet.links.close_all(host_id)
 
     def _hosts_in(self, data_centre: str) -> set[str]:
@@ -267,22 +267,24 @@
 
     def _mend(self, pairs: list[tuple[str, str]], inside: set[str]) -> None:
         for one, other in pairs:
-            self._judged.silenced.discard(frozenset({one, other}))
+            self._checked.silenced.discard(frozenset({one, other}))
             self._fleet.links.restore(one, other)
         for host_id in inside:
-            self._judged.note_up(host_id)
+            self._checked.note_up(host_id)
 
     def _end_drain(self, host_id: str, incarnation: str) -> None:
         node = self._fleet.nodes_by_id[host_id]
         if node.engine is None or node.member.incarnation != incarnation:
             return
         if node.held is not None or not node.engine.idle():
-            self._judged.after(
+            self._checked.after(
                 _DRAIN_POLL_S, lambda: self._end_drain(host_id, incarnation)
             )
             return
-        self._judged.entries.append(
-            ledger.DrainEnded(at=self._judged.now, host_id=host_id, exit_code=0)
+        self._checked.entries.append(
+            ledger.DrainEnded(
+                at=self._checked.now, host_id=host_id, exit_code=0
+            )
         )
         # What was written before the exit still arrives.
-        self._judged.after(_FLUSH_S, lambda: self._fleet.kill_node(host_id))
+        self._checked.after(_FLUSH_S, lambda: self._fleet.kill_node(host_id))
--- a/standins/judged.py
+++ b/standins/checked_fleet.py
@@ -102,7 +102,7 @@
     )
 
 
-class JudgedFleet:
+class CheckedFleet:
     """A fleet with a ledger, a chain of services and hooks at its steps.
 
     Args:
--- a/standins/judged_switch.py
+++ b/standins/checked_switch.py
@@ -18,7 +18,7 @@
 from bergamotdeal.presets import model
 from bergamotdeal.presets import switch as switches
 from bergamotdeal.store import core as store_core
-from standins import judged_switch_model as parts
+from standins import checked_switch_model as parts
 from standins import ledger
 
 DATA_CENTRES = ("odori", "kotoni")
--- a/standins/judged_switch_model.py
+++ b/standins/checked_switch_model.py
@@ -1,4 +1,4 @@
-"""What the judged switches and their tests exchange."""
+"""What the checked switches and their tests exchange."""
 
 import dataclasses
 import enum
--- a/standins/measure/resends.py
+++ b/standins/measure/resends.py
@@ -3,10 +3,10 @@
 import random
 
 from bergamotdeal.presets import model
+from standins import checked_callers
+from standins import checked_faults
+from standins import checked_fleet
 from standins import checker
-from standins import judged as judged_fleet
-from standins import judged_callers
-from standins import judged_faults
 from standins.measure import figures
 
 DEPTHS = (2, 4, 8, 16)
@@ -48,25 +48,25 @@
     # The allowance alone is to bound the re-sends here.
     retries = model.RetryPolicy(allowance=allowance, ratio=1.0, burst=1000)
     services = tuple(f"level-{n}" for n in range(depth))
-    judged = judged_fleet.JudgedFleet(
+    checked = checked_fleet.CheckedFleet(
         seed=seed,
         services=services,
         hosts_per_service=_HOSTS_PER_SERVICE,
-        preset=judged_fleet.make_preset(services=services, retries=retries),
+        preset=checked_fleet.make_preset(services=services, retries=retries),
     )
-    judged.shed_share = _SHED_SHARE
-    faults = judged_faults.Faults(judged=judged)
+    checked.shed_share = _SHED_SHARE
+    faults = checked_faults.Faults(checked=checked)
     for number in range(_CALLERS):
-        caller = judged_callers.Caller(
-            judged=judged, key=f"user-{number}", service=services[0]
+        caller = checked_callers.Caller(
+            checked=checked, key=f"user-{number}", service=services[0]
         )
-        judged.after(rng.uniform(0.2, _LOAD_S), caller.send)
+        checked.after(rng.uniform(0.2, _LOAD_S), caller.send)
     elapsed_s = 0.2
     while elapsed_s < _LOAD_S:
-        host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
+        host_id = rng.choice(sorted(checked.fleet.nodes_by_id))
         inject = rng.choice((faults.kill_server, faults.kill_node))
-        judged.after(elapsed_s, lambda host_id=host_id, s=inject: s(host_id))
+        checked.after(elapsed_s, lambda host_id=host_id, s=inject: s(host_id))
         elapsed_s += _KILL_EVERY_S
-    judged.run_for(_LOAD_S + _SETTLE_S)
-    resends = checker.resends_by_root(judged.entries)
+    checked.run_for(_LOAD_S + _SETTLE_S)
+    resends = checker.resends_by_root(checked.entries)
     return max(resends.values(), default=0)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -12,10 +12,10 @@
 
 import click
 
+from standins import checked_callers
+from standins import checked_faults
+from standins import checked_fleet
 from standins import checker
-from standins import judged as judged_fleet
-from standins import judged_callers
-from standins import judged_faults
 from standins import ledger
 
 _CALLERS = 40
@@ -56,49 +56,49 @@
       seed: Decides everything in the walk.
     """
     rng = random.Random(seed)
-    judged = judged_fleet.JudgedFleet(seed=seed)
-    faults = judged_faults.Faults(judged=judged)
-    callers = [_make_caller(judged, rng, n) for n in range(_CALLERS)]
+    checked = checked_fleet.CheckedFleet(seed=seed)
+    faults = checked_faults.Faults(checked=checked)
+    callers = [_make_caller(checked, rng, n) for n in range(_CALLERS)]
     for caller in callers:
-        judged.after(rng.uniform(0.2, _LOAD_S), caller.send)
+        checked.after(rng.uniform(0.2, _LOAD_S), caller.send)
     injected = []
 
-    def inject(fault: judged_faults.Fault, host_id: str) -> None:
-        injected.append(f"{judged.now:.3f} {fault.value} {host_id}")
+    def inject(fault: checked_faults.Fault, host_id: str) -> None:
+        injected.append(f"{checked.now:.3f} {fault.value} {host_id}")
         faults.inject(fault, host_id, rng.choice(callers))
 
     for _ in range(rng.randint(1, _MAX_FAULTS)):
-        fault = rng.choice(list(judged_faults.Fault))
-        host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
-        judged.after(
+        fault = rng.choice(list(checked_faults.Fault))
+        host_id = rng.choice(sorted(checked.fleet.nodes_by_id))
+        checked.after(
             rng.uniform(0.2, _LOAD_S),
             lambda fault=fault, host_id=host_id: inject(fault, host_id),
         )
-    judged.run_for(_LOAD_S + _SETTLE_S)
+    checked.run_for(_LOAD_S + _SETTLE_S)
     return Walk(
         seed=seed,
         faults=injected,
-        violations=checker.check(judged.entries),
+        violations=checker.check(checked.entries),
         open_callers=[c.key for c in callers if not c.done],
-        runs=sum(isinstance(e, ledger.RunStarted) for e in judged.entries),
+        runs=sum(isinstance(e, ledger.RunStarted) for e in checked.entries),
     )
 
 
 def _make_caller(
-    judged: judged_fleet.JudgedFleet, rng: random.Random, number: int
-) -> judged_callers.Caller:
+    checked: checked_fleet.CheckedFleet, rng: random.Random, number: int
+) -> checked_callers.Caller:
     path = rng.choice(
         (
-            judged_fleet.BROWSE_PATH,
-            judged_fleet.BOOK_PATH,
-            judged_fleet.MIXED_PATH,
+            checked_fleet.BROWSE_PATH,
+            checked_fleet.BOOK_PATH,
+            checked_fleet.MIXED_PATH,
         )
     )
-    return judged_callers.Caller(
-        judged=judged,
+    return checked_callers.Caller(
+        checked=checked,
         key=f"caller-{number}",
         path=path,
-        repeatable=path != judged_fleet.BOOK_PATH,
+        repeatable=path != checked_fleet.BOOK_PATH,
     )
 
 
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -2,15 +2,15 @@
 
 import dataclasses
 
+from standins import checked_callers
+from standins import checked_faults
+from standins import checked_fleet
 from standins import checker
-from standins import judged as judged_fleet
-from standins import judged_callers
-from standins import judged_faults
 from standins import ledger
 
-Fault = judged_faults.Fault
-Place = judged_fleet.Place
-Step = judged_fleet.Step
+Fault = checked_faults.Fault
+Place = checked_fleet.Place
+Step = checked_fleet.Step
 
 KEY = "target"
 SEEDS = range(1, 9)
@@ -35,9 +35,9 @@
     repeatable: bool
 
 
-BROWSE = Kind("browse", judged_fleet.BROWSE_PATH, True)
-BOOK = Kind("ticketed", judged_fleet.BOOK_PATH, False)
-MIXED = Kind("browse over ticketed", judged_fleet.MIXED_PATH, True)
+BROWSE = Kind("browse", checked_fleet.BROWSE_PATH, True)
+BOOK = Kind("ticketed", checked_fleet.BOOK_PATH, False)
+MIXED = Kind("browse over ticketed", checked_fleet.MIXED_PATH, True)
 KINDS = {kind.name: kind for kind in (BROWSE, BOOK, MIXED)}
 
 
@@ -61,50 +61,50 @@
     """A run of one cell.
 
     Attributes:
-      judged: The fleet after the run.
+      checked: The fleet after the run.
       callers: All callers of the run, the one under test first.
       violations: What the checker found.
       reached: Whether the request reached the step.
     """
 
-    judged: judged_fleet.JudgedFleet
-    callers: list[judged_callers.Caller]
+    checked: checked_fleet.CheckedFleet
+    callers: list[checked_callers.Caller]
     violations: list[checker.Violation]
     reached: bool
 
 
 def run_cell(kind: Kind, plan: list[tuple[Step, Fault]], *, seed: int) -> Cell:
     """Runs a request whose faults inject at the steps of the plan."""
-    judged = judged_fleet.JudgedFleet(seed=seed)
-    faults = judged_faults.Faults(judged=judged)
-    target = judged_callers.Caller(
-        judged=judged, key=KEY, path=kind.path, repeatable=kind.repeatable
+    checked = checked_fleet.CheckedFleet(seed=seed)
+    faults = checked_faults.Faults(checked=checked)
+    target = checked_callers.Caller(
+        checked=checked, key=KEY, path=kind.path, repeatable=kind.repeatable
     )
 
     def inject(injection: Injection, host_id: str) -> None:
-        struck_host = judged.host_at(injection.place, KEY, host_id)
+        struck_host = checked.host_at(injection.place, KEY, host_id)
         faults.inject(injection.fault, struck_host, target)
 
     for injection in plan:
-        judged.on_step(
+        checked.on_step(
             injection.step,
             KEY,
             lambda host_id, injection=injection: inject(injection, host_id),
         )
-    judged.run_for(_WARM_UP_S)
-    callers = [target, *_background(judged)]
+    checked.run_for(_WARM_UP_S)
+    callers = [target, *_background(checked)]
     if any(injection.step is Step.QUEUED for injection in plan):
-        callers += _fill_deep(judged)
-        judged.run_for(0.002)
+        callers += _fill_deep(checked)
+        checked.run_for(0.002)
     for caller in callers:
         if not caller.sendings:
-            judged.after(judged.rng.uniform(0, 0.01), caller.send)
-    judged.run_for(_SETTLE_S)
+            checked.after(checked.rng.uniform(0, 0.01), caller.send)
+    checked.run_for(_SETTLE_S)
     return Cell(
-        judged=judged,
+        checked=checked,
         callers=callers,
-        violations=checker.check(judged.entries),
-        reached=len(judged.injected) == len(plan),
+        violations=checker.check(checked.entries),
+        reached=len(checked.injected) == len(plan),
     )
 
 
@@ -120,17 +120,17 @@
 def unfinished(cell: Cell) -> list[str]:
     """Returns what is left open when all has settled."""
     left = [f"caller {c.key}" for c in cell.callers if not c.done]
-    for host_id, node in cell.judged.fleet.nodes_by_id.items():
+    for host_id, node in cell.checked.fleet.nodes_by_id.items():
         if node.engine is not None and not node.engine.idle():
             left.append(f"engine {host_id}")
     sent = {
         (e.label.key, e.label.sending)
-        for e in cell.judged.entries
+        for e in cell.checked.entries
         if isinstance(e, ledger.Sent)
     }
     ended = {
         (e.label.key, e.label.sending)
-        for e in cell.judged.entries
+        for e in cell.checked.entries
         if isinstance(e, ledger.Answered | ledger.GaveUp)
     }
     left += [f"sending {s}" for s in sent - ended if "/" not in s[0]]
@@ -138,15 +138,15 @@
 
 
 def _background(
-    judged: judged_fleet.JudgedFleet,
-) -> list[judged_callers.Caller]:
+    checked: checked_fleet.CheckedFleet,
+) -> list[checked_callers.Caller]:
     return [
-        judged_callers.Caller(
-            judged=judged,
+        checked_callers.Caller(
+            checked=checked,
             key=f"other-{number}",
-            path=judged_fleet.BROWSE_PATH
+            path=checked_fleet.BROWSE_PATH
             if number % 2
-            else judged_fleet.BOOK_PATH,
+            else checked_fleet.BOOK_PATH,
             repeatable=bool(number % 2),
         )
         for number in range(_BACKGROUND_CALLERS)
@@ -154,15 +154,15 @@
 
 
 def _fill_deep(
-    judged: judged_fleet.JudgedFleet,
-) -> list[judged_callers.Caller]:
+    checked: checked_fleet.CheckedFleet,
+) -> list[checked_callers.Caller]:
     """Fills the slots of the last service, so that others must queue."""
-    judged.slow_by_service["deep"] = 10.0
-    judged.after(1.0, lambda: judged.slow_by_service.pop("deep", None))
+    checked.slow_by_service["deep"] = 10.0
+    checked.after(1.0, lambda: checked.slow_by_service.pop("deep", None))
     callers = []
-    for number in range(judged_fleet.SLOTS * _FILL_PER_HOST):
-        caller = judged_callers.Caller(
-            judged=judged, key=f"fill-{number}", service="deep", tries=1
+    for number in range(checked_fleet.SLOTS * _FILL_PER_HOST):
+        caller = checked_callers.Caller(
+            checked=checked, key=f"fill-{number}", service="deep", tries=1
         )
         caller.send()
         callers.append(caller)
--- a/tests/matrix/page.py
+++ b/tests/matrix/page.py
@@ -5,8 +5,8 @@
 
 import pathlib
 
-from standins import judged_faults
-from standins import judged_switch_model
+from standins import checked_faults
+from standins import checked_switch_model
 from tests.matrix import cells
 from tests.matrix import test_call_faults
 from tests.matrix import test_drain_join_faults
@@ -19,8 +19,9 @@
 
 Each row is a fault, each column a step at which it is injected. A mark names
 the test that runs the cell; all cells end with the checker of
-`standins/checker.py` over an independent ledger of what servers ran and what callers were told, so
-each cell asserts all promises of [promises.md](promises.md). This page is
+`standins/checker.py` over an independent ledger of what servers ran and what
+callers were told, so each cell asserts all promises of
+[promises.md](promises.md). This page is
 written by `python -m tests.matrix.page`, and a test keeps it in step with the
 tables that the tests run.
 
@@ -139,7 +140,7 @@
 
 
 def _switch_table() -> str:
-    steps = list(judged_switch_model.Step)
+    steps = list(checked_switch_model.Step)
     rows = [
         (fault.value, ["S"] * len(steps)) for fault in test_switch_faults.Fault
     ]
@@ -148,7 +149,9 @@
 
 def _plain_table(steps, mark: str) -> str:
     names = [step.name.lower().replace("_", " ") for step in steps]
-    rows = [(fault.value, [mark] * len(names)) for fault in judged_faults.Fault]
+    rows = [
+        (fault.value, [mark] * len(names)) for fault in checked_faults.Fault
+    ]
     return _table(names, rows)
 
 
--- a/tests/matrix/test_call_faults.py
+++ b/tests/matrix/test_call_faults.py
@@ -53,6 +53,6 @@
     cell = cells.run_cell(
         cells.KINDS[kind], injections, seed=rng.randrange(1000)
     )
-    assert cell.judged.injected
+    assert cell.checked.injected
     assert cell.violations == []
     assert cells.unfinished(cell) == []
--- a/tests/matrix/test_switch_faults.py
+++ b/tests/matrix/test_switch_faults.py
@@ -8,11 +8,11 @@
 
 from bergamotdeal.presets import in_force
 from bergamotdeal.presets import switch as switches
+from standins import checked_switch
+from standins import checked_switch_model
 from standins import checker
-from standins import judged_switch
-from standins import judged_switch_model
 
-Step = judged_switch_model.Step
+Step = checked_switch_model.Step
 _STORE_AWAY_S = 9.0
 _MUTE_S = 3.0
 _SETTLE_S = 45.0
@@ -57,7 +57,7 @@
 
 def run_cell(injections, *, seed):
     """Switches once in peace, then once under the faults."""
-    fleet = judged_switch.SwitchFleet(seed=seed)
+    fleet = checked_switch.SwitchFleet(seed=seed)
     fleet.run_for(4.0)
     fleet.switch("ordinary")
     fleet.run_for(6.0)
--- a/tests/mutations/test_mutants.py
+++ b/tests/mutations/test_mutants.py
@@ -12,10 +12,10 @@
 from bergamotdeal.retries import allowance
 from bergamotdeal.tickets import core as tickets
 from bergamotdeal.tickets import table
+from standins import checked_callers
+from standins import checked_faults
+from standins import checked_fleet
 from standins import checker
-from standins import judged as judged_fleet
-from standins import judged_callers
-from standins import judged_faults
 from tests.matrix import cells
 
 Fault = cells.Fault
@@ -43,20 +43,22 @@
 
 def run_shed_after_loss():
     """A browse request is lost while it runs, then sent again and shed."""
-    judged = judged_fleet.JudgedFleet(seed=3, preset=judged_fleet.make_preset())
-    faults = judged_faults.Faults(judged=judged)
-    target = judged_callers.Caller(judged=judged, key=cells.KEY)
+    checked = checked_fleet.CheckedFleet(
+        seed=3, preset=checked_fleet.make_preset()
+    )
+    faults = checked_faults.Faults(checked=checked)
+    target = checked_callers.Caller(checked=checked, key=cells.KEY)
 
     def inject(host_id):
-        for service in judged_fleet.SERVICES:
-            for host in list(judged.fleet.nodes_by_id):
-                if judged.service_of(host) == service:
+        for service in checked_fleet.SERVICES:
+            for host in list(checked.fleet.nodes_by_id):
+                if checked.service_of(host) == service:
                     faults.kill_server(host)
 
-    judged.on_step(Step.RUNNING, cells.KEY, inject, service="front")
-    judged.after(0.5, target.send)
-    judged.run_for(30)
-    return checker.check(judged.entries)
+    checked.on_step(Step.RUNNING, cells.KEY, inject, service="front")
+    checked.after(0.5, target.send)
+    checked.run_for(30)
+    return checker.check(checked.entries)
 
 
 def run_many_losses():
@@ -64,42 +66,42 @@
     rng = random.Random(5)
     services = tuple(f"level-{n}" for n in range(6))
     retries = model.RetryPolicy(allowance=3, ratio=1.0, burst=1000)
-    judged = judged_fleet.JudgedFleet(
+    checked = checked_fleet.CheckedFleet(
         seed=5,
         services=services,
         hosts_per_service=4,
-        preset=judged_fleet.make_preset(services=services, retries=retries),
+        preset=checked_fleet.make_preset(services=services, retries=retries),
     )
-    faults = judged_faults.Faults(judged=judged)
+    faults = checked_faults.Faults(checked=checked)
     for number in range(80):
-        caller = judged_callers.Caller(
-            judged=judged, key=f"user-{number}", service=services[0]
+        caller = checked_callers.Caller(
+            checked=checked, key=f"user-{number}", service=services[0]
         )
-        judged.after(rng.uniform(0.2, 5), caller.send)
+        checked.after(rng.uniform(0.2, 5), caller.send)
     for number in range(500):
-        host_id = rng.choice(sorted(judged.fleet.nodes_by_id))
-        judged.after(
+        host_id = rng.choice(sorted(checked.fleet.nodes_by_id))
+        checked.after(
             0.2 + number / 100, lambda h=host_id: faults.kill_server(h)
         )
-    judged.run_for(25)
-    return checker.check(judged.entries)
+    checked.run_for(25)
+    return checker.check(checked.entries)
 
 
 def run_racing_switches():
     """Two switches reach the nodes in opposite orders, under traffic."""
-    judged = judged_fleet.JudgedFleet(seed=1)
-    faults = judged_faults.Faults(judged=judged)
+    checked = checked_fleet.CheckedFleet(seed=1)
+    faults = checked_faults.Faults(checked=checked)
     for number in range(200):
-        caller = judged_callers.Caller(judged=judged, key=f"user-{number}")
-        judged.after(0.2 + number / 100, caller.send)
+        caller = checked_callers.Caller(checked=checked, key=f"user-{number}")
+        checked.after(0.2 + number / 100, caller.send)
 
     def race():
         faults.switch()
         faults.switch(reverse=True)
 
-    judged.after(0.5, race)
-    judged.run_for(20)
-    return checker.check(judged.entries)
+    checked.after(0.5, race)
+    checked.run_for(20)
+    return checker.check(checked.entries)
 
 
 def drop_ticket_requirement(patch):
