--- a/bergamotdeal/calls/tests/test_fleet_quarantine.py
+++ b/bergamotdeal/calls/tests/test_fleet_quarantine.py
@@ -73,7 +73,9 @@
     made, deaths = build()
     for number in range(40):
         send(made, innocent(1), f"before-{number}")
-    for attempt in range(2):
+    for attempt in range(SENDINGS):
+        if len(set(deaths)) == 2:
+            break
         flying = [
             made.call(
                 "entry-2", innocent(1), user_request_id=f"g-{attempt}-{number}"
