Say why a call was shed

Cause: the time line said 'call shed at entry: shed', which explains nothing. Change: the entry names the request's share and the threshold that refused it, the target its class, threshold and load. Conclusion: an operator sees which rule refused.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -5,6 +5,7 @@
 import result
 
 from bergamotdeal.admission import feedback
+from bergamotdeal.admission import hashing
 from bergamotdeal.calls import core
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import intake as call_intake
@@ -401,10 +402,24 @@
                 _CODES.CALL_SHED,
                 exchange.user_request_id,
                 place="entry",
-                reason=kind.value,
+                reason=self._explain_shed(exchange),
             )
         self._refuse(exchange, kind)
 
+    def _explain_shed(self, exchange: exchanges.Exchange) -> str:
+        service = exchange.request.service
+        threshold = self._thresholds.threshold(
+            service,
+            exchange.route.prefix,
+            exchange.class_name,
+            self._state.now,
+        )
+        share = hashing.hash_share(exchange.user_request_id)
+        return (
+            f"share {share:.2f} is not below the threshold {threshold:.2f} of "
+            f"{exchange.class_name} at {service}"
+        )
+
     def _refuse(self, exchange: exchanges.Exchange, kind: _KINDS) -> None:
         answer = core.error_answer(
             kind, may_have_run=exchange.own_refusal_may_have_run
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -410,12 +410,20 @@
                 _CODES.CALL_SHED,
                 run.call.user_request_id,
                 place="target",
-                reason=kind.value,
+                reason=self._explain_shed(run),
             )
         for each, answer in zip(calls, answers, strict=True):
             self._table.remove(each)
             self._answer(each, answer)
 
+    def _explain_shed(self, run: runs.Run) -> str:
+        threshold = self._server.threshold(run.class_name)
+        load = self._server.load()
+        waiting = (
+            f"{load.running} running, {load.queued} queued" if load else ""
+        )
+        return f"{run.class_name}, threshold {threshold:.2f}, {waiting}"
+
     def _end_unrun(self, run: runs.Run, answer: core.Answer) -> None:
         """Answers a call that needs no run of its own."""
         self._table.remove(run)
