--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -206,11 +206,13 @@
         )
 
     def _limit_now(self, now: float) -> int:
-        return self._limit.value(
+        limit = self._limit.value(
             now,
             adapt=self._policy.adapt_limit,
             slow_start=self._policy.slow_start,
         )
+        usable = math.floor(self._policy.slots_share * self._slots)
+        return min(limit, max(1, usable))
 
     def _has_slot(self, rank: int, now: float) -> bool:
         """Tells whether a job of a class may start."""
--- a/bergamotdeal/admission/tests/test_controller.py
+++ b/bergamotdeal/admission/tests/test_controller.py
@@ -281,3 +281,25 @@
         assert wakeup > now
         now = wakeup
         target.advance(now)
+
+
+# Server that slows down when nearly full: the last slots cost more than they
+# bring, so a part stays free.
+
+
+def test_part_of_the_slots_stays_free():
+    policy = model.AdmissionPolicy(slots_share=0.95, slow_start=False)
+    target = _controller(slots=18, policy=policy)
+    verdicts = [
+        verdict
+        for job_id in range(18)
+        for verdict in target.submit(_job(job_id, rank=0), 0.0)
+    ]
+    assert verdicts == [core.Start(job_id=job_id) for job_id in range(17)]
+    assert target.load().limit == 17
+    assert target.load().queued == 1
+
+
+def test_one_slot_is_always_used():
+    target = _controller(slots=1, policy=model.AdmissionPolicy(slots_share=0.5))
+    assert target.submit(_job(1), 0.0) == [core.Start(job_id=1)]
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -177,6 +177,8 @@
       check_deadlines: Refuse work that can't finish in time.
       limits: Enforce concurrency limits and the queue bound at all.
       target_delay_ms: Queue wait above which the threshold falls.
+      slots_share: Share of the announced slots that is used at most; a server
+        that slows down when it is nearly full does more work with fewer.
       queue_slots_ratio: Queue bound as a multiple of the limit.
       reserved_share: Share of the limit kept for the first class.
       gain: Gain of the queue depth term of the threshold.
@@ -196,6 +198,7 @@
     check_deadlines: bool = True
     limits: bool = True
     target_delay_ms: Milliseconds = 20
+    slots_share: Share = 1.0
     queue_slots_ratio: Annotated[float, msgspec.Meta(ge=0, le=100)] = 1.0
     reserved_share: Share = 0.1
     gain: Share = 0.5
