Keep the last retry tokens for the calls of runs that are further on

Cause: when every server of the deepest service rejects half of its calls at random, the budget of re-sends covers a fifth of them. It went to whichever call came first, mostly the first call of a run, which costs least to lose. Ruled out: fewer requests at the entry meanwhile, since the budget grows with the first sendings. What a node can't see is the progress of the runs above its own.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -407,7 +407,9 @@
             return False
         # A repeat burdens the service only if the last sending got there.
         arrived = answer.error not in truth.NEVER_ARRIVED
-        if arrived and not self._budget.try_resend(exchange.request.service):
+        if arrived and not self._budget.try_resend(
+            exchange.request.service, calls_before=exchange.calls_before
+        ):
             return False
         exchange.allowance.spend(cost)
         exchange.resends += 1
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -122,7 +122,7 @@
             return
         # A request that has made calls did run, whatever its status says.
         says_shed = event.status == self._server.policy().shed_status
-        if says_shed and not run.made_calls:
+        if says_shed and not run.calls_made:
             self._free_slot(run, completed=False)
             self._server.run_ended(run.run_id)
             self._refuse(run, _KINDS.SERVER_SHED)
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -18,6 +18,10 @@
 _KINDS = errors.ErrorKind
 _CALL_ID_BYTES = 16
 _NO_ROUTE = model.Route(service="none", method="*", prefix="/")
+_CALLS_BEFORE_UNKNOWN = 1
+"""Calls that a run is taken to have made where its call can't be traced to it:
+between the first call, which costs least to lose, and the last."""
+
 _TICKETLESS_SHARE = 1
 """Re-sends that the first of a ticket's two sendings may use."""
 
@@ -84,11 +88,15 @@
             # The whole tree is worth what the user request is worth.
             exchange.is_internal = True
             exchange.class_name = parent.class_name
+            exchange.calls_before = parent.calls_made
+            parent.calls_made += 1
             state.prices.called(exchange.route.prefix, parent.route.prefix)
             return
         origin = state.prices.arrived(exchange.route.prefix)
         exchange.is_priced = origin is origins.Origin.CALLERS
         exchange.is_internal = origin is origins.Origin.SERVERS
+        if exchange.is_internal:
+            exchange.calls_before = _CALLS_BEFORE_UNKNOWN
         if exchange.is_internal and state.preset.internal_class:
             exchange.class_name = state.preset.internal_class
 
@@ -208,7 +216,8 @@
         exchange.depth = call.depth + 1
         exchange.allowance = parent.allowance
         parent.children.add(exchange.origin_id)
-        parent.made_calls = True
+        exchange.calls_before = parent.calls_made
+        parent.calls_made += 1
         if not exchange.key:
             return
         # A parent that runs again makes the same call under the same key.
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -40,7 +40,7 @@
         over.
       threshold: The tightest threshold that its own calls reported.
       children: Origin ids of the open calls that it made.
-      made_calls: Whether it ever made a call.
+      calls_made: Calls that it has made so far.
       timer: Timer of the deadline.
       started_at: Time of the hand-over, monotonic seconds.
       fingerprint: Digest of the request.
@@ -64,7 +64,7 @@
     repeatable: bool = True
     threshold: float = 1.0
     children: set[int] = dataclasses.field(default_factory=set)
-    made_calls: bool = False
+    calls_made: int = 0
     timer: deadlines.Timer | None = None
     started_at: float = 0.0
     fingerprint: str = ""
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -150,6 +150,8 @@
         for a burst of each node's own.
       shed_elsewhere: Whether a request that one node shed is offered to
         another server of the service.
+      by_progress: Whether the last tokens are kept for the calls of runs that
+        have made others before.
     """
 
     allowance: Annotated[int, msgspec.Meta(ge=0, le=100)] = 3
@@ -157,6 +159,7 @@
     burst: Count = 10
     fleet_burst: Count = 0
     shed_elsewhere: bool = False
+    by_progress: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bergamotdeal/retries/budget.py
+++ b/bergamotdeal/retries/budget.py
@@ -3,10 +3,21 @@
 Each first sending to a service adds a fraction of a token, each re-send takes
 a whole one. The re-sends to a service thus stay below a fixed share of its
 first sendings, however many user requests still hold an allowance.
+
+A call that fails takes with it what its run has done so far. So when tokens
+are short they go to the calls of runs that have made others before: the more,
+the lower the level down to which they may empty the bucket.
 """
 
 from bergamotdeal.presets import model
 
+_CALLS_OF_A_LONG_RUN = 4
+"""Calls after which a run may use the last token: the calls that one run of
+the users' deepest chains makes in turn."""
+
+_ROUNDING = 1e-6
+"""Part of a token by which sums of fractions may miss a full bucket."""
+
 
 class RetryBudget:
     """Token buckets by service."""
@@ -47,17 +58,25 @@
             self._burst, tokens + self._policy.ratio
         )
 
-    def try_resend(self, service: str) -> bool:
+    def try_resend(self, service: str, *, calls_before: int = 0) -> bool:
         """Takes the token for a re-send.
 
         Args:
           service: Service that the call goes to.
+          calls_before: Calls that the run which makes it has made before.
 
         Returns:
           Whether the re-send may go out.
         """
         tokens = self._tokens_by_service.get(service, self._burst)
-        if tokens < 1:
+        if tokens < self._least(calls_before) - _ROUNDING:
             return False
-        self._tokens_by_service[service] = tokens - 1
+        self._tokens_by_service[service] = tokens - 1.0
         return True
+
+    def _least(self, calls_before: int) -> float:
+        """Returns the tokens that must be there for a re-send."""
+        if not self._policy.by_progress:
+            return 1.0
+        kept_back = max(0.0, 1.0 - calls_before / _CALLS_OF_A_LONG_RUN)
+        return 1.0 + kept_back * max(0.0, self._burst - 1.0)
