Log what is left out as malformed, and failed reads of the registry

Cause: objects of other writers, cost reports and failed reads of single registry entries were passed over with a reason in the code but no line in the log; a failed read showed as a malformed entry. Change: events STORE_OBJECT_REJECTED and COST_REPORT_REJECTED; the registry tells a failed read from an entry that can't be decoded. Measured: nothing; no decision changes.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -1,7 +1,6 @@
 """The origin's side of a call: from the caller to the target and back."""
 
 from collections.abc import Callable
-import random
 
 import result
 
@@ -11,6 +10,7 @@
 from bergamotdeal.calls import explanations
 from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import messages
+from bergamotdeal.calls import returns
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.calls import truth
@@ -23,14 +23,6 @@
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
-_MS_PER_S = 1000
-
-_RETURN_SHARE = 0.35
-"""Part of the target latency after which a refused caller may return; the
-rest is for the run itself."""
-
-_RETURN_SPREAD = 0.3
-"""Random part of that time, either way."""
 
 
 class Dispatcher:
@@ -151,12 +143,7 @@
             return
         answer = event.answer
         if answer.report:
-            self._state.prices.heard(
-                exchange.route.prefix,
-                exchange.request.service,
-                answer.report,
-                self._state.now,
-            )
+            self._hear_costs(exchange, answer.report)
         exchange.allowance.put_back(
             answer.tokens_left, carried=exchange.carried
         )
@@ -177,6 +164,21 @@
         )
         self._take_answer(exchange, answer)
 
+    def _hear_costs(self, exchange: exchanges.Exchange, report: bytes) -> None:
+        heard = self._state.prices.heard(
+            exchange.route.prefix,
+            exchange.request.service,
+            report,
+            self._state.now,
+        )
+        if isinstance(heard, result.Err):
+            self._state.record(
+                _CODES.COST_REPORT_REJECTED,
+                host=exchange.host_id,
+                route=exchange.route.prefix,
+                reason=heard.err_value,
+            )
+
     def failed(self, event: messages.DispatchFailed) -> None:
         """Handles a dispatch that can't be answered any more."""
         exchange = self._exchanges_by_number.get(event.number)
@@ -451,7 +453,9 @@
         truth.correct(answer, may_have_run=exchange.may_have_run)
         may_return = answer.retry_after_s is not None
         if may_return and exchange.route.target_latency_ms:
-            answer.retry_after_s = _return_after(exchange, state.rng)
+            answer.retry_after_s = returns.return_after(
+                exchange.route.target_latency_ms, state.rng
+            )
         state.emit(
             messages.ReplyToCaller(
                 origin_id=exchange.origin_id,
@@ -481,14 +485,3 @@
 
 def _is_refusal(answer: core.Answer) -> bool:
     return answer.outcome is errors.Outcome.NOT_RUN
-
-
-def _return_after(exchange: exchanges.Exchange, rng: random.Random) -> float:
-    """Returns the seconds after which a refused caller may try again.
-
-    An answer to the next try should still come within the route's target
-    latency; the spread keeps those refused together from returning so.
-    """
-    target_s = exchange.route.target_latency_ms / _MS_PER_S
-    spread = _RETURN_SPREAD * (2.0 * rng.random() - 1.0)
-    return target_s * _RETURN_SHARE * (1.0 + spread)
--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -9,6 +9,7 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.telemetry import catalogue
 
 OWN = membership.Member(
     host_id="a",
@@ -152,3 +153,34 @@
         for effect in node.arrive(request_id=f"r1.c{number}")
     ]
     assert of(sent, messages.SendCall)
+
+
+def test_cost_report_that_cannot_be_read_is_told():
+    node = Node()
+    effects = node.arrive()
+    start = next(e for e in effects if isinstance(e, messages.StartRun))
+    node.handle(
+        messages.RunAnswered(
+            run_id=start.run_id, status=200, headers=[], body=b""
+        )
+    )
+    dispatcher = node.engine._dispatcher
+    effects = node.arrive(request_id="r2")
+    (exchange,) = dispatcher._exchanges_by_origin.values()
+    answer = core.Answer(outcome=errors.Outcome.COMPLETED, report=b"\xc1")
+    effects = node.handle(
+        messages.PeerAnswered(
+            host_id="a",
+            number=exchange.number,
+            user_request_id="r2",
+            answer=answer,
+        )
+    )
+    told = [
+        effect.fields["host"]
+        for effect in effects
+        if isinstance(effect, messages.Record)
+        and effect.code is catalogue.EventCode.COST_REPORT_REJECTED
+    ]
+    assert told == ["a"]
+    assert any(isinstance(e, messages.ReplyToCaller) for e in effects)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -1,7 +1,6 @@
 """Assembles the node from its tasks."""
 
 import itertools
-import pathlib
 import random
 import secrets
 
@@ -327,7 +326,9 @@
             request_bulk=self._peer.request_bulk,
             membership=self._membership,
             store=self._store,
-            initial=self._first_preset(),
+            initial=preset_files.read_if_named(
+                self._settings.preset.file
+            ).unwrap_or_raise(InvalidPresetError),
             record=self._record,
         )
 
@@ -346,7 +347,11 @@
     def _build_store(self) -> store_core.Store | None:
         if self._surroundings.open_store is not None:
             return self._surroundings.open_store(
-                self._reactor, self._count_store_call
+                self._reactor,
+                self._count_store_call,
+                lambda reason: self._note(
+                    catalogue.EventCode.STORE_OBJECT_REJECTED, reason=reason
+                ),
             )
         if not self._settings.store.address:
             return None
@@ -428,12 +433,6 @@
 
     # Presets.
 
-    def _first_preset(self) -> preset_model.Preset | None:
-        if not self._settings.preset.file:
-            return None
-        path = pathlib.Path(self._settings.preset.file)
-        return preset_files.read(path).unwrap_or_raise(InvalidPresetError)
-
     def _preset_posted(self, event: messages.PresetInForce) -> None:
         was_ready = self._served
         self._served = True
--- a/bergamotdeal/node/environment.py
+++ b/bergamotdeal/node/environment.py
@@ -54,8 +54,8 @@
     Attributes:
       caller_dialect: Headers and statuses that callers use.
       server_dialect: Headers that the backend server uses.
-      open_store: Opens the platform's store, given the reactor and a callable
-        that counts the calls.
+      open_store: Opens the platform's store, given the reactor, a callable
+        that counts the calls and one that takes why an object can't be read.
       side_faces: Builds the faces that the platform asks for.
       has_egress: Whether the backend server calls a face of its own; otherwise
         it calls the entry face like everybody else.
@@ -72,10 +72,7 @@
 
     caller_dialect: dialects.CallerDialect | None = None
     server_dialect: dialects.ServerDialect | None = None
-    open_store: (
-        Callable[[interfaces.IReactorTCP, Callable[[], None]], store_core.Store]
-        | None
-    ) = None
+    open_store: Callable[..., store_core.Store] | None = None
     side_faces: Callable[[Host], list[SideFace]] | None = None
     has_egress: bool = True
     server_silence_s: float = server_link.SILENCE_S
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -133,6 +133,8 @@
         match answer:
             case result.Ok(stored):
                 return stored.version, stored.value
+            case result.Err(failure):
+                self._note_failure("read of the own entry", failure)
         return store_core.NO_VERSION, None
 
     @defer.inlineCallbacks
@@ -153,7 +155,12 @@
                     continue
                 reads += 1
                 answer = yield self._store.get(registry.key_for(host_id))
-                value = answer.map(lambda stored: stored.value).unwrap_or(b"")
+                if isinstance(answer, result.Err):
+                    self._note_failure(
+                        "read of the entry of " + host_id, answer.err_value
+                    )
+                    continue
+                value = answer.ok_value.value
             match registry.decode(value):
                 case result.Ok(entry):
                     found.append(entry.endpoint())
--- a/bergamotdeal/presets/files.py
+++ b/bergamotdeal/presets/files.py
@@ -26,3 +26,15 @@
             f"{path}: {'; '.join(str(problem) for problem in problems)}"
         )
     )
+
+
+def read_if_named(name: str) -> result.Result[model.Preset | None, str]:
+    """Reads the preset of a file that settings may name.
+
+    Args:
+      name: Path of the file; empty for none.
+
+    Returns:
+      The preset, None without a file, or what is wrong with it.
+    """
+    return read(pathlib.Path(name)) if name else result.Ok(None)
--- a/bergamotdeal/pricing/book.py
+++ b/bergamotdeal/pricing/book.py
@@ -198,7 +198,7 @@
 
     def heard(
         self, route_name: str, service: str, report: bytes, now: float
-    ) -> None:
+    ) -> result.Result[None, str]:
         """Takes what an answer told.
 
         Args:
@@ -206,10 +206,13 @@
           service: Service that answered.
           report: The encoded charges.
           now: Monotonic seconds.
+
+        Returns:
+          Why the report can't be read; what was known before then stays.
         """
         decoded = core.decode(report)
         if isinstance(decoded, result.Err):
-            return  # Costs only steer; the next answer brings others.
+            return decoded
         told = decoded.ok_value
         self._costs.answered(
             route_name,
@@ -219,6 +222,7 @@
         )
         for charge in told.charges:
             self._pressures.observe(charge.service, charge.share, now)
+        return result.Ok(None)
 
     def _share(self, service: str, now: float) -> float:
         if service == self._service and self._server is not None:
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -56,6 +56,7 @@
     STORE_UNAVAILABLE = 800
     STORE_AVAILABLE = 801
     REGISTRY_FAILED = 802
+    STORE_OBJECT_REJECTED = 803
 
     # 900 node
     NODE_STARTED = 900
@@ -74,6 +75,9 @@
     FRAME_MALFORMED = 909
     TASK_FAILED = 910
 
+    # 1000 pricing
+    COST_REPORT_REJECTED = 1000
+
 
 MESSAGES_BY_CODE: dict[EventCode, str] = {
     EventCode.CALL_ARRIVED: "{method} {service}{path} arrived at {face}",
@@ -111,6 +115,9 @@
     EventCode.STORE_UNAVAILABLE: "store unavailable: {reason}",
     EventCode.STORE_AVAILABLE: "store available",
     EventCode.REGISTRY_FAILED: "registry: {step} failed: {reason}",
+    EventCode.STORE_OBJECT_REJECTED: (
+        "object in the store can't be read: {reason}"
+    ),
     EventCode.NODE_STARTED: "node {host} started, incarnation {incarnation}",
     EventCode.NODE_READY: "node ready",
     EventCode.DRAIN_STARTED: "drain started",
@@ -126,6 +133,9 @@
     EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
     EventCode.FRAME_MALFORMED: "malformed frame from {address}",
     EventCode.TASK_FAILED: "task {task} failed: {trace}",
+    EventCode.COST_REPORT_REJECTED: (
+        "cost report of {host} on {route} rejected: {reason}"
+    ),
 }
 
 
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -28,6 +28,8 @@
     catalogue.EventCode.PRESET_REJECTED: WARNING,
     catalogue.EventCode.STORE_UNAVAILABLE: WARNING,
     catalogue.EventCode.REGISTRY_FAILED: WARNING,
+    catalogue.EventCode.STORE_OBJECT_REJECTED: WARNING,
+    catalogue.EventCode.COST_REPORT_REJECTED: WARNING,
     catalogue.EventCode.SETTINGS_REJECTED: WARNING,
     catalogue.EventCode.ANNOUNCEMENT_REJECTED: WARNING,
     catalogue.EventCode.CALL_SHED: INFO,
