--- a/bergamotdeal/retries/budget.py
+++ b/bergamotdeal/retries/budget.py
@@ -15,6 +15,10 @@
 """Calls after which a run may use the last token: the calls that one run of
 the users' deepest chains makes in turn."""
 
+_KEPT_BACK_SHARE = 0.5
+"""Part of the bucket that a run's first call may not take; the other part
+covers single rejections in calm times."""
+
 _ROUNDING = 1e-6
 """Part of a token by which sums of fractions may miss a full bucket."""
 
@@ -79,4 +83,5 @@
         if not self._policy.by_progress:
             return 1.0
         kept_back = max(0.0, 1.0 - calls_before / _CALLS_OF_A_LONG_RUN)
-        return 1.0 + kept_back * max(0.0, self._burst - 1.0)
+        spare = max(0.0, self._burst - 1.0)
+        return 1.0 + _KEPT_BACK_SHARE * kept_back * spare
