Let epochs of 64 bits travel between nodes

Cause: the new heads bounded epochs at 63 bits, while a configuration's version of sixteen hexadecimal digits, which the adapter accepts, can have 64; a node with such a version would have had all its frames refused. Change: no bound but MessagePack's own. The new test failed before.

--- a/bergamotdeal/wire/heads.py
+++ b/bergamotdeal/wire/heads.py
@@ -14,7 +14,7 @@
 
 _UInt16 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 16) - 1)]
 _UInt32 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
-_UInt63 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+_UInt64 = Annotated[int, msgspec.Meta(ge=0)]  # MessagePack has no longer ones.
 _Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 _Duration = Annotated[float, msgspec.Meta(ge=0.0)]
 
@@ -36,8 +36,8 @@
     ticket: bytes
     class_name: str
     depth: _UInt16
-    epoch: _UInt63
-    stamp: _UInt63
+    epoch: _UInt64
+    stamp: _UInt64
     needs_ticket: bool
     only_repeatable: bool
     route_name: str
@@ -68,8 +68,8 @@
     repeatable: bool
     threshold: _Share
     load: _LoadHead | None
-    epoch: _UInt63
-    stamp: _UInt63
+    epoch: _UInt64
+    stamp: _UInt64
     report: bytes
 
 
--- a/bergamotdeal/wire/tests/test_codec.py
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -1,5 +1,6 @@
 """Frames survive a round trip and malformed ones are rejected."""
 
+import dataclasses
 import random
 
 import msgspec
@@ -130,3 +131,9 @@
     values = _call_head()
     values[field] = value
     assert codec.decode(_call_frame_with_head(values)).is_err()
+
+
+def test_longest_epoch_travels():
+    call = dataclasses.replace(CALL.call, epoch=(1 << 64) - 1)
+    frame = messages.CallFrame(call=call)
+    assert codec.decode(codec.encode(frame)).unwrap() == frame
