Remove a function that nobody calls

Ruled out: passing on run_began and run_ended by hand in PriceBook (it keeps the parts behind one face), one builder for the two heads (their fields differ). Measured: nothing; behaviour is the same.

--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -188,9 +188,3 @@
 def milliseconds_left(deadline: float, now: float) -> int:
     """Returns the time to a deadline in whole milliseconds, at least zero."""
     return max(0, int((deadline - now) * 1000))
-
-
-def with_epoch(answer: core.Answer, epoch: int) -> core.Answer:
-    """Stamps an answer with the epoch in force and returns it."""
-    answer.epoch = epoch
-    return answer
