Keep gossip within a data centre and stop rumours that are known

Gossip took no notice of data centres: in the simulated cores of 196 nodes in five data centres the start, the announcement of all servers and 20 s after it sent 35.6, 24.7 and 29.2 MB between data centres. Ruled out: the size of a record alone; each was sent 17 times by each of 196 nodes, four fifths of it across, and each node pinged up to 64 listed hosts. Change: partners of gossip rounds, probes and syncs are chosen by data centre (partners.py); a rumour heard again counts as one of its transmissions; a poll of the registry contacts at most five local and three remote unknown hosts, and no longer falls back to one poll a second while hosts are unknown.

--- a/bergamotdeal/membership/contacts.py
+++ b/bergamotdeal/membership/contacts.py
@@ -4,6 +4,7 @@
 
 from bergamotdeal.membership import core
 from bergamotdeal.membership import messages
+from bergamotdeal.membership import partners
 from bergamotdeal.membership import view
 
 SYNC_INTERVAL_MAX_S = 15.0
@@ -28,13 +29,21 @@
     Args:
       rng: Random source of jitter and partner choice.
       now: Current time in monotonic seconds.
+      partner_chooser: Chooser between this data centre and the others.
 
     Attributes:
       next_sync_at: Time of the next sync in monotonic seconds.
     """
 
-    def __init__(self, *, rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        now: float,
+        partner_chooser: partners.PartnerChooser,
+    ) -> None:
         self._rng = rng
+        self._partners = partner_chooser
         self._seeds: tuple[messages.Endpoint, ...] = ()
         self._next_seed_contact_at = now
         self._sync_interval_s = SYNC_INTERVAL_MIN_S
@@ -130,7 +139,9 @@
         Returns:
           The partner's address, or None if there is no candidate.
         """
-        live = [e.record for e in own_view.list_others(worst=Health.ALIVE)]
+        local, remote = self._partners.split(
+            own_view.list_others(worst=Health.ALIVE)
+        )
         suspect_or_dead = [
             e.record
             for e in own_view.list_others(worst=Health.DEAD)
@@ -139,9 +150,15 @@
         non_live = list(self._list_other_seeds(own_view.own_record))
         non_live.extend(get_peer_endpoint(record) for record in suspect_or_dead)
         picks_non_live = self._rng.random() < _NON_LIVE_SYNC_SHARE
-        if non_live and (picks_non_live or not live):
+        if non_live and (picks_non_live or not (local or remote)):
             return self._rng.choice(non_live)
-        return get_peer_endpoint(self._rng.choice(live)) if live else None
+        is_remote = self._partners.prefers_remote(
+            local, remote, partners.REMOTE_SYNC_SHARE
+        )
+        live = remote if is_remote else local
+        return (
+            get_peer_endpoint(self._rng.choice(live).record) if live else None
+        )
 
     def _list_other_seeds(
         self, own_record: core.Member
--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -14,10 +14,10 @@
 from bergamotdeal.membership import core
 from bergamotdeal.membership import knowledge
 from bergamotdeal.membership import messages
+from bergamotdeal.membership import partners
 from bergamotdeal.membership import prober
 from bergamotdeal.membership import rumours
 from bergamotdeal.membership import suspicion
-from bergamotdeal.membership import view
 
 Health = messages.Health
 
@@ -79,10 +79,15 @@
         self._replica = knowledge.ViewReplica(
             own_record=own_record, now=now, effects=self._effects
         )
-        self._prober = prober.Prober(rng=rng)
+        self._partners = partners.PartnerChooser(
+            rng=rng, data_centre=own_record.data_centre
+        )
+        self._prober = prober.Prober(rng=rng, partner_chooser=self._partners)
         self._rate_limiter = rumours.ByteRateLimiter(now=now)
         self._eviction_policy = suspicion.EvictionPolicy(bounds=timing.bounds)
-        self._contacts = contacts.ContactSchedule(rng=rng, now=now)
+        self._contacts = contacts.ContactSchedule(
+            rng=rng, now=now, partner_chooser=self._partners
+        )
         self._epoch = 0
         self._has_left = False
         self._last_event_at = now
@@ -249,8 +254,7 @@
             self._effects.append(messages.ViewChanged())
 
     def _start_probe(self, now: float) -> None:
-        entries = self._replica.view.list_others()
-        target = self._prober.pop_target([e.record.host_id for e in entries])
+        target = self._prober.pop_target(self._replica.view.list_others())
         if target is None:
             return
         number = self._prober.number()
@@ -281,7 +285,7 @@
         self._send(
             _get_endpoint(entry.record),
             messages.Ping(number=number, host_id=host_id),
-            required=_list_refutable_rumours(entry, entry.record),
+            required=knowledge.list_refutable_rumours(entry, entry.record),
         )
 
     def _request_indirect_probes(self, probe: prober.Probe) -> None:
@@ -335,7 +339,9 @@
                     self._send(
                         reply_to,
                         ack,
-                        required=_list_refutable_rumours(entry, sender),
+                        required=knowledge.list_refutable_rumours(
+                            entry, sender
+                        ),
                     )
             case messages.PingRequest():
                 self._relay_ping(datagram.body, reply_to, now)
@@ -403,9 +409,12 @@
     def _send_gossip_round(self, now: float) -> None:
         """Sends queued rumours to random members within the byte rate."""
         self._next_gossip_at = now + self._timing.gossip_interval_s
-        targets = self._replica.view.list_others()
-        count = min(len(targets), self._timing.gossip_fanout)
-        for entry in self._rng.sample(targets, count):
+        targets = self._partners.sample(
+            self._replica.view.list_others(),
+            self._timing.gossip_fanout,
+            partners.REMOTE_GOSSIP_SHARE,
+        )
+        for entry in targets:
             if not self._rate_limiter.allows_datagram(now):
                 return
             self._send(_get_endpoint(entry.record), messages.EmptyBody())
@@ -421,10 +430,13 @@
 
     def _leave(self, now: float) -> None:
         self._replica.update_own_record(now, state=core.MemberState.DEAD)
-        targets = self._replica.view.list_others(worst=Health.ALIVE)
-        count = min(len(targets), _LEAVE_FANOUT)
+        targets = self._partners.sample(
+            self._replica.view.list_others(worst=Health.ALIVE),
+            _LEAVE_FANOUT,
+            partners.REMOTE_GOSSIP_SHARE,
+        )
         required = (messages.RecordRumour(member=self.own_record),)
-        for entry in self._rng.sample(targets, count):
+        for entry in targets:
             self._send_with_rumours(
                 _get_endpoint(entry.record), messages.EmptyBody(), required
             )
@@ -483,16 +495,3 @@
 
 
 _get_endpoint = contacts.get_peer_endpoint
-
-
-def _list_refutable_rumours(
-    entry: view.Entry | None, sender: core.Member
-) -> tuple[messages.Rumour, ...]:
-    """Returns the rumours about a member that it has to refute."""
-    if entry is None:
-        return ()
-    if entry.record.incarnation != sender.incarnation:
-        return (messages.RecordRumour(member=entry.record),)
-    if entry.health is Health.ALIVE:
-        return ()
-    return (knowledge.make_verdict(entry.record, entry.health),)
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -86,6 +86,10 @@
         """
         if self._merge_into_view(record, health, now):
             self._queue_rumours(record, health)
+        else:
+            self.rumour_queue.record_duplicate(
+                messages.RecordRumour(member=record)
+            )
 
     def _merge_into_view(
         self, record: core.Member, health: Health, now: float
@@ -113,6 +117,8 @@
         if self.view.merge_verdict(verdict, now):
             self.rumour_queue.add(verdict)
             self._emit_change(verdict.host_id, is_new=False)
+        else:
+            self.rumour_queue.record_duplicate(verdict)
 
     def _emit_change(self, host_id: str, *, is_new: bool) -> None:
         self._effects.append(messages.ViewChanged())
@@ -235,3 +241,21 @@
         state_number=record.state_number,
         health=health,
     )
+
+
+def list_refutable_rumours(
+    entry: view.Entry | None, sender: core.Member
+) -> tuple[messages.Rumour, ...]:
+    """Returns the rumours about a member that it has to refute.
+
+    Args:
+      entry: Entry of the member, or None if it is unknown.
+      sender: Record that the member sent.
+    """
+    if entry is None:
+        return ()
+    if entry.record.incarnation != sender.incarnation:
+        return (messages.RecordRumour(member=entry.record),)
+    if entry.health is Health.ALIVE:
+        return ()
+    return (make_verdict(entry.record, entry.health),)
--- a/bergamotdeal/membership/prober.py
+++ b/bergamotdeal/membership/prober.py
@@ -1,14 +1,17 @@
 """Choice of probe targets, and state of the pending probe and relays.
 
-Members are probed round-robin in an order that is shuffled for every round.
-Each member is probed once per round, which bounds the time to the first probe
-of a dead member (SWIM, Das, Gupta, Motivala, 2002, section 4.3).
+Members are probed round-robin in an order that is shuffled for every round,
+with one round for this data centre and a slower one for the others. Each member
+is probed once per round, which bounds the time to the first probe of a dead
+member (SWIM, Das, Gupta, Motivala, 2002, section 4.3).
 """
 
 import dataclasses
 import random
 
 from bergamotdeal.membership import messages
+from bergamotdeal.membership import partners
+from bergamotdeal.membership import view
 
 MAX_RELAYS = 256
 RELAY_LIFETIME_S = 2.0
@@ -55,14 +58,22 @@
 
     Args:
       rng: Random source of the target order and sequence numbers.
+      partner_chooser: Chooser between this data centre and the others.
 
     Attributes:
       current_probe: Probe that waits for its ack, or None.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        partner_chooser: partners.PartnerChooser,
+    ) -> None:
         self._rng = rng
-        self._remaining_targets: list[str] = []
+        self._partners = partner_chooser
+        self._local_round: list[str] = []
+        self._remote_round: list[str] = []
         self._relays_by_number: dict[int, Relay] = {}
         self.current_probe: Probe | None = None
 
@@ -70,25 +81,33 @@
         """Returns a random sequence number that no earlier ack matches."""
         return self._rng.getrandbits(63)
 
-    def pop_target(self, host_ids: list[str]) -> str | None:
+    def pop_target(self, entries: list[view.Entry]) -> str | None:
         """Removes the next probe target from the current round.
 
         Args:
-          host_ids: Members that can be probed now.
+          entries: Members that can be probed now.
 
         Returns:
           A host id, or None if there is no member to probe.
         """
-        available = set(host_ids)
-        while self._remaining_targets:
-            host_id = self._remaining_targets.pop()
+        local, remote = self._partners.split(entries)
+        if self._partners.prefers_remote(
+            local, remote, partners.REMOTE_PROBE_SHARE
+        ):
+            return self._pop_from_round(self._remote_round, remote)
+        return self._pop_from_round(self._local_round, local)
+
+    def _pop_from_round(
+        self, remaining: list[str], entries: list[view.Entry]
+    ) -> str | None:
+        available = {entry.record.host_id for entry in entries}
+        while remaining:
+            host_id = remaining.pop()
             if host_id in available:
                 return host_id
-        self._remaining_targets = sorted(available)
-        self._rng.shuffle(self._remaining_targets)
-        return (
-            self._remaining_targets.pop() if self._remaining_targets else None
-        )
+        remaining.extend(sorted(available))
+        self._rng.shuffle(remaining)
+        return remaining.pop() if remaining else None
 
     def add_relay(self, relay: Relay, now: float) -> int | None:
         """Registers a relay.
--- a/bergamotdeal/membership/registry.py
+++ b/bergamotdeal/membership/registry.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import random
 
 import msgspec
 import result
@@ -20,6 +21,13 @@
 MAX_CONTACT_ATTEMPTS = 3
 """Contact attempts per version of an entry before the node counts as gone."""
 
+MAX_LOCAL_CONTACTS = 5
+"""Unknown hosts of this data centre to contact at once. Each one introduces all
+the members that it knows."""
+
+MAX_REMOTE_CONTACTS = 3
+"""Unknown hosts of other data centres to contact at once."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Entry:
@@ -81,19 +89,43 @@
         return result.Err(str(error))
 
 
+def choose_contacts(
+    entries_by_host: dict[str, Entry], data_centre: str, rng: random.Random
+) -> list[str]:
+    """Chooses a few of the unknown hosts to contact now.
+
+    Args:
+      entries_by_host: Entries of the unknown hosts.
+      data_centre: Data centre of this node.
+      rng: Random source.
+
+    Returns:
+      Host ids.
+    """
+    host_ids = list(entries_by_host)
+    rng.shuffle(host_ids)
+    local = [
+        host_id
+        for host_id in host_ids
+        if entries_by_host[host_id].data_centre == data_centre
+    ]
+    remote = [host_id for host_id in host_ids if host_id not in set(local)]
+    return local[:MAX_LOCAL_CONTACTS] + remote[:MAX_REMOTE_CONTACTS]
+
+
 class ContactTracker:
     """A counter of contact attempts to listed nodes that are not members."""
 
     def __init__(self) -> None:
         self._attempts_by_entry: dict[tuple[str, int], int] = {}
 
-    def take_unknown_hosts(
+    def list_unknown_hosts(
         self,
         versions_by_host: dict[str, int],
         known_ids: Iterable[str],
         own_id: str,
     ) -> list[str]:
-        """Returns the unknown hosts to contact now and counts the attempt.
+        """Returns the unknown hosts that may still be contacted.
 
         Args:
           versions_by_host: Versions of the listed entries by host id.
@@ -101,14 +133,23 @@
           own_id: This node's host id.
         """
         known = set(known_ids) | {own_id}
-        unknown = []
         attempts_by_entry: dict[tuple[str, int], int] = {}
         for host_id, version in versions_by_host.items():
-            if host_id in known:
-                continue
-            attempts = self._attempts_by_entry.get((host_id, version), 0)
-            if attempts < MAX_CONTACT_ATTEMPTS:
-                unknown.append(host_id)
-            attempts_by_entry[host_id, version] = attempts + 1
+            if host_id not in known:
+                key = (host_id, version)
+                attempts_by_entry[key] = self._attempts_by_entry.get(key, 0)
         self._attempts_by_entry = attempts_by_entry
-        return unknown
+        return [
+            host_id
+            for (host_id, _), attempts in attempts_by_entry.items()
+            if attempts < MAX_CONTACT_ATTEMPTS
+        ]
+
+    def record_attempt(self, host_id: str, version: int) -> None:
+        """Counts an attempt to contact a host that was listed as unknown.
+
+        Args:
+          host_id: Id of the host.
+          version: Version of its entry.
+        """
+        self._attempts_by_entry[host_id, version] += 1
--- a/bergamotdeal/membership/rumours.py
+++ b/bergamotdeal/membership/rumours.py
@@ -16,6 +16,10 @@
 GOSSIP_BYTES_PER_S = 8_000.0
 GOSSIP_BURST_BYTES = 24_000.0
 
+_TRANSMISSIONS_PER_DUPLICATE = 1
+"""Transmissions that a rumour received again counts for: the sender's partners
+are likely to know it as well (feedback, Demers et al., 1987, section 1.4)."""
+
 _TRANSMISSIONS_PER_LOG = 2
 _TRANSMISSIONS_BASE = 6
 _WORD_BYTES = 8
@@ -169,6 +173,16 @@
             rumour=rumour, size=estimate_rumour_bytes(rumour)
         )
 
+    def record_duplicate(self, rumour: messages.Rumour) -> None:
+        """Shortens the spreading of a rumour that another node knows too.
+
+        Args:
+          rumour: Rumour received again.
+        """
+        queued = self._queued_by_subject.get(_get_subject(rumour))
+        if queued is not None and queued.rumour == rumour:
+            queued.transmissions += _TRANSMISSIONS_PER_DUPLICATE
+
     def add_epoch(self) -> None:
         """Queues the epoch, so that datagrams are sent to advertise it."""
         self._queued_by_subject["epoch", ""] = _QueuedRumour(
@@ -200,6 +214,9 @@
             newest_first, key=lambda item: item[1].transmissions
         )
         for subject, queued in candidates:
+            if queued.transmissions >= max_transmissions:
+                del self._queued_by_subject[subject]
+                continue
             if queued.size > max_bytes:
                 continue
             max_bytes -= queued.size
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -8,6 +8,7 @@
 from bergamotdeal.membership import gossip
 from bergamotdeal.membership import knowledge
 from bergamotdeal.membership import messages
+from bergamotdeal.membership import rumours
 from bergamotdeal.membership import suspicion
 from bergamotdeal.telemetry import catalogue
 from standins import gossip_fleet as fleets
@@ -390,3 +391,45 @@
         "host-1", messages.DatagramArrived(datagram=datagram, source=source)
     )
     assert fleet.cores_by_id["host-1"].own_record == own
+
+
+def test_start_and_announcement_of_all_nodes_stay_mostly_in_data_centres():
+    """Start of a whole fleet: every record changes at the same time.
+
+    All nodes join, and then announce their servers. Each record of about 200
+    bytes has to reach each data centre, but not each node from another one.
+    """
+    fleet = fleets.Fleet(
+        size=0,
+        data_centres=("odori", "kotoni", "makomanai", "teine", "hassamu"),
+    )
+    for index in range(60):
+        seeds = (f"host-{max(0, index - 5)}", "host-0")
+        fleet.add_node(f"host-{index}", seeds=seeds)
+    fleet.run_until(fleet.is_converged, within_s=10)
+    server = core.Server(service="kitview", slots=50, connections=400)
+    for host_id in fleet.cores_by_id:
+        fleet.send_event(host_id, messages.ServerChanged(server=server))
+    fleet.run_until(
+        lambda: all(
+            member.server
+            for node in fleet.cores_by_id.values()
+            for member in node.members_by_id().values()
+        ),
+        within_s=20,
+    )
+    fleet.run(10)
+    assert fleet.remote_bytes < 0.25 * sum(fleet.bytes_by_id.values())
+
+
+def test_rumour_that_others_repeat_is_sent_less_often():
+    queue = rumours.RumourQueue()
+    rumour = knowledge.make_verdict(
+        make_joined_fleet(1, size=2).cores_by_id["host-0"].own_record,
+        messages.Health.SUSPECT,
+    )
+    queue.add(rumour)
+    for _ in range(rumours.compute_transmission_limit(100)):
+        queue.record_duplicate(rumour)
+    assert queue.take(max_bytes=1000, fleet_size=100) == ()
+    assert len(queue) == 0
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -23,8 +23,8 @@
 written their entries."""
 
 MAX_POLL_INTERVAL_S = 600.0
-"""Poll interval once all listed nodes have been known for a while. With it a
-fleet of 1,300 nodes sends about two list requests a second."""
+"""Poll interval after the first minutes. With it a fleet of 1,300 nodes sends
+about two list requests a second."""
 
 MAX_ENTRY_READS_PER_POLL = 3
 """Entries read in one poll of a store that lists keys without values. Few are
@@ -56,6 +56,7 @@
         record: Callable[[calls.EventRecord], None],
     ) -> None:
         self._host_id = settings.node.host_id
+        self._data_centre = settings.node.data_centre
         self._key = registry.build_key(self._host_id)
         self._reactor = reactor
         self._rng = rng
@@ -103,8 +104,8 @@
         has_entry = yield self._write_own_entry(
             listed_by_host_id.get(self._host_id)
         )
-        knows_all = yield self._contact_unknown_hosts(listed_by_host_id)
-        if not (has_entry and knows_all):
+        yield self._contact_unknown_hosts(listed_by_host_id)
+        if not has_entry:
             self._backoff.reset()
         self._schedule_poll(self._backoff.next_delay())
 
@@ -149,17 +150,16 @@
     def _contact_unknown_hosts(
         self, listed_by_host_id: dict[str, store_core.ListingEntry]
     ):
-        """Contacts unknown listed nodes; returns True if there are none."""
-        unknown_host_ids = self._introductions.take_unknown_hosts(
-            {
-                listed_id: listed.version
-                for listed_id, listed in listed_by_host_id.items()
-            },
-            self._membership.members_by_id(),
-            self._host_id,
+        """Contacts some of the listed nodes that are not known members."""
+        versions_by_host = {
+            listed_id: listed.version
+            for listed_id, listed in listed_by_host_id.items()
+        }
+        unknown_host_ids = self._introductions.list_unknown_hosts(
+            versions_by_host, self._membership.members_by_id(), self._host_id
         )
         self._rng.shuffle(unknown_host_ids)
-        endpoints = []
+        entries_by_host: dict[str, registry.Entry] = {}
         read_count = 0
         for host_id in unknown_host_ids:
             value = listed_by_host_id[host_id].value
@@ -167,21 +167,41 @@
                 if read_count >= MAX_ENTRY_READS_PER_POLL:
                     continue
                 read_count += 1
-                outcome = yield self._store.get(registry.build_key(host_id))
-                if isinstance(outcome, result.Err):
-                    self._record_store_failure(
-                        "read of the entry of " + host_id, outcome.err_value
-                    )
+                value = yield self._read_entry(host_id)
+                if value is None:
                     continue
-                value = outcome.ok_value.value
             match registry.decode(value):
                 case result.Ok(entry):
-                    endpoints.append(entry.endpoint())
+                    entries_by_host[host_id] = entry
                 case result.Err(reason):
+                    self._introductions.record_attempt(
+                        host_id, versions_by_host[host_id]
+                    )
                     self._record_failure("entry of " + host_id, reason)
-        if endpoints and self._running:
-            self._membership.add_seeds(tuple(endpoints))
-        return not unknown_host_ids
+        chosen = registry.choose_contacts(
+            entries_by_host, self._data_centre, self._rng
+        )
+        for host_id in chosen:
+            self._introductions.record_attempt(
+                host_id, versions_by_host[host_id]
+            )
+        if chosen and self._running:
+            self._membership.add_seeds(
+                tuple(entries_by_host[host_id].endpoint() for host_id in chosen)
+            )
+
+    @defer.inlineCallbacks
+    def _read_entry(self, host_id: str):
+        """Reads the entry of a host; returns None if that fails."""
+        outcome = yield self._store.get(registry.build_key(host_id))
+        match outcome:
+            case result.Ok(stored):
+                return stored.value
+            case result.Err(failure):
+                self._record_store_failure(
+                    "read of the entry of " + host_id, failure
+                )
+        return None
 
     def _record_store_failure(
         self, step: str, failure: store_core.Failure
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -22,6 +22,7 @@
       timing: Timing of each core.
       datagram_bytes: Function that returns the size of a datagram in bytes.
       bulk_bytes: Function that returns the size of a bulk message in bytes.
+      data_centres: Data centres to which the nodes are assigned in turn.
 
     Attributes:
       rng: Source of every random choice.
@@ -32,6 +33,7 @@
       paused: Hosts whose node is paused.
       bytes_by_id: Sent bytes of datagrams, by host id.
       bulk_bytes_by_id: Sent bytes of bulk messages, by host id.
+      remote_bytes: Bytes of all messages sent to another data centre.
       syncs_by_id: Number of started syncs, by host id.
       effects_by_id: Effects other than messages, by host id.
       is_reachable: Function of source and target host id that returns
@@ -46,7 +48,10 @@
         timing: gossip.Timing = gossip.DEFAULT_TIMING,
         datagram_bytes: Callable = rumours.estimate_datagram_bytes,
         bulk_bytes: Callable = lambda _: 0,
+        data_centres: tuple[str, ...] = ("odori",),
     ) -> None:
+        self._data_centres = itertools.cycle(data_centres)
+        self.remote_bytes = 0
         self._datagram_bytes = datagram_bytes
         self._bulk_bytes = bulk_bytes
         self.bulk_bytes_by_id: dict[str, int] = {}
@@ -80,7 +85,7 @@
             host_id=host_id,
             incarnation=f"{host_id}-{incarnation}",
             state_number=state_number,
-            data_centre="odori",
+            data_centre=self._get_data_centre(host_id),
             region="north",
             address=host_id,
             peer_port=1,
@@ -103,6 +108,21 @@
         self.send_event(host_id, messages.SeedsFound(seeds=endpoints))
         return node
 
+    def _get_data_centre(self, host_id: str) -> str:
+        """Returns the data centre of a node, the same after a restart."""
+        known = self.cores_by_id.get(host_id)
+        if known is not None:
+            return known.own_record.data_centre
+        return next(self._data_centres)
+
+    def _count_bytes(self, source: str, target: str, size: int) -> None:
+        cores_by_id = self.cores_by_id
+        if target in cores_by_id and (
+            cores_by_id[source].own_record.data_centre
+            != cores_by_id[target].own_record.data_centre
+        ):
+            self.remote_bytes += size
+
     def send_event(self, host_id: str, event: messages.Event) -> None:
         """Sends an event to a node and executes the resulting effects."""
         if host_id in self.paused:
@@ -193,6 +213,7 @@
                     assert size <= rumours.MAX_DATAGRAM_BYTES
                     self.bytes_by_id[host_id] += size
                     target = effect.endpoint.address
+                    self._count_bytes(host_id, target, size)
                     if target in self.cores_by_id and self.is_reachable(
                         host_id, target
                     ):
@@ -209,7 +230,9 @@
     def _exchange_bulk(self, host_id: str, effect: messages.SendBulk) -> None:
         target = effect.endpoint.address
         self.syncs_by_id[host_id] += 1
-        self.bulk_bytes_by_id[host_id] += self._bulk_bytes(effect.bulk)
+        size = self._bulk_bytes(effect.bulk)
+        self.bulk_bytes_by_id[host_id] += size
+        self._count_bytes(host_id, target, size)
 
         def serve() -> None:
             is_unavailable = target in self.stopped | self.paused
@@ -226,7 +249,9 @@
             else:
                 node = self.cores_by_id[target]
                 answer, effects = node.answer_sync(effect.bulk, self.now)
-                self.bulk_bytes_by_id[target] += self._bulk_bytes(answer)
+                size = self._bulk_bytes(answer)
+                self.bulk_bytes_by_id[target] += size
+                self._count_bytes(target, host_id, size)
                 self._execute_effects(target, effects)
                 self._schedule_wakeup(target)
                 event = messages.SyncAnswered(
