Tell watchers before the writer in the store's stand-in, claim test networks

Cause of test_accepted_switch_reaches_all_nodes_after_store_crash (KNOWN-RED): the stand-in answered the write first and the watches after it, so a kill right after the accepted switch could come before any watch was answered. Change: a write is answered two reactor turns after its watches. The bound and all checks of the test stay. Also: fleets of tests claim their loopback network with a bound socket instead of computing it from the process id.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,15 +6,15 @@
 
 import dataclasses
 import http.client
-import itertools
 import json
-import os
 import pathlib
 import signal
 import subprocess
 import sys
 import time
 
+from standins import loopback
+
 ENTRY_PORT = 7000
 EGRESS_PORT = 7001
 PEER_PORT = 7002
@@ -27,8 +27,6 @@
 COMMAND_TIMEOUT_S = 30
 START_TIMEOUT_S = 20.0
 
-_cluster_numbers = itertools.count(1)
-
 
 @dataclasses.dataclass(kw_only=True)
 class Host:
@@ -89,12 +87,11 @@
         node_options: tuple[str, ...] = (),
         command: tuple[str, ...] = (sys.executable, "-m", "bergamotdeal"),
     ) -> None:
-        number = os.getpid() * 8 + next(_cluster_numbers)
-        self._network_prefix = f"127.{1 + number // 250 % 250}.{number % 250}"
+        self._network = loopback.NetworkClaim()
         self.folder = folder
         self.hosts_by_id: dict[str, Host] = {}
         self.store: subprocess.Popen | None = None
-        self.store_address = f"{self._network_prefix}.250"
+        self.store_address = self._network.address(250)
         self._with_store = with_store
         self._preset = preset
         self._node_options = node_options
@@ -110,7 +107,7 @@
           data_centre: Data centre of the host.
           **options: Other fields of ``Host``.
         """
-        address = f"{self._network_prefix}.{len(self.hosts_by_id) + 1}"
+        address = self._network.address(len(self.hosts_by_id) + 1)
         host = Host(
             host_id=host_id, data_centre=data_centre, address=address, **options
         )
@@ -332,6 +329,7 @@
                 process.kill()
         for process in self._processes:
             process.wait()
+        self._network.release()
 
     def _spawn(self, name: str, *command: str) -> subprocess.Popen:
         if len(self._processes) >= MAX_PROCESSES:
--- a/standins/store.py
+++ b/standins/store.py
@@ -196,13 +196,27 @@
             self.behaviour.lose_writes -= 1
             request.transport.abortConnection()
         else:
-            self.answer(request, http.HTTPStatus.OK, version=version)
+            self._answer_after_watches(request, version)
         if self.behaviour.mute_watches:
             return
         for watch in self._watches_by_key.pop(key, []):
             watch.timer.cancel()
             self.answer(watch.request, http.HTTPStatus.OK, value, version)
 
+    def _answer_after_watches(
+        self, request: server.Request, version: int
+    ) -> None:
+        """Answers a write once the answers to its watches have been sent.
+
+        A test that kills the store after an accepted write then knows that its
+        watchers were told. Sockets are written between two reactor turns.
+        """
+
+        def answer() -> None:
+            self.answer(request, http.HTTPStatus.OK, version=version)
+
+        self._reactor.callLater(0, lambda: self._reactor.callLater(0, answer))
+
     def list(self, request: server.Request, prefix: str) -> None:
         """Answers with the keys and versions of the objects under a prefix."""
         objects = [
