Follow a store that comes back from a copy, make fewer store calls

Cause: the store may return from a copy some seconds old and give revisions out again. A watcher went on from a revision of the past and took an object with a lower revision as old.

--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -7,7 +7,6 @@
 long intervals (anti-entropy).
 """
 
-import dataclasses
 import random
 
 from bergamotdeal.membership import contacts
@@ -18,36 +17,11 @@
 from bergamotdeal.membership import prober
 from bergamotdeal.membership import rumours
 from bergamotdeal.membership import suspicion
+from bergamotdeal.membership import timing as timings
 
 Health = messages.Health
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Timing:
-    """Intervals and fan-outs of the protocol.
-
-    Attributes:
-      probe_interval_s: Seconds between two probes by this node.
-      indirect_probe_delay_s: Seconds without an ack until indirect probes.
-      indirect_probe_fanout: Number of members asked for an indirect probe.
-      gossip_interval_s: Seconds between gossip rounds while rumours are queued.
-      gossip_fanout: Number of members addressed in each gossip round.
-      pause_threshold_s: Seconds without events that indicate a paused process.
-      bounds: Limits of suspicion and eviction.
-    """
-
-    probe_interval_s: float = 1.0
-    indirect_probe_delay_s: float = 0.4
-    indirect_probe_fanout: int = 3
-    gossip_interval_s: float = 0.2
-    gossip_fanout: int = 3
-    pause_threshold_s: float = 2.5
-    bounds: suspicion.Bounds = dataclasses.field(
-        default_factory=suspicion.Bounds
-    )
-
-
-DEFAULT_TIMING = Timing()
 _LEAVE_FANOUT = 6
 
 _REJOIN_WINDOW_S = 60.0
@@ -71,7 +45,7 @@
         own_record: core.Member,
         rng: random.Random,
         now: float,
-        timing: Timing = DEFAULT_TIMING,
+        timing: timings.Timing = timings.DEFAULT_TIMING,
     ) -> None:
         self._rng = rng
         self._timing = timing
@@ -89,6 +63,7 @@
             rng=rng, now=now, partner_chooser=self._partners
         )
         self._epoch = 0
+        self._store_era = 0
         self._has_left = False
         self._last_event_at = now
         self._next_probe_at = now
@@ -177,7 +152,9 @@
             case messages.EpochChanged(epoch=epoch):
                 if epoch > self._epoch:
                     self._epoch = epoch
-                    self._replica.rumour_queue.add_epoch()
+                    self._replica.rumour_queue.add_header_change()
+            case messages.StoreEraChanged(era=era):
+                self._adopt_store_era(era)
 
     def answer_sync(
         self, request: messages.SyncRequest | messages.SyncPush, now: float
@@ -330,6 +307,10 @@
         for rumour in datagram.rumours:
             self._replica.merge_rumour(rumour, now)
         self._report_epoch(datagram.epoch, sender.host_id)
+        if self._adopt_store_era(datagram.store_era):
+            self._effects.append(
+                messages.StoreEraAdvertised(era=datagram.store_era)
+            )
         entry = self._replica.view.entry(sender.host_id)
         reply_to = source if entry is None else _get_endpoint(entry.record)
         match datagram.body:
@@ -400,7 +381,11 @@
         chosen: tuple[messages.Rumour, ...],
     ) -> None:
         datagram = messages.Datagram(
-            sender=self.own_record, epoch=self._epoch, body=body, rumours=chosen
+            sender=self.own_record,
+            epoch=self._epoch,
+            store_era=self._store_era,
+            body=body,
+            rumours=chosen,
         )
         self._effects.append(
             messages.SendDatagram(endpoint=endpoint, datagram=datagram)
@@ -428,6 +413,14 @@
                 messages.EpochAdvertised(epoch=epoch, host_id=host_id)
             )
 
+    def _adopt_store_era(self, era: int) -> bool:
+        """Passes on a newer era of the store; returns whether it is newer."""
+        if era <= self._store_era:
+            return False
+        self._store_era = era
+        self._replica.rumour_queue.add_header_change()
+        return True
+
     def _leave(self, now: float) -> None:
         self._replica.update_own_record(now, state=core.MemberState.DEAD)
         targets = self._partners.sample(
--- a/bergamotdeal/membership/messages.py
+++ b/bergamotdeal/membership/messages.py
@@ -119,12 +119,15 @@
       epoch: Epoch of the preset in force at the sender.
       body: The probe message, if any.
       rumours: Piggybacked rumours.
+      store_era: Newest era of the store that the sender was told of, after a
+        restore; zero if there was none.
     """
 
     sender: core.Member
     epoch: int
     body: Body
     rumours: tuple[Rumour, ...] = ()
+    store_era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -303,6 +306,17 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreEraChanged:
+    """This node noticed that the store was restored from a copy.
+
+    Attributes:
+      era: The era that the store has begun.
+    """
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SyncAnswered:
     """The answer to a sync request or push arrived.
@@ -338,6 +352,7 @@
     | LeaveRequested
     | CrashReportsCreated
     | EpochChanged
+    | StoreEraChanged
 )
 
 Event = (
@@ -396,6 +411,17 @@
     host_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreEraAdvertised:
+    """A notice that the store was restored, as another node told.
+
+    Attributes:
+      era: The era that the store has begun.
+    """
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CrashReportsReceived:
     """A notice that new crash reports arrived from other nodes.
@@ -425,6 +451,7 @@
     | SendBulk
     | ViewChanged
     | EpochAdvertised
+    | StoreEraAdvertised
     | CrashReportsReceived
     | EmitEvent
 )
--- a/bergamotdeal/membership/rumours.py
+++ b/bergamotdeal/membership/rumours.py
@@ -24,7 +24,7 @@
 _TRANSMISSIONS_BASE = 6
 _WORD_BYTES = 8
 _MAC_BYTES = 16
-_ENVELOPE_BYTES = 112
+_ENVELOPE_BYTES = 120
 _RUMOUR_BYTES = 16
 _MEMBER_FIXED_BYTES = 88
 _VERDICT_FIXED_BYTES = 40
@@ -149,8 +149,9 @@
 class RumourQueue:
     """Rumours to send; a newer rumour replaces an older one on its subject.
 
-    The epoch is part of every datagram, so its rumour takes no bytes. While
-    it is queued, gossip rounds continue even if there is no other rumour.
+    The epoch and the store's era are part of every datagram, so their rumour
+    takes no bytes. While it is queued, gossip rounds continue even if there is
+    no other one.
     """
 
     def __init__(self) -> None:
@@ -183,9 +184,9 @@
         if queued is not None and queued.rumour == rumour:
             queued.transmissions += _TRANSMISSIONS_PER_DUPLICATE
 
-    def add_epoch(self) -> None:
-        """Queues the epoch, so that datagrams are sent to advertise it."""
-        self._queued_by_subject["epoch", ""] = _QueuedRumour(
+    def add_header_change(self) -> None:
+        """Makes datagrams be sent that advertise a new epoch or store era."""
+        self._queued_by_subject["header", ""] = _QueuedRumour(
             rumour=None, size=0
         )
 
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -5,11 +5,11 @@
 import pytest
 
 from bergamotdeal.membership import core
-from bergamotdeal.membership import gossip
 from bergamotdeal.membership import knowledge
 from bergamotdeal.membership import messages
 from bergamotdeal.membership import rumours
 from bergamotdeal.membership import suspicion
+from bergamotdeal.membership import timing as timings
 from bergamotdeal.telemetry import catalogue
 from standins import gossip_fleet as fleets
 
@@ -59,7 +59,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_stopped_node_becomes_suspect_then_dead_then_removed(seed):
     bounds = suspicion.Bounds(dead_retention_s=30.0)
-    timing = gossip.Timing(bounds=bounds)
+    timing = timings.Timing(bounds=bounds)
     fleet = make_joined_fleet(seed, timing=timing)
     fleet.stopped.add("host-3")
 
@@ -180,7 +180,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_partitioned_minority_merges_after_its_removal(seed):
     bounds = suspicion.Bounds(dead_retention_s=20.0)
-    fleet = make_joined_fleet(seed, timing=gossip.Timing(bounds=bounds))
+    fleet = make_joined_fleet(seed, timing=timings.Timing(bounds=bounds))
     minority = {"host-3", "host-4", "host-5"}
     fleet.is_reachable = lambda a, b: (a in minority) == (b in minority)
     fleet.run(120)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -7,9 +7,8 @@
 import result
 from twisted.internet import task
 
-from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
-from bergamotdeal.membership import core as membership
+from bergamotdeal.membership import messages as gossip
 from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
 from bergamotdeal.node import bulk_server
@@ -31,7 +30,6 @@
 from bergamotdeal.node import timed_engine
 from bergamotdeal.presets import files as preset_files
 from bergamotdeal.presets import follower
-from bergamotdeal.presets import model as preset_model
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
@@ -85,7 +83,9 @@
         self._record = self._recorder.record
         self._has_preset = False
         self._announcement: messages.ServerAnnounced | None = None
-        self._engine = self._build_engine()
+        self._engine = timed_engine.build_engine(
+            settings=settings, incarnation=self._incarnation, rng=self._rng
+        )
         self._dispatcher = hub.EventDispatcher(
             reactor=reactor,
             engine=timed_engine.TimedEngine(
@@ -270,25 +270,6 @@
 
     # Assembly.
 
-    def _build_engine(self) -> call_engine.Engine:
-        settings = self._settings
-        identity = membership.Member(
-            host_id=settings.node.host_id,
-            incarnation=self._incarnation,
-            data_centre=settings.node.data_centre,
-            region=settings.node.region,
-            address=settings.peer.address,
-            peer_port=settings.peer.port,
-        )
-        return call_engine.Engine(
-            identity=identity,
-            preset=preset_model.Preset(name="none"),
-            epoch=follower.NO_EPOCH,
-            # Routing needs a fast generator, not a cryptographic one.
-            rng=random.Random(self._rng.getrandbits(64)),
-            caller_service=self._settings.node.service,
-        )
-
     def _build_peer(self) -> peer.PeerTask:
         return peer.PeerTask(
             reactor=self._reactor,
@@ -313,6 +294,7 @@
             rng=random.Random(self._rng.getrandbits(64)),
             send_bulk_request=self._peer.send_bulk_request,
             on_epoch_heard=lambda heard: self._presets.deliver(heard),
+            on_store_era_heard=self._handle_store_era,
             record=self._record,
             count=self._recorder.metrics.increment,
         )
@@ -335,6 +317,7 @@
     def _build_registry(self) -> registry_task.RegistryTask | None:
         if self._store is None:
             return None
+        self._store.eras.listeners.append(self._handle_store_restored)
         return registry_task.RegistryTask(
             settings=self._settings,
             reactor=self._reactor,
@@ -404,6 +387,16 @@
                 follower.EpochAdvertised(epoch=epoch, host_id=host_id)
             )
 
+    def _handle_store_era(self, era: int) -> None:
+        if self._store is not None:
+            self._store.eras.observe(era)
+
+    def _handle_store_restored(self, era: int) -> None:
+        self._emit(catalogue.EventCode.STORE_RESTORED, era=era)
+        self._membership.deliver(gossip.StoreEraChanged(era=era))
+        self._presets.handle_store_restored()
+        self._registry.handle_store_restored()
+
     def _post_server_event(self, event: messages.Event) -> None:
         match event:
             case messages.ServerAnnounced():
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -13,6 +13,7 @@
 from bergamotdeal.membership import core
 from bergamotdeal.membership import gossip
 from bergamotdeal.membership import messages
+from bergamotdeal.membership import timing as timings
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import metrics
@@ -48,6 +49,8 @@
       send_bulk_request: ``PeerTask.send_bulk_request``; None disables
         anti-entropy.
       on_epoch_heard: Called with each ``EpochAdvertised``.
+      on_store_era_heard: Called with each era of the store that another node
+        told.
       record: Called with each ``calls.messages.EventRecord`` for the event log.
       count: Called with a counter and its increment.
       timing: Intervals and timeouts of the protocol.
@@ -66,9 +69,10 @@
         send_bulk_request: SendBulkRequest | None = None,
         on_epoch_heard: Callable[[messages.EpochAdvertised], None]
         | None = None,
+        on_store_era_heard: Callable[[int], None] | None = None,
         record: Callable[[calls.EventRecord], None] | None = None,
         count: Callable[[metrics.Counter, int], None] | None = None,
-        timing: gossip.Timing = gossip.DEFAULT_TIMING,
+        timing: timings.Timing = timings.DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
@@ -79,6 +83,7 @@
         self._rng = rng
         self._send_bulk_request = send_bulk_request
         self._on_epoch_heard = on_epoch_heard or _ignore
+        self._on_store_era_heard = on_store_era_heard or _ignore
         self._record = record or _ignore
         self._count = count or _ignore
         self._timing = timing
@@ -175,7 +180,7 @@
             case calls.ShareCrashReports(reports=reports):
                 event = messages.CrashReportsCreated(reports=tuple(reports))
                 self._handle(event)
-            case messages.EpochChanged():
+            case messages.EpochChanged() | messages.StoreEraChanged():
                 self._handle(message)
 
     def add_seeds(self, seeds: tuple[messages.Endpoint, ...]) -> None:
@@ -275,6 +280,8 @@
                     has_changed = True
                 case messages.EpochAdvertised():
                     self._on_epoch_heard(effect)
+                case messages.StoreEraAdvertised(era=era):
+                    self._on_store_era_heard(era)
                 case messages.CrashReportsReceived(reports=reports):
                     self._post(calls.PeerCrashesReported(reports=list(reports)))
                 case messages.EmitEvent(code=code, fields=fields):
--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -122,6 +122,11 @@
         if self._wakeup_timer is not None and self._wakeup_timer.active():
             self._wakeup_timer.cancel()
 
+    def handle_store_restored(self) -> None:
+        """Watches the store anew if this node watches it."""
+        if self._watch is not None:
+            self._watch.restart()
+
     def deliver(self, message) -> None:
         """Handles a message of another task.
 
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -14,7 +14,7 @@
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
 
-START_JITTER_S = 0.5
+START_JITTER_S = 0.2
 """Upper bound of the random delay before the first poll, which spreads the
 first store calls of nodes that start together."""
 
@@ -26,6 +26,13 @@
 """Poll interval after the first minutes. With it a fleet of 1,300 nodes sends
 about two list requests a second."""
 
+RESTORE_JITTER_S = 2.0
+"""Upper bound of the delay that spreads the polls after a restore."""
+
+RESTORE_DEPTH_S = 60.0
+"""Age above which an entry is in the copy from which the store was restored,
+which is some seconds old."""
+
 MAX_ENTRY_READS_PER_POLL = 3
 """Entries read in one poll of a store that lists keys without values. Few are
 needed, as each contacted node introduces all the members that it knows."""
@@ -70,6 +77,7 @@
             max_s=MAX_POLL_INTERVAL_S,
         )
         self._poll_timer = None
+        self._written_at: float | None = None
         self._running = False
 
     def start(self) -> None:
@@ -83,7 +91,17 @@
         if self._poll_timer is not None and self._poll_timer.active():
             self._poll_timer.cancel()
 
+    def handle_store_restored(self) -> None:
+        """Polls again soon if the restored copy may lack this node's entry."""
+        if self._written_at is None:
+            return
+        if self._reactor.seconds() - self._written_at < RESTORE_DEPTH_S:
+            self._backoff.reset()
+            self._schedule_poll(RESTORE_JITTER_S * self._rng.random())
+
     def _schedule_poll(self, delay_s: float) -> None:
+        if self._poll_timer is not None and self._poll_timer.active():
+            self._poll_timer.cancel()
         if self._running:
             self._poll_timer = self._reactor.callLater(delay_s, self._poll)
 
@@ -126,6 +144,7 @@
         )
         match outcome:
             case result.Ok(_):
+                self._written_at = self._reactor.seconds()
                 return True
             case result.Err(failure) if failure.kind is _KINDS.CONFLICT:
                 # The listing may have been stale; if the entry still differs,
--- a/bergamotdeal/node/store_watch.py
+++ b/bergamotdeal/node/store_watch.py
@@ -10,6 +10,9 @@
 
 WATCH_TIMEOUT_S = 50.0
 
+RESTART_JITTER_S = 0.3
+"""Upper bound of the delay that spreads the watches after a restore."""
+
 
 class StoreWatch:
     """Repeated long poll, each from the last version seen.
@@ -41,6 +44,7 @@
         self._reactor = reactor
         self._on_change = on_change
         self._on_availability_change = on_availability_change
+        self._rng = rng
         self._backoff = backoff.ExponentialBackoff(rng=rng, max_s=max_backoff_s)
         self._last_version = core.NO_VERSION
         self._pending = None
@@ -66,6 +70,15 @@
         if pending is not None:
             pending.cancel()
 
+    def restart(self) -> None:
+        """Watches anew, as after a restore of the store."""
+        if self._running:
+            self.stop()
+            self._running = True
+            self._next_watch_timer = self._reactor.callLater(
+                self._rng.random() * RESTART_JITTER_S, self._send_watch
+            )
+
     def _send_watch(self) -> None:
         pending = self._store.watch(
             self._key,
--- a/bergamotdeal/node/timed_engine.py
+++ b/bergamotdeal/node/timed_engine.py
@@ -1,7 +1,13 @@
 """Call engine wrapper that measures the duration of calls and runs."""
 
+import random
+
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
+from bergamotdeal.membership import core as membership
+from bergamotdeal.presets import follower
+from bergamotdeal.presets import model as preset_model
+from bergamotdeal.settings import model as settings_model
 from bergamotdeal.telemetry import metrics
 
 MS_PER_S = 1000
@@ -70,3 +76,31 @@
         if started_at is not None:
             elapsed_ms = (now - started_at) * MS_PER_S
             self._metrics.time(metrics.Timing.CALL_MS, elapsed_ms)
+
+
+def build_engine(
+    *, settings: settings_model.Settings, incarnation: str, rng: random.Random
+) -> call_engine.Engine:
+    """Builds a node's call engine, which has no preset yet.
+
+    Args:
+      settings: The node's settings.
+      incarnation: Random id of this process start.
+      rng: Source of the seed of the engine's own generator.
+    """
+    identity = membership.Member(
+        host_id=settings.node.host_id,
+        incarnation=incarnation,
+        data_centre=settings.node.data_centre,
+        region=settings.node.region,
+        address=settings.peer.address,
+        peer_port=settings.peer.port,
+    )
+    return call_engine.Engine(
+        identity=identity,
+        preset=preset_model.Preset(name="none"),
+        epoch=follower.NO_EPOCH,
+        # Routing needs a fast generator, not a cryptographic one.
+        rng=random.Random(rng.getrandbits(64)),
+        caller_service=settings.node.service,
+    )
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -10,17 +10,25 @@
 
 import result
 
-from bergamotdeal.membership import choice
 from bergamotdeal.membership import core as membership
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.presets import in_force
 from bergamotdeal.presets import model
 from bergamotdeal.presets import sections as preset_sections
+from bergamotdeal.presets import watchers
 
 MAX_PULL_SOURCES = 16
 PULL_HEDGE_DELAY_S = 0.7
-STORE_READ_DELAY_S = 0.3
+STORE_READ_DELAY_S = 0.4
 """Mean seconds to wait for epochs of other nodes before reading the store."""
+
+PEER_DELAY_S = 0.7
+"""Seconds that most nodes wait longer if they know other nodes, of which one
+reads the store and advertises the epoch."""
+
+EARLY_READERS = 8
+"""Mean number of nodes in a fleet that read the store without this delay."""
+
 INITIAL_PRESET_DELAY_S = 10.0
 WATCH_DELAY_S = 2.0
 PULL_BACKOFF_MIN_S = 0.25
@@ -224,6 +232,7 @@
         self._is_watching = False
         self._watch_at: float | None = None
         self._is_reading = False
+        self._has_waited_for_peers = False
         self._read_backoff_s = READ_BACKOFF_MIN_S
         self._next_read_at = now + STORE_READ_DELAY_S * (0.5 + rng.random())
         # The fleet may have switched while this node was down. Until it can
@@ -421,6 +430,8 @@
             or now < self._next_read_at
         ):
             return
+        if self._has_store and self._leaves_read_to_others(now):
+            return
         if self._has_store:
             self._is_reading = True
             self._effects.append(ReadStore())
@@ -430,6 +441,16 @@
         if not is_alone or now >= self._initial_allowed_at:
             self._apply_initial()
 
+    def _leaves_read_to_others(self, now: float) -> bool:
+        """Returns whether to wait for another node to read the store first."""
+        if self._has_waited_for_peers or len(self._members_by_id) <= 1:
+            return False
+        self._has_waited_for_peers = True
+        if self._rng.random() * len(self._members_by_id) < EARLY_READERS:
+            return False
+        self._next_read_at = now + PEER_DELAY_S
+        return True
+
     def _apply_initial(self) -> None:
         """Applies the initial preset if no switch is known in the fleet."""
         if self._epochs_by_source or self._initial is None:
@@ -443,8 +464,12 @@
         The start is delayed: a joining node knows few members at first and may
         wrongly find itself selected.
         """
-        is_chosen = self._has_store and self._host_id in choose_watchers(
-            self._members_by_id, self._data_centre, self._watcher_count
+        is_chosen = (
+            self._has_store
+            and self._host_id
+            in watchers.choose_watchers(
+                self._members_by_id, self._data_centre, self._watcher_count
+            )
         )
         if is_chosen:
             if not self._is_watching and self._watch_at is None:
@@ -469,27 +494,3 @@
             if advertised > epoch
         }
         self._effects.append(Apply(epoch=epoch, preset=preset))
-
-
-def choose_watchers(
-    members_by_id: dict[str, membership.Member],
-    data_centre: str,
-    count: int = 2,
-) -> frozenset[str]:
-    """Selects the nodes that watch the store on behalf of a data centre.
-
-    Args:
-      members_by_id: All members in this node's view by host id.
-      data_centre: Data centre to select from.
-      count: Maximum number of nodes to select.
-
-    Returns:
-      Host ids of the selected nodes.
-    """
-    members = choice.select_by_hash(
-        members_by_id,
-        data_centre,
-        purpose="watch",
-        count=count,
-    )
-    return frozenset(member.host_id for member in members)
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -13,6 +13,7 @@
 from bergamotdeal.presets import in_force
 from bergamotdeal.presets import model
 from bergamotdeal.presets import sections
+from bergamotdeal.presets import watchers
 
 WATCHER_COUNT = 2
 
@@ -282,11 +283,11 @@
 def test_two_nodes_per_data_centre_watch_the_store():
     host_ids = [f"host-{n}" for n in range(20)]
     known = make_members(*host_ids)
-    chosen = follower.choose_watchers(known, "odori")
+    chosen = watchers.choose_watchers(known, "odori")
     assert len(chosen) == WATCHER_COUNT
     gone = sorted(chosen)[0]
     known.update(make_members(gone, state=membership.MemberState.SUSPECT))
-    assert len(follower.choose_watchers(known, "odori") & chosen) == 1
+    assert len(watchers.choose_watchers(known, "odori") & chosen) == 1
     started = 0
     for host_id in host_ids:
         event = follower.MembershipUpdated(
--- a/bergamotdeal/store/core.py
+++ b/bergamotdeal/store/core.py
@@ -7,6 +7,8 @@
 import result
 from twisted.internet import defer
 
+from bergamotdeal.store import eras
+
 NO_VERSION = 0
 """Version that stands for an object that does not exist."""
 
@@ -52,7 +54,8 @@
 
     Attributes:
       key: Key of the object.
-      version: Version of the object, increased by each write.
+      version: Version of the object, increased by each write and when the
+        store begins a new era; see the eras module.
       value: Content of the object.
     """
 
@@ -82,7 +85,13 @@
 
 
 class Store(typing.Protocol):
-    """The object API; calls are metered, and a watch counts as one call."""
+    """The object API; calls are metered, and a watch counts as one call.
+
+    Attributes:
+      eras: Tracker of the store's era.
+    """
+
+    eras: eras.EraTracker
 
     def get(self, key: str) -> DeferredResult[StoredObject]:
         """Reads an object."""
--- a/bergamotdeal/store/http.py
+++ b/bergamotdeal/store/http.py
@@ -15,6 +15,7 @@
 
 from bergamotdeal.settings import model as settings
 from bergamotdeal.store import core
+from bergamotdeal.store import eras
 from bergamotdeal.store import http_calls
 
 WATCH_GRACE_S = 3.0
@@ -22,6 +23,7 @@
 
 _VERSION_HEADER = "Object-Version"
 _EXPECTED_VERSION_HEADER = "Expected-Version"
+_ERA_HEADER = "Object-Store-Era"
 
 FailureKind = core.FailureKind
 
@@ -57,11 +59,14 @@
         self._headers_by_name = {}
         if settings.token:
             self._headers_by_name["Authorization"] = f"Bearer {settings.token}"
+        self.eras = eras.EraTracker()
         self._client = http_calls.HttpClient(
             reactor=reactor,
             calls_per_minute=settings.calls_per_minute,
             on_call=on_call,
             clock=clock,
+            era_header=_ERA_HEADER,
+            era_tracker=self.eras,
         )
 
     def close(self) -> defer.Deferred:
@@ -79,13 +84,23 @@
         self, key: str, value: bytes, *, expected_version: int
     ) -> core.DeferredResult[int]:
         """Writes an object if it still has the expected version."""
+        if self.eras.is_outdated(expected_version):
+            return defer.succeed(http_calls.build_conflict())
+        revision = eras.get_revision(expected_version)
         pending_response = self._call(
             "PUT",
             f"/objects/{_quote(key)}",
             body=value,
-            headers_by_name={_EXPECTED_VERSION_HEADER: str(expected_version)},
+            headers_by_name={_EXPECTED_VERSION_HEADER: str(revision)},
+        )
+        pending_response.addCallback(_map_ok(_parse_version))
+        return pending_response.addCallback(
+            _map_ok(
+                lambda version: http_calls.check_write_era(
+                    version, expected_version
+                )
+            )
         )
-        return pending_response.addCallback(_map_ok(_parse_version))
 
     def list(self, prefix: str) -> core.DeferredResult[list[core.ListingEntry]]:
         """Lists the objects whose keys start with a prefix."""
@@ -97,8 +112,11 @@
         self, key: str, *, after_version: int, timeout_s: float
     ) -> core.DeferredResult[core.StoredObject | None]:
         """Waits by long poll until an object has a newer version."""
+        after = 0
+        if not self.eras.is_outdated(after_version):
+            after = eras.get_revision(after_version)
         query = urllib.parse.urlencode(
-            {"after": after_version, "timeout": f"{timeout_s:g}"}
+            {"after": after, "timeout": f"{timeout_s:g}"}
         )
         pending_response = self._call(
             "GET",
@@ -152,7 +170,7 @@
         return _invalid_response(
             "no valid version in the Object-Version header of the answer"
         )
-    return result.Ok(int(values[0]))
+    return result.Ok(eras.combine(response.era, int(values[0])))
 
 
 def _parse_object(
@@ -182,7 +200,10 @@
         return _invalid_response(str(error))
     return result.Ok(
         [
-            core.ListingEntry(key=entry.key, version=entry.version)
+            core.ListingEntry(
+                key=entry.key,
+                version=eras.combine(response.era, entry.version),
+            )
             for entry in listing.objects
         ]
     )
--- a/bergamotdeal/store/http_calls.py
+++ b/bergamotdeal/store/http_calls.py
@@ -18,6 +18,7 @@
 
 from bergamotdeal.store import budget
 from bergamotdeal.store import core
+from bergamotdeal.store import eras
 from bergamotdeal.utils import transport
 
 CALL_TIMEOUT_S = 2.0
@@ -34,6 +35,7 @@
     status: int
     headers: http_headers.Headers
     body: bytes
+    era: int = eras.NO_ERA
 
 
 class _BodyReader(protocol.Protocol):
@@ -103,6 +105,8 @@
         in one burst.
       on_call: Called once per request that is sent.
       clock: Returns monotonic seconds.
+      era_header: Header that names the store's era, or empty for none.
+      era_tracker: Tracker of the store's era.
     """
 
     def __init__(
@@ -112,8 +116,12 @@
         calls_per_minute: int,
         on_call: Callable[[], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
+        era_header: str = "",
+        era_tracker: eras.EraTracker | None = None,
     ) -> None:
         self._reactor = reactor
+        self._era_header = era_header
+        self._eras = era_tracker or eras.EraTracker()
         self._on_call = on_call
         self._clock = clock
         self._rate_limiter = budget.CallRateLimiter(
@@ -171,13 +179,70 @@
         pending_response.addTimeout(timeout_s, self._reactor)
         is_write = method != "GET"
         pending_response.addCallbacks(
-            lambda response: _check_status(response, is_write=is_write),
+            lambda response: self._check_era(response, is_write=is_write),
             lambda error: result.Err(
                 _request_failure(error, is_write=is_write)
             ),
         )
         return pending_response
 
+    def _check_era(
+        self, response: HttpResponse, *, is_write: bool
+    ) -> result.Result[HttpResponse, core.Failure]:
+        """Checks era and status of an answer; an older era changes nothing."""
+        if not self._era_header:
+            return _check_status(response, is_write=is_write)
+        values = response.headers.getRawHeaders(self._era_header, [])
+        if not values or not values[0].isdigit():
+            return _check_status(response, is_write=is_write)
+        era = int(values[0])
+        if not self._eras.observe(era):
+            return result.Err(
+                core.Failure(
+                    kind=FailureKind.UNAVAILABLE,
+                    detail=(
+                        f"the answer is of era {era} of the store, which is "
+                        f"in era {self._eras.newest}"
+                    ),
+                    may_have_applied=is_write,
+                )
+            )
+        return _check_status(response._replace(era=era), is_write=is_write)
+
+
+def build_conflict() -> result.Err[core.Failure]:
+    """Returns the failure of a write that expects a version of an old era."""
+    return result.Err(
+        core.Failure(
+            kind=FailureKind.CONFLICT,
+            detail="the store was restored from a copy since the read",
+        )
+    )
+
+
+def check_write_era(
+    version: int, expected_version: int
+) -> result.Result[int, core.Failure]:
+    """Returns the version of a write unless the store was restored meanwhile.
+
+    The revision that the write expected may have been given out again.
+
+    Args:
+      version: Version that the write created.
+      expected_version: Version that the write expected, or zero.
+    """
+    if not expected_version or (
+        eras.get_era(version) == eras.get_era(expected_version)
+    ):
+        return result.Ok(version)
+    return result.Err(
+        core.Failure(
+            kind=FailureKind.UNAVAILABLE,
+            detail="the store was restored from a copy during the write",
+            may_have_applied=True,
+        )
+    )
+
 
 def _read_response(response) -> defer.Deferred:
     done: defer.Deferred[bytes] = defer.Deferred(
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -57,6 +57,7 @@
     STORE_AVAILABLE = 801
     REGISTRY_FAILED = 802
     STORE_OBJECT_REJECTED = 803
+    STORE_RESTORED = 804
 
     # 900 node
     NODE_STARTED = 900
@@ -124,6 +125,7 @@
     EventCode.STORE_OBJECT_REJECTED: (
         "object in the store can't be read: {reason}"
     ),
+    EventCode.STORE_RESTORED: "store restored from a copy, era {era}",
     EventCode.NODE_STARTED: "node {host} started, incarnation {incarnation}",
     EventCode.NODE_READY: "node ready",
     EventCode.DRAIN_STARTED: "drain started",
--- a/bergamotdeal/wire/gossip.capnp
+++ b/bergamotdeal/wire/gossip.capnp
@@ -61,6 +61,8 @@
     ack @7 :Void;
     spread @8 :Void;
   }
+  # Zero unless the store was restored from a copy.
+  storeEra @9 :UInt64;
 }
 
 struct KnownMember {
--- a/bergamotdeal/wire/gossip.py
+++ b/bergamotdeal/wire/gossip.py
@@ -52,6 +52,7 @@
     builder = _SCHEMA.Datagram.new_message()
     _build_member(builder.init("sender"), datagram.sender)
     builder.epoch = datagram.epoch
+    builder.storeEra = datagram.store_era
     match datagram.body:
         case messages.Ping(number=number, host_id=host_id):
             builder.ping = None
@@ -122,6 +123,7 @@
         epoch=reader.epoch,
         body=body,
         rumours=tuple(_read_rumour(item) for item in reader.rumours),
+        store_era=reader.storeEra,
     )
 
 
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -9,6 +9,7 @@
 from bergamotdeal.membership import gossip
 from bergamotdeal.membership import messages
 from bergamotdeal.membership import rumours
+from bergamotdeal.membership import timing as timings
 
 LATENCY_S = 0.001
 
@@ -45,7 +46,7 @@
         *,
         seed: int = 1,
         size: int,
-        timing: gossip.Timing = gossip.DEFAULT_TIMING,
+        timing: timings.Timing = timings.DEFAULT_TIMING,
         datagram_bytes: Callable = rumours.estimate_datagram_bytes,
         bulk_bytes: Callable = lambda _: 0,
         data_centres: tuple[str, ...] = ("odori",),
