Bound bytes without end, spend less time on membership changes

Start of a process takes 0.5 s, 0.05 s of it in the site module; each change of the membership view costs 0.8 ms with 196 members, up to 50 times a second while the fleet starts. What an HTTP message has beside its body is bounded on both sides, a connection skips at most eight late answers, and a peer that has not proved the key may send frames of 4 KiB. At most four tokens of the retry budget are reserved for runs that have progressed, since a larger part refused first calls for seconds after a start.

--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -79,6 +79,11 @@
         """Whether eviction is suspended because of mass suspicion."""
         return self._eviction_policy.is_frozen
 
+    @property
+    def member_count(self) -> int:
+        """Number of known members, including this node."""
+        return len(self._replica.view)
+
     def members_by_id(self) -> dict[str, core.Member]:
         """Returns every known member with its state in this node's view."""
         return self._replica.view.members_by_id()
--- a/bergamotdeal/membership/rumours.py
+++ b/bergamotdeal/membership/rumours.py
@@ -20,6 +20,14 @@
 """Transmissions that a rumour received again counts for: the sender's partners
 are likely to know it as well (feedback, Demers et al., 1987, section 1.4)."""
 
+_LONG_QUEUE = 32
+"""Rumours above which the byte rate, and not the interval of the rounds, bounds
+how fast they spread, as when the whole fleet starts."""
+
+_TRANSMISSIONS_PER_DUPLICATE_IN_LONG_QUEUE = 3
+"""The same for a long queue. Members that this misses learn of the changes by
+the syncs, which are frequent while many entries differ."""
+
 _TRANSMISSIONS_PER_LOG = 2
 _TRANSMISSIONS_BASE = 6
 _WORD_BYTES = 8
@@ -181,8 +189,13 @@
           rumour: Rumour received again.
         """
         queued = self._queued_by_subject.get(_get_subject(rumour))
-        if queued is not None and queued.rumour == rumour:
-            queued.transmissions += _TRANSMISSIONS_PER_DUPLICATE
+        if queued is None or queued.rumour != rumour:
+            return
+        queued.transmissions += (
+            _TRANSMISSIONS_PER_DUPLICATE_IN_LONG_QUEUE
+            if len(self._queued_by_subject) > _LONG_QUEUE
+            else _TRANSMISSIONS_PER_DUPLICATE
+        )
 
     def add_header_change(self) -> None:
         """Makes datagrams be sent that advertise a new epoch or store era."""
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -16,6 +16,7 @@
 
 from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
+from bergamotdeal.utils import framing
 from bergamotdeal.utils import headers as header_names
 from bergamotdeal.utils import transport
 
@@ -142,6 +143,7 @@
         self._body_parts: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._request_bytes = 0
         self._is_reading_head = True
 
     @property
@@ -173,6 +175,7 @@
         if self._ignores_input:
             return
         self._last_activity_at = self.factory.seconds()
+        self._request_bytes += len(data)
         if self._is_reading_head:
             self._head_bytes += len(data)
         try:
@@ -186,6 +189,10 @@
             return
         if self._is_reading_head and self._head_bytes > calls.MAX_HEADER_BYTES:
             self.reject_request(errors.ErrorKind.HEADERS_TOO_LARGE)
+        elif not self._is_reading_head and framing.exceeds_limit(
+            self._request_bytes, self._body_bytes
+        ):
+            self.reject_request(errors.ErrorKind.MALFORMED_REQUEST)
 
     def connectionLost(
         self, reason: twisted_failure.Failure = protocol.connectionDone
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -20,6 +20,10 @@
 from bergamotdeal.wire import gossip as codec
 
 PUBLISH_DELAY_S = 0.02
+PUBLISH_DELAY_PER_MEMBER_S = 0.0005
+"""Each event copies all members and rebuilds tables over them. With this delay
+a change of the whole fleet takes a hundredth of a core at any fleet size."""
+
 _MS_PER_S = 1000
 _MAX_UINT32 = 2**32 - 1
 
@@ -289,8 +293,11 @@
         if has_changed and self._publish_timer is None:
             # Each event copies all members, so changes close together are
             # published as one.
+            delay_s = PUBLISH_DELAY_S + (
+                PUBLISH_DELAY_PER_MEMBER_S * self._gossip.member_count
+            )
             self._publish_timer = self._reactor.callLater(
-                PUBLISH_DELAY_S, self._publish
+                delay_s, self._publish
             )
 
     def _publish(self) -> None:
--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -23,6 +23,9 @@
 
 MAX_UNANSWERED_PINGS = 2
 HANDSHAKE_TIMEOUT_S = 2.0
+MAX_HANDSHAKE_FRAME_BYTES = 4096
+"""Maximum frame of a peer that has not proved the key."""
+
 INCOMING_TIMEOUT_S = IDLE_PING_INTERVAL_S * (MAX_UNANSWERED_PINGS + 1)
 
 
@@ -56,7 +59,7 @@
       on_closed: Called once when the link is closed.
     """
 
-    MAX_LENGTH = codec.MAX_FRAME_BYTES
+    MAX_LENGTH = MAX_HANDSHAKE_FRAME_BYTES
 
     def __init__(
         self,
@@ -244,6 +247,7 @@
             self.close("invalid proof of the shared key")
             return
         self.state = LinkState.OPEN
+        self.MAX_LENGTH = codec.MAX_FRAME_BYTES
         if _crosses_data_centres(self._hello, self.peer_hello):
             self._compressor = compression.FrameCompressor()
             self._decompressor = compression.FrameDecompressor()
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -17,10 +17,14 @@
 from bergamotdeal.calls import messages
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import http_server
+from bergamotdeal.utils import framing
 from bergamotdeal.utils import headers as header_names
 from bergamotdeal.utils import transport
 
 _MAX_ANSWER_HEADERS = 500
+_MAX_LATE_ANSWERS = 8
+"""Answers to earlier requests that are skipped before the connection closes."""
+
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
 
@@ -59,6 +63,7 @@
         self._on_closed = on_closed
         self._post = post
         self._parser: httptools.HttpResponseParser | None = None
+        self._late_answers = 0
         self._reset_answer()
         self._is_reusable = True
         self._parse_failure_kind = messages.RunFailure.LOST
@@ -90,6 +95,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_reusable = True
         self._parse_failure_kind = messages.RunFailure.LOST
+        self._late_answers = 0
         self._reset_answer()
         request = self._dialect.render_request(run, server_id)
         transport.write_now(self.transport, request)
@@ -98,6 +104,7 @@
         self._headers: calls.Headers = []
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
+        self._received_bytes = 0
         self._is_head_complete = False
         self._is_answer_complete = False
         self._is_close_delimited = False
@@ -132,6 +139,7 @@
             # Unsolicited bytes would be taken for the answer to the next run.
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -143,6 +151,8 @@
             self._is_reusable = False
         if self._is_answer_complete:
             self._finish_run()
+        elif framing.exceeds_limit(self._received_bytes, self._body_bytes):
+            self.fail_run(messages.RunFailure.TOO_LARGE)
 
     def connectionLost(
         self, reason: twisted_failure.Failure = protocol.connectionDone
@@ -178,6 +188,11 @@
         if not isinstance(self._answer_class, dialects.Mismatched):
             raise ValueError("bytes after the answer")
         # The answer so far was a late one to an earlier request.
+        self._late_answers += 1
+        if self._late_answers > _MAX_LATE_ANSWERS:
+            self._answer_class = None
+            self._is_answer_complete = False
+            raise ValueError("too many answers to earlier requests")
         self._reset_answer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/bergamotdeal/retries/server_budget.py
+++ b/bergamotdeal/retries/server_budget.py
@@ -34,6 +34,10 @@
 _RESERVED_SHARE = 0.5
 """Part of the bucket that the first call of a run may not use."""
 
+_MAX_RESERVED_TOKENS = 4.0
+"""Maximum of the tokens that it may not use; a large bucket would otherwise refuse first calls
+for seconds after it was empty."""
+
 _ROUNDING_TOLERANCE = 1e-6
 """Tolerance in tokens for rounding errors in sums of fractions."""
 
@@ -58,8 +62,10 @@
     reserved_fraction = max(
         0.0, 1.0 - prior_calls / _PRIOR_CALLS_FOR_LAST_TOKEN
     )
-    reservable_tokens = max(0.0, capacity - 1.0)
-    return 1.0 + _RESERVED_SHARE * reserved_fraction * reservable_tokens
+    reserved_tokens = min(
+        _MAX_RESERVED_TOKENS, _RESERVED_SHARE * max(0.0, capacity - 1.0)
+    )
+    return 1.0 + reserved_fraction * reserved_tokens
 
 
 class ServerRetryBudget:
