--- a/bergamotdeal/retries/server_budget.py
+++ b/bergamotdeal/retries/server_budget.py
@@ -35,8 +35,8 @@
 """Part of the bucket that the first call of a run may not use."""
 
 _MAX_RESERVED_TOKENS = 4.0
-"""Maximum of the tokens that it may not use; a large bucket would otherwise refuse first calls
-for seconds after it was empty."""
+"""Maximum of the tokens that it may not use; a large bucket would otherwise
+refuse first calls for seconds after it was empty."""
 
 _ROUNDING_TOLERANCE = 1e-6
 """Tolerance in tokens for rounding errors in sums of fractions."""
