--- a/tests/matrix/page.py
+++ b/tests/matrix/page.py
@@ -102,6 +102,12 @@
   `tests/integration/test_fleet_presets.py`.
 - Nodes killed, restarted and paused, a planned stop, joining with and without
   the store: `tests/integration/test_fleet_membership.py`.
+- The store back from a copy some seconds old, once and twice in a row, with its
+  counter behind or beyond the watched revision: `test_store_restore.py` in the
+  tests of the platform.
+- Bytes without end in place of an answer, fifty at a time:
+  `test_endless_answers.py` there; at each border of a node, without network:
+  `bergamotdeal/node/tests/test_endless_input.py`.
 """
 
 
