--- a/bergamotdeal/node/tests/test_registry.py
+++ b/bergamotdeal/node/tests/test_registry.py
@@ -202,3 +202,26 @@
     harness.task.stop()
     harness.run(30)
     assert len(harness.store.calls) == calls
+
+
+# The store comes back from a copy some seconds old.
+
+
+def test_entry_that_a_restore_lost_is_written_again_within_two_seconds():
+    harness = Harness()
+    harness.task.start()
+    harness.run(10)
+    harness.store.objects_by_key.clear()
+    harness.task.handle_store_restored()
+    harness.run(2.2)
+    assert registry.build_key(OWN) in harness.store.objects_by_key
+
+
+def test_restore_costs_no_call_of_a_node_whose_entry_is_old():
+    harness = Harness()
+    harness.task.start()
+    harness.run(10 + registry_task.RESTORE_DEPTH_S)
+    calls = len(harness.store.calls)
+    harness.task.handle_store_restored()
+    harness.run(2.2)
+    assert len(harness.store.calls) == calls
