Take a watched object anew after each failed watch, also on our own protocol

Cause: on the product's own store protocol a watch that was cut by a restore went on from the lost version and waited for a higher one. The stand-in of the store now tells its era and can come back from a copy. Change: the watch starts over after a failure and reports each version once; a version counts as outdated if its era is lower than the newest known. Conclusion: both protocols follow a restore.

--- a/bergamotdeal/node/store_watch.py
+++ b/bergamotdeal/node/store_watch.py
@@ -47,6 +47,7 @@
         self._rng = rng
         self._backoff = backoff.ExponentialBackoff(rng=rng, max_s=max_backoff_s)
         self._last_version = core.NO_VERSION
+        self._watched_version = core.NO_VERSION
         self._pending = None
         self._next_watch_timer = None
         self._running = False
@@ -82,7 +83,7 @@
     def _send_watch(self) -> None:
         pending = self._store.watch(
             self._key,
-            after_version=self._last_version,
+            after_version=self._watched_version,
             timeout_s=WATCH_TIMEOUT_S,
         )
         self._pending = pending
@@ -108,8 +109,10 @@
             self._failure_detail = None
             self._on_availability_change(None)
         if stored is not None:
-            self._last_version = stored.version
-            self._on_change(stored)
+            self._watched_version = stored.version
+            if stored.version != self._last_version:
+                self._last_version = stored.version
+                self._on_change(stored)
         if self._running:
             # Yields to the reactor, in case the store answers every watch at
             # once.
@@ -118,6 +121,9 @@
             )
 
     def _handle_failure(self, failure: core.Failure) -> None:
+        # The store may have been restored from a copy, in which the object has
+        # a lower version; the next watch returns it whatever it is.
+        self._watched_version = core.NO_VERSION
         if self._failure_detail is None:
             self._failure_detail = failure.detail
             self._on_availability_change(failure.detail)
--- a/bergamotdeal/node/tests/test_store_watch.py
+++ b/bergamotdeal/node/tests/test_store_watch.py
@@ -11,6 +11,7 @@
 from bergamotdeal.node import store_watch
 from bergamotdeal.settings import model as settings
 from bergamotdeal.store import core
+from bergamotdeal.store import eras
 from bergamotdeal.store import http
 from standins import store as standin
 
@@ -49,7 +50,8 @@
 
     def put_value(self, value, version):
         results = []
-        pending = self.client.put(KEY, value, expected_version=version)
+        expected = version and eras.combine(self.store.era, version)
+        pending = self.client.put(KEY, value, expected_version=expected)
         pending.addBoth(results.append)
         wait_until(lambda: bool(results))
         return results[0].unwrap()
@@ -93,6 +95,21 @@
     wait_until(lambda: harness.values == [b"0", b"1"])
 
 
+@pytest.mark.parametrize("restores", [1, 2])
+def test_value_written_after_a_restore_is_reported(harness, restores):
+    """The copy has version 1; version 2 is lost and given out again."""
+    harness.put_value(b"0", 0)
+    harness.store.control({"save_copy": True})
+    harness.put_value(b"lost", 1)
+    wait_until(lambda: harness.values[-1:] == [b"lost"])
+    harness.wait_until_watching()
+    for _ in range(restores):
+        harness.store.control({"restore": True})
+    harness.wait_until_watching()
+    harness.put_value(b"new", 1)
+    wait_until(lambda: harness.values[-1:] == [b"new"])
+
+
 def test_outage_reports_start_and_end_once(harness):
     harness.store.control({"down": True})
     wait_until(lambda: harness.store.counts_by_operation["watch"] >= 4)
--- a/bergamotdeal/store/eras.py
+++ b/bergamotdeal/store/eras.py
@@ -51,7 +51,7 @@
         Args:
           version: A version; zero stands for none.
         """
-        return version != 0 and get_era(version) != self.newest
+        return version != 0 and get_era(version) < self.newest
 
     def observe(self, era: int) -> bool:
         """Records the era of an answer or the one that another node told.
--- a/bergamotdeal/store/tests/test_http.py
+++ b/bergamotdeal/store/tests/test_http.py
@@ -9,6 +9,7 @@
 
 from bergamotdeal.settings import model as settings
 from bergamotdeal.store import core
+from bergamotdeal.store import eras
 from bergamotdeal.store import http
 from standins import store as standin
 
@@ -68,13 +69,16 @@
     client = store_server.client()
     assert failure_kind(wait(client.get("presets/a"))) is Kind.NOT_FOUND
     put = client.put
-    assert wait(put("presets/a", b"1", expected_version=0)) == result.Ok(1)
-    assert wait(put("presets/a", b"2", expected_version=1)) == result.Ok(2)
-    again = wait(put("presets/a", b"3", expected_version=1))
+    first, second = (eras.combine(store_server.era, n) for n in (1, 2))
+    written = wait(put("presets/a", b"1", expected_version=0))
+    assert written == result.Ok(first)
+    written = wait(put("presets/a", b"2", expected_version=first))
+    assert written == result.Ok(second)
+    again = wait(put("presets/a", b"3", expected_version=first))
     assert failure_kind(again) is Kind.CONFLICT
     assert not again.unwrap_err().may_have_applied
     stored = wait(client.get("presets/a")).unwrap()
-    assert (stored.version, stored.value) == (2, b"2")
+    assert (stored.version, stored.value) == (second, b"2")
 
 
 def test_list_returns_only_keys_with_the_prefix(store_server):
@@ -93,7 +97,7 @@
     wait(client.put("k", b"v", expected_version=0)).unwrap()
     assert wait(waiting).unwrap().value == b"v"
     immediate = wait(client.watch("k", after_version=0, timeout_s=30))
-    assert immediate.unwrap().version == 1
+    assert immediate.unwrap().version == eras.combine(store_server.era, 1)
 
 
 def test_watch_closed_by_the_store_fails_as_unavailable(store_server):
@@ -185,3 +189,18 @@
     section = settings.StoreSection(address="127.0.0.1", port=1)
     client = http.HttpStore(settings=section, reactor=reactor)
     assert failure_kind(wait(client.get("k"))) is Kind.UNAVAILABLE
+
+
+def test_write_that_expects_a_version_of_an_earlier_era_conflicts(store_server):
+    """After a restore, version 1 was given out again."""
+    client = store_server.client()
+    store_server.control({"save_copy": True})
+    first = wait(client.put("k", b"mine", expected_version=0)).unwrap()
+    store_server.control({"restore": True})
+    other = store_server.client()
+    again = wait(other.put("k", b"other", expected_version=0)).unwrap()
+    assert eras.get_revision(again) == eras.get_revision(first)
+    assert wait(client.get("k")).unwrap().version == again
+    written = wait(client.put("k", b"mine again", expected_version=first))
+    assert failure_kind(written) is Kind.CONFLICT
+    assert wait(client.get("k")).unwrap().value == b"other"
--- a/standins/store.py
+++ b/standins/store.py
@@ -33,6 +33,8 @@
       drop_watches: Whether to reset the open watches; cleared once done.
       mute_watches: Whether open watches are not answered on a write.
       calls_per_s: Maximum number of calls per second, or zero for no limit.
+      save_copy: Whether to keep a copy of the objects; cleared once done.
+      restore: Whether to go back to that copy, in a new era; cleared once done.
     """
 
     down: bool = False
@@ -43,6 +45,8 @@
     drop_watches: bool = False
     mute_watches: bool = False
     calls_per_s: int = 0
+    save_copy: bool = False
+    restore: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -72,13 +76,16 @@
       counts_by_operation: Number of calls, by operation.
       puts_by_key: Number of received writes, by key.
       writes_by_key: Number of applied writes, by key.
+      era: Number of the era, raised by each restore.
     """
 
     def __init__(self, *, reactor, token: str = "") -> None:
         self._reactor = reactor
         self._token = token
         self._values_by_key: dict[str, tuple[int, bytes]] = {}
+        self._copied_values_by_key: dict[str, tuple[int, bytes]] = {}
         self._watches_by_key: dict[str, list[Watch]] = {}
+        self.era = 1
         self._second = 0
         self._calls_in_second = 0
         self.behaviour = Behaviour()
@@ -92,6 +99,14 @@
         if self.behaviour.drop_watches or self.behaviour.down:
             self.behaviour.drop_watches = False
             self._reset_watches()
+        if self.behaviour.save_copy:
+            self.behaviour.save_copy = False
+            self._copied_values_by_key = dict(self._values_by_key)
+        if self.behaviour.restore:
+            self.behaviour.restore = False
+            self._values_by_key = dict(self._copied_values_by_key)
+            self.era += 1
+            self._reset_watches()
 
     def report(self) -> dict:
         """Returns the counts, the versions and the behaviour."""
@@ -150,6 +165,7 @@
             if request.channel is None:
                 return  # The caller has disconnected.
             request.setResponseCode(int(status))
+            request.setHeader("Object-Store-Era", str(self.era))
             if version is not None:
                 request.setHeader("Object-Version", str(version))
             request.setHeader("Content-Length", str(len(body)))
