Count contact attempts of two polls that overlap

Cause: a poll after a restore may start while another one reads entries; the count of an attempt then failed with a missing key. Found by reading. Change: the count starts at zero for an entry that is not listed.

--- a/bergamotdeal/membership/registry.py
+++ b/bergamotdeal/membership/registry.py
@@ -152,4 +152,6 @@
           host_id: Id of the host.
           version: Version of its entry.
         """
-        self._attempts_by_entry[host_id, version] += 1
+        # Another poll may have listed in between, to which it is known.
+        key = (host_id, version)
+        self._attempts_by_entry[key] = self._attempts_by_entry.get(key, 0) + 1
