Log the rate limit that a backend server names

Cause: neither logs nor metrics can tell whether a node knows the limit of its backend server, keeps it by itself, or forgets it (the hypotheses of docs/incidents/2026-12-04-server-rate-limit-exceeded.md).

An answer without a limit lifts it only if its request was sent after the last answer with one had arrived, since answers on two connections may overtake one another. Nothing is admitted differently yet.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -20,6 +20,7 @@
 from bergamotdeal.retries import budget as retry_budget
 from bergamotdeal.retries import server_budget
 from bergamotdeal.routing import router as routing
+from bergamotdeal.telemetry import catalogue
 
 LOCAL_LINK_ID = -1
 """Link id of calls from this node to its own backend server."""
@@ -241,6 +242,12 @@
                 apply_decisions(self._server.handle_stop())
             case messages.ServerUnresponsive() | messages.ServerLeaving():
                 apply_decisions(self._server.suspend())
+            case messages.ServerRateLimited(rate_limit=rate_limit):
+                self._server.set_rate_limit(rate_limit)
+            case messages.ServerConditionRejected(reason=reason):
+                self._state.record_event(
+                    catalogue.EventCode.SERVER_CONDITION_REJECTED, reason=reason
+                )
             case messages.DrainStarted():
                 self._state.draining = True
                 self._state.is_entry_closed = not event.entry_open
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -9,7 +9,9 @@
 from bergamotdeal.presets import model
 from bergamotdeal.pricing import pressure
 from bergamotdeal.quarantine import register
+from bergamotdeal.telemetry import catalogue
 
+_CODES = catalogue.EventCode
 _MS_PER_S = 1000
 
 CRASH_DETECTION_S = 3.0
@@ -87,6 +89,19 @@
             state.emit(messages.ShareCrashReports(reports=reports))
         return self.suspend()
 
+    def set_rate_limit(self, rate_limit: float | None) -> None:
+        """Records the rate limit that the server sets.
+
+        Args:
+          rate_limit: Requests per second, or None for no limit.
+        """
+        if rate_limit is None:
+            self._state.record_event(_CODES.SERVER_RATE_LIMIT_LIFTED)
+        else:
+            self._state.record_event(
+                _CODES.SERVER_RATE_LIMITED, rate=rate_limit
+            )
+
     def apply_preset(self) -> list[admission.Decision]:
         """Applies the active preset."""
         preset = self._state.preset
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -166,6 +166,29 @@
     instance: str
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ServerRateLimited:
+    """Change of the rate limit that the local backend server sets.
+
+    Attributes:
+      rate_limit: Requests per second that the server accepts, or None for no
+        limit.
+    """
+
+    rate_limit: float | None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ServerConditionRejected:
+    """Malformed report of the local backend server about its condition.
+
+    Attributes:
+      reason: Why it was rejected.
+    """
+
+    reason: str
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class DrainStarted:
     """Start of the node's drain; calls of other nodes are refused.
@@ -227,6 +250,8 @@
     | ServerStopped
     | ServerUnresponsive
     | ServerLeaving
+    | ServerRateLimited
+    | ServerConditionRejected
     | DrainStarted
     | MembersChanged
     | PresetInForce
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -93,6 +93,21 @@
 AnswerClass = Complete | NotExecuted | Misdirected | Mismatched | Invalid
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerCondition:
+    """State that the backend server reports about itself with an answer.
+
+    Attributes:
+      rate_limit: Requests per second that the server accepts from all callers
+        together, or None for no limit.
+    """
+
+    rate_limit: float | None = None
+
+
+NORMAL_CONDITION = ServerCondition()
+
+
 class ServerDialect(typing.Protocol):
     """Translation of requests to the backend server and of its answers.
 
@@ -121,3 +136,15 @@
           status: HTTP status code.
           headers: All headers of the answer.
         """
+
+    def read_condition(
+        self, headers: calls.Headers
+    ) -> result.Result[ServerCondition, str]:
+        """Parses the server's condition from the headers of an answer.
+
+        Args:
+          headers: All headers of the answer.
+
+        Returns:
+          The condition, or what is wrong with a header.
+        """
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -9,6 +9,7 @@
 import math
 
 import httptools
+import result
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
@@ -27,6 +28,8 @@
 
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
+ReadCondition = result.Result[dialects.ServerCondition, str]
+
 
 class ServerConnection(protocol.Protocol):
     """Connection to the backend server that carries one run at a time.
@@ -42,6 +45,8 @@
       on_idle: Called when the connection can carry the next run.
       on_closed: Called once when the connection has closed.
       post: Accepts events for the call engine.
+      on_condition: Called with the id of the run and the condition that the
+        server reports with its answer, or what is wrong with the report.
       dialect: Headers that the server uses; the node's native dialect by
         default.
     """
@@ -52,6 +57,7 @@
         on_idle: Callable[["ServerConnection"], None],
         on_closed: Callable[["ServerConnection"], None],
         post: Callable[[messages.Event], None],
+        on_condition: Callable[[int, ReadCondition], None] | None = None,
         dialect: dialects.ServerDialect | None = None,
     ) -> None:
         self.run: messages.StartRun | None = None
@@ -62,6 +68,7 @@
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._post = post
+        self._on_condition = on_condition
         self._parser: httptools.HttpResponseParser | None = None
         self._late_answers = 0
         self._reset_answer()
@@ -268,6 +275,7 @@
         run = self.run
         self.run = None
         self.completed_runs += 1
+        self._report_condition(run)
         event = self._build_event(run)
         if self._is_reusable and not transport.has_unsent_data(self.transport):
             self.keep_alive_timeout_s = _parse_keep_alive_timeout(self._headers)
@@ -276,6 +284,14 @@
             self._close()
         self._post(event)
 
+    def _report_condition(self, run: messages.StartRun) -> None:
+        # Other answers come from another server or may be corrupted.
+        if self._on_condition is not None and isinstance(
+            self._answer_class, dialects.Complete | dialects.NotExecuted
+        ):
+            condition = self._dialect.read_condition(self._headers)
+            self._on_condition(run.run_id, condition)
+
     def _classify_answer(self) -> dialects.AnswerClass:
         status = self._parser.get_status_code()
         return self._dialect.classify_answer(self.run, status, self._headers)
@@ -338,6 +354,11 @@
             headers=header_names.select_end_to_end(headers)
         )
 
+    def read_condition(self, headers: calls.Headers) -> ReadCondition:
+        """Returns the normal condition, as native servers report none."""
+        del headers
+        return result.Ok(dialects.NORMAL_CONDITION)
+
 
 def render_request(
     run: messages.StartRun,
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable
 import dataclasses
 
+import result
 from twisted.internet import protocol
 from twisted.internet import task
 
 from bergamotdeal.calls import messages
 from bergamotdeal.node import dialect as dialects
+from bergamotdeal.node import server_condition
 from bergamotdeal.node import server_connection
 
 ANNOUNCEMENT_TIMEOUT_S = 5.0
@@ -58,10 +60,14 @@
 
     Attributes:
       connection: Connection that carries the run.
+      instance: Instance of the server that the run was sent to.
+      sent_at: Time when the run was sent, in monotonic seconds.
       deadline: Time at which the run times out, in monotonic seconds.
     """
 
     connection: server_connection.ServerConnection
+    instance: str
+    sent_at: float
     deadline: float
 
 
@@ -135,6 +141,7 @@
         self._announcement_timeout_s = announcement_timeout_s
         self._leaving_instance: str | None = None
         self._announcement: Announcement | None = None
+        self._condition = server_condition.ServerConditionTracker()
         self._last_announced_at = 0.0
         self._is_silent = True
         self._idle_connections: list[server_connection.ServerConnection] = []
@@ -177,6 +184,7 @@
         self._last_announced_at = self._reactor.seconds()
         if previous is not None and _has_restarted(previous, announcement):
             self._report_server_stopped()
+            self._reset_condition()
         # An unchanged announcement isn't passed on, to save the engine work.
         if previous != announcement or self._is_silent:
             self._is_silent = False
@@ -245,9 +253,12 @@
         connection: server_connection.ServerConnection,
         run: messages.StartRun,
     ) -> None:
-        deadline = self._reactor.seconds() + run.deadline_ms / 1000
+        now = self._reactor.seconds()
         self._active_runs_by_id[run.run_id] = _ActiveRun(
-            connection=connection, deadline=deadline
+            connection=connection,
+            instance=self._announcement.instance,
+            sent_at=now,
+            deadline=now + run.deadline_ms / 1000,
         )
         connection.send_request(run, self._announcement.server_id)
 
@@ -265,6 +276,7 @@
             on_idle=self._handle_connection_idle,
             on_closed=self._handle_connection_closed,
             post=self._post_run_event,
+            on_condition=self._handle_condition,
             dialect=self._dialect,
         )
         self._reactor.connectTCP(
@@ -311,6 +323,36 @@
         if self._queued_runs:
             self._connect_if_needed()
 
+    def _handle_condition(
+        self, run_id: int, reported: server_connection.ReadCondition
+    ) -> None:
+        active_run = self._active_runs_by_id.get(run_id)
+        if active_run is None:
+            return
+        if active_run.instance != self._announcement.instance:
+            return
+        match reported:
+            case result.Ok(condition):
+                before = self._condition.rate_limit
+                self._condition.record(
+                    condition,
+                    sent_at=active_run.sent_at,
+                    now=self._reactor.seconds(),
+                )
+                self._post_rate_limit_change(before)
+            case result.Err(reason):
+                self._post(messages.ServerConditionRejected(reason=reason))
+
+    def _reset_condition(self) -> None:
+        before = self._condition.rate_limit
+        self._condition = server_condition.ServerConditionTracker()
+        self._post_rate_limit_change(before)
+
+    def _post_rate_limit_change(self, before: float | None) -> None:
+        rate_limit = self._condition.rate_limit
+        if rate_limit != before:
+            self._post(messages.ServerRateLimited(rate_limit=rate_limit))
+
     def _post_run_event(self, event: messages.Event) -> None:
         self._active_runs_by_id.pop(event.run_id, None)
         match event:
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -1,12 +1,15 @@
 """Tests of the connection pool under timeouts, restarts and silence."""
 
 import pytest
+import result
 from twisted.internet import error
 from twisted.internet import testing
 from twisted.python import failure
 
 from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
+from bergamotdeal.node import dialect as dialects
+from bergamotdeal.node import server_connection
 from bergamotdeal.node import server_link
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -37,11 +40,11 @@
 
 
 class Harness:
-    def __init__(self):
+    def __init__(self, dialect=None):
         self.reactor = testing.MemoryReactorClock()
         self.events = []
         self.pool = server_link.ServerConnectionPool(
-            reactor=self.reactor, post=self.events.append
+            reactor=self.reactor, post=self.events.append, dialect=dialect
         )
         self.pool.start()
         self.pool.handle_announcement(announcement())
@@ -223,3 +226,97 @@
     harness = Harness()
     harness.pool.handle_server_leaving("z")
     assert harness.events == []
+
+
+class RateLimitDialect(server_connection.NativeDialect):
+    """Native dialect whose servers name a rate limit in a header."""
+
+    def read_condition(self, headers):
+        for name, value in headers:
+            if name == "rate-limit" and value.isdigit():
+                return result.Ok(
+                    dialects.ServerCondition(rate_limit=float(value))
+                )
+            if name == "rate-limit":
+                return result.Err(f"{value!r} is not a number")
+        return result.Ok(dialects.NORMAL_CONDITION)
+
+
+def build_answer(rate_limit=None):
+    header = b"" if rate_limit is None else b"Rate-Limit: %s\r\n" % rate_limit
+    return b"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok" % header
+
+
+def select_rate_limits(harness):
+    return [
+        event.rate_limit
+        for event in harness.events
+        if isinstance(event, messages.ServerRateLimited)
+    ]
+
+
+def test_rate_limit_is_reported_before_the_answer_and_once():
+    harness = Harness(dialect=RateLimitDialect())
+    harness.pool.start_run(start_run(1))
+    connection = harness.accept_connection()
+    connection.dataReceived(build_answer(b"21"))
+    assert harness.events[0] == messages.ServerRateLimited(rate_limit=21.0)
+    assert isinstance(harness.events[1], messages.RunAnswered)
+    harness.pool.start_run(start_run(2))
+    connection.dataReceived(build_answer(b"21"))
+    assert select_rate_limits(harness) == [21.0]
+
+
+def test_answer_to_an_overlapping_request_does_not_lift_the_rate_limit():
+    harness = Harness(dialect=RateLimitDialect())
+    connections = []
+    for run_id in (1, 2):
+        harness.pool.start_run(start_run(run_id))
+        connections.append(harness.accept_connection())
+    harness.reactor.advance(0.01)
+    connections[0].dataReceived(build_answer(b"21"))
+    connections[1].dataReceived(build_answer())
+    assert select_rate_limits(harness) == [21.0]
+    harness.reactor.advance(0.01)
+    harness.pool.start_run(start_run(3))
+    connections[1].dataReceived(build_answer())
+    assert select_rate_limits(harness) == [21.0, None]
+
+
+def test_malformed_rate_limit_is_reported_and_the_last_one_holds():
+    harness = Harness(dialect=RateLimitDialect())
+    harness.pool.start_run(start_run(1))
+    connection = harness.accept_connection()
+    connection.dataReceived(build_answer(b"21"))
+    harness.pool.start_run(start_run(2))
+    connection.dataReceived(build_answer(b"many"))
+    assert select_rate_limits(harness) == [21.0]
+    (rejected,) = [
+        event
+        for event in harness.events
+        if isinstance(event, messages.ServerConditionRejected)
+    ]
+    assert "many" in rejected.reason
+
+
+def test_rate_limit_ends_with_the_instance_but_not_with_its_connections():
+    harness = Harness(dialect=RateLimitDialect())
+    harness.pool.start_run(start_run(1))
+    connection = harness.accept_connection()
+    connection.dataReceived(build_answer(b"21"))
+    connection.connectionLost()
+    harness.pool.start_run(start_run(2))
+    harness.refuse_connection()
+    harness.pool.handle_announcement(announcement())
+    assert select_rate_limits(harness) == [21.0]
+    harness.pool.handle_announcement(announcement(instance="b"))
+    assert select_rate_limits(harness) == [21.0, None]
+
+
+def test_late_answer_of_an_earlier_instance_sets_no_rate_limit():
+    harness = Harness(dialect=RateLimitDialect())
+    harness.pool.start_run(start_run(1))
+    connection = harness.accept_connection()
+    harness.pool.handle_announcement(announcement(instance="b"))
+    connection.dataReceived(build_answer(b"21"))
+    assert select_rate_limits(harness) == []
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -70,6 +70,9 @@
     SETTINGS_RELOADED = 912
     SETTINGS_REJECTED = 913
     ANNOUNCEMENT_REJECTED = 914
+    SERVER_RATE_LIMITED = 915
+    SERVER_RATE_LIMIT_LIFTED = 916
+    SERVER_CONDITION_REJECTED = 917
     PEER_LINK_OPENED = 906
     PEER_LINK_CLOSED = 907
     PEER_REJECTED = 908
@@ -136,6 +139,15 @@
     EventCode.SETTINGS_RELOADED: "settings reloaded from {source}",
     EventCode.SETTINGS_REJECTED: "settings of {source} rejected: {reason}",
     EventCode.ANNOUNCEMENT_REJECTED: "announcement rejected: {reason}",
+    EventCode.SERVER_RATE_LIMITED: (
+        "backend server accepts {rate} requests per second"
+    ),
+    EventCode.SERVER_RATE_LIMIT_LIFTED: (
+        "backend server limits the request rate no longer"
+    ),
+    EventCode.SERVER_CONDITION_REJECTED: (
+        "condition of the backend server rejected: {reason}"
+    ),
     EventCode.PEER_LINK_OPENED: "link to {host} opened",
     EventCode.PEER_LINK_CLOSED: "link to {host} closed: {reason}",
     EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -32,6 +32,8 @@
     catalogue.EventCode.COST_REPORT_REJECTED: WARNING,
     catalogue.EventCode.SETTINGS_REJECTED: WARNING,
     catalogue.EventCode.ANNOUNCEMENT_REJECTED: WARNING,
+    catalogue.EventCode.SERVER_RATE_LIMITED: WARNING,
+    catalogue.EventCode.SERVER_CONDITION_REJECTED: WARNING,
     catalogue.EventCode.CALL_SHED: INFO,
     catalogue.EventCode.CALL_RETRIED: INFO,
     catalogue.EventCode.CALL_REFUSED: INFO,
