--- /dev/null
+++ b/bergamotdeal/calls/tests/test_server_rate_limit.py
@@ -0,0 +1,112 @@
+"""Load of many hosts on a server that names a rate limit in its answers."""
+
+import heapq
+import itertools
+
+import pytest
+
+from bergamotdeal.calls import core
+from bergamotdeal.calls import messages
+from bergamotdeal.calls.tests import test_host_routes
+
+HOSTS = 16
+RUN_S = 0.06
+LIMIT = 21.0
+WINDOW_S = 4.0
+SETTLE_S = 3.0
+"""Time after which the users count the requests of a limited server."""
+
+MAX_REQUESTS = 1.5 * LIMIT * WINDOW_S + 5
+
+
+class Server:
+    """Node and backend server that other hosts call at a constant rate."""
+
+    def __init__(self, *, calls_per_s):
+        self.node = test_host_routes.Node()
+        self.started_at = []
+        self.errors = []
+        self._interval_s = 1.0 / calls_per_s
+        self._next_call_at = self.node.now
+        self._numbers = itertools.count(1)
+        self._ends = []
+
+    def run(self, duration_s):
+        """Calls the server for a time."""
+        end = self.node.now + duration_s
+        while self._next_call_at < end:
+            self._pass_time(self._next_call_at)
+            self._call()
+            self._next_call_at += self._interval_s
+        self._pass_time(end)
+
+    def handle(self, event):
+        """Passes an event to the node and plays its backend server."""
+        for effect in self.node.handle(event):
+            match effect:
+                case messages.StartRun():
+                    self.started_at.append(self.node.now)
+                    end = self.node.now + RUN_S
+                    heapq.heappush(self._ends, (end, effect.run_id))
+                case messages.SendAnswer(answer=answer) if answer.error:
+                    self.errors.append(answer.error)
+
+    def _pass_time(self, until):
+        while True:
+            wakeup = self.node.engine.next_wakeup()
+            times = [until, self._ends[0][0] if self._ends else until]
+            times.append(until if wakeup is None else wakeup)
+            self.node.now = max(self.node.now, min(times))
+            if self._ends and self._ends[0][0] <= self.node.now:
+                _, run_id = heapq.heappop(self._ends)
+                self.handle(
+                    messages.RunAnswered(
+                        run_id=run_id, status=200, headers=[], body=b""
+                    )
+                )
+            elif self.node.now < until:
+                self.handle(messages.TimePassed())
+            else:
+                return
+
+    def _call(self):
+        number = next(self._numbers)
+        call = core.Call(
+            number=number,
+            user_request_id=f"r{number}",
+            call_id=f"c{number}",
+            request=core.Request(
+                service="kitview",
+                method="GET",
+                path="/kits/7",
+                headers=[],
+                body=str(number).encode(),
+                authority="kits.example",
+            ),
+            deadline_ms=800,
+            class_name="usual",
+            route_name="kits",
+            repeatable=True,
+        )
+        self.handle(messages.PeerCalled(link_id=number % HOSTS, call=call))
+
+    def count_most_in_window(self, since):
+        """Returns the most runs that started in a window after a time."""
+        times = [time for time in self.started_at if time >= since]
+        return max(
+            sum(start <= time < start + WINDOW_S for time in times)
+            for start in times
+        )
+
+
+# Guards against a server that named a limit and got several times as much,
+# because the node beside it admitted by free slots alone.
+@pytest.mark.parametrize("calls_per_s", [25, 50, 400])
+def test_limited_server_gets_at_most_its_rate_from_all_hosts(calls_per_s):
+    server = Server(calls_per_s=calls_per_s)
+    server.run(3.0)
+    server.handle(messages.ServerRateLimited(rate_limit=LIMIT))
+    limited_at = server.node.now
+    server.run(SETTLE_S + 3 * WINDOW_S)
+    most = server.count_most_in_window(limited_at + SETTLE_S)
+    assert most <= MAX_REQUESTS
