Move the token bucket of store calls to utils

Cause: the rate limit of a backend server needs a token bucket, and the one of the store's calls can't tell when the next token is due.

Change: utils.token_bucket.TokenBucket with a rate per second and a capacity of its own replaces store.budget.CallRateLimiter.

Conclusion: one bucket serves both.

--- a/bergamotdeal/store/http_calls.py
+++ b/bergamotdeal/store/http_calls.py
@@ -16,9 +16,9 @@
 from twisted.web import iweb
 import zope.interface
 
-from bergamotdeal.store import budget
 from bergamotdeal.store import core
 from bergamotdeal.store import eras
+from bergamotdeal.utils import token_bucket
 from bergamotdeal.utils import transport
 
 CALL_TIMEOUT_S = 2.0
@@ -26,6 +26,8 @@
 MAX_RESPONSE_BYTES = 2 * core.MAX_VALUE_BYTES
 """Maximum size of a body; a listing may be slightly larger than one value."""
 
+_SECONDS_PER_MINUTE = 60
+
 FailureKind = core.FailureKind
 
 
@@ -124,8 +126,10 @@
         self._eras = era_tracker or eras.EraTracker()
         self._on_call = on_call
         self._clock = clock
-        self._rate_limiter = budget.CallRateLimiter(
-            calls_per_minute=calls_per_minute, now=clock()
+        self._call_budget = token_bucket.TokenBucket(
+            rate=calls_per_minute / _SECONDS_PER_MINUTE,
+            capacity=calls_per_minute,
+            now=clock(),
         )
         # The pool would otherwise retry a request itself after a lost response.
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
@@ -160,7 +164,7 @@
           The response if it is successful, or the failure that any other
           response or a lost connection stands for.
         """
-        if not self._rate_limiter.try_acquire(self._clock()):
+        if not self._call_budget.try_acquire(self._clock()):
             failure = core.Failure(
                 kind=FailureKind.BUDGET_SPENT,
                 detail="the store call budget of this node is exhausted",
