Start no more runs than the rate that a backend server names

Cause: nothing acted on the server's statement. Admission knew slots and run times alone, and a limited server with free slots looked idle.

Change: all requests to a server pass the node beside it, so the sum over all hosts is kept there, by a token bucket in front of its starts, under every preset, with no message between nodes. By Little's law the limit bounds the slots that can be in use: load reports, queue bound, thresholds and the service's load share count with that, so that routing prefers other servers, and what is refused goes to another one at once. A limit outlives failed connections and ends with the instance. A server that names zero is tried once in 4 s, as only its answers tell when it ends.

Why it works: the bucket's rate is the server's own word and its burst a quarter of a second, so any 4 s hold at most 4.25 times the rate.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -7,6 +7,7 @@
 from bergamotdeal.admission import estimate
 from bergamotdeal.admission import hashing
 from bergamotdeal.admission import limit as limits
+from bergamotdeal.admission import rate
 from bergamotdeal.admission import waiting
 from bergamotdeal.admission import window
 from bergamotdeal.calls import core as calls
@@ -29,11 +30,11 @@
 class AdmissionController:
     """Admission controller that starts, queues, rejects and preempts jobs.
 
-    It combines a concurrency limit, a bounded priority queue and an admission
-    threshold per class. It reads no clock: each method takes the current
-    monotonic seconds and returns the resulting decisions in the order in which
-    they must be applied. No state is kept for a job once it is rejected,
-    preempted, released or cancelled.
+    It combines a concurrency limit, a rate limit if the server sets one, a
+    bounded priority queue and an admission threshold per class. It reads no
+    clock: each method takes the current monotonic seconds and returns the
+    resulting decisions in the order in which they must be applied. No state is
+    kept for a job once it is rejected, preempted, released or cancelled.
 
     Args:
       policy: Admission policy of the preset in force.
@@ -61,6 +62,7 @@
         self._running_by_rank = [0] * class_count
         self._top_class_peak = 0.0
         self._queue = waiting.JobQueue()
+        self._start_rate = rate.StartRateLimiter()
         self._run_time_estimate = estimate.RunTimeEstimate()
         self._limit = limits.AdaptiveLimit(
             slots=slots,
@@ -83,7 +85,7 @@
           decision on this job, it is queued.
         """
         if not self._policy.limits:
-            return [self._start(job, now)]
+            return [self._start_unlimited(job, now)]
         decisions = self.advance(now)
         if self._slots == 0:
             return [*decisions, _refuse(job, errors.ErrorKind.NO_SERVER)]
@@ -93,7 +95,7 @@
         is_shed = self._policy.thresholds and (
             hash_share >= self._thresholds.class_threshold(rank)
         )
-        if is_shed and not self._can_displace_job(rank):
+        if is_shed and not self._can_displace_job(rank, now):
             return [*decisions, _refuse(job, errors.ErrorKind.SHED)]
         if self._misses_deadline(job, now):
             return [*decisions, self._refuse_late_job(job, now)]
@@ -170,6 +172,18 @@
         kind = errors.ErrorKind.NO_SERVER
         return [_refuse(job, kind) for job in self._queue.remove_all()]
 
+    def set_rate_limit(
+        self, rate_limit: float | None, now: float
+    ) -> list[core.Decision]:
+        """Sets the rate limit of the backend server, under every policy.
+
+        Args:
+          rate_limit: Jobs that may start per second, or None for no limit.
+          now: Monotonic seconds.
+        """
+        self._start_rate.set_rate(rate_limit, now)
+        return self.advance(now) + self._trim_queue(now)
+
     def set_policy(
         self,
         *,
@@ -195,11 +209,16 @@
             self._running_by_rank[run.rank] += 1
         jobs = self._queue.remove_all()
         if not policy.limits:
-            return [self._start(job, now) for job in jobs]
+            return [self._start_unlimited(job, now) for job in jobs]
         for job in jobs:
             self._enqueue(job)
         return self.advance(now) + self._trim_queue(now)
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Jobs that may start per second, or None for no limit."""
+        return self._start_rate.rate
+
     def next_wakeup(self) -> float | None:
         """Returns when to call ``advance``, or None if no job is queued.
 
@@ -214,6 +233,8 @@
         urgent_from = self._urgent_from(deadline)
         if urgent_from > self._last_advance and self._policy.class_order:
             times.append(urgent_from)
+        if not self._start_rate.allows_start(self._last_advance):
+            times.append(self._start_rate.next_start_at())
         return min(times)
 
     def threshold(self, class_rank: int) -> float:
@@ -228,7 +249,7 @@
         return calls.Load(
             running=len(self._runs_by_id),
             queued=len(self._queue),
-            limit=self._current_limit(self._last_advance),
+            limit=self._usable_limit(self._last_advance),
         )
 
     def _current_limit(self, now: float) -> int:
@@ -240,12 +261,20 @@
         usable_slots = math.floor(self._policy.slots_share * self._slots)
         return min(limit, max(1, usable_slots))
 
+    def _usable_limit(self, now: float) -> int:
+        """Returns how many slots can be in use under all limits."""
+        return self._start_rate.bound_slots(
+            self._current_limit(now), self._run_time_estimate.value()
+        )
+
     def _has_slot(self, rank: int, now: float) -> bool:
         """Returns whether a job of a class may start now.
 
         Some slots are reserved for the top class, up to the peak of its recent
         concurrency.
         """
+        if not self._start_rate.allows_start(now):
+            return False
         limit = self._current_limit(now)
         running = len(self._runs_by_id)
         if rank == 0 or running >= limit:
@@ -264,10 +293,11 @@
         self._run_time_estimate.update(is_idle=not self._runs_by_id)
         self._limit.update(now)
         self._top_class_peak *= _PEAK_DECAY
-        limit = self._current_limit(now)
+        limit = self._usable_limit(now)
         self._thresholds.close_window(
             now=now,
             limit=limit,
+            rate_limit=self._start_rate.rate,
             depth_by_rank=self._queue.depth_by_rank(self._class_count),
             queue_bound=self._queue_bound(limit),
         )
@@ -293,6 +323,7 @@
 
     def _start(self, job: core.Job, now: float) -> core.Start:
         rank = self._rank(job)
+        self._start_rate.record_start(now)
         self._runs_by_id[job.job_id] = _Run(
             job=job, rank=rank, share=self._hash_share(job), started_at=now
         )
@@ -303,18 +334,24 @@
         self._thresholds.record_start(rank, now - job.arrived)
         return core.Start(job_id=job.job_id)
 
+    def _start_unlimited(self, job: core.Job, now: float) -> core.Decision:
+        """Starts a job regardless of slots, unless the rate limit forbids."""
+        if not self._start_rate.allows_start(now):
+            return _refuse(job, errors.ErrorKind.SHED)
+        return self._start(job, now)
+
     def _remove_run(self, run: _Run) -> None:
         del self._runs_by_id[run.job.job_id]
         self._running_by_rank[run.rank] -= 1
 
-    def _can_displace_job(self, rank: int) -> bool:
+    def _can_displace_job(self, rank: int, now: float) -> bool:
         last_job = self._queue.last()
         if last_job is not None and self._rank(last_job) > rank:
             return True
-        return self._can_preempt(rank)
+        return self._can_preempt(rank, now)
 
-    def _can_preempt(self, rank: int) -> bool:
-        if not self._policy.preempt:
+    def _can_preempt(self, rank: int, now: float) -> bool:
+        if not self._policy.preempt or not self._start_rate.allows_start(now):
             return False
         if not self._service_policy.accepts_cancellation:
             return False
@@ -360,11 +397,11 @@
         otherwise.
         """
         decisions: list[core.Decision] = []
-        bound = self._queue_bound(self._current_limit(now))
+        bound = self._queue_bound(self._usable_limit(now))
         while len(self._queue) > bound:
             job = self._queue.last()
             self._queue.remove(job.job_id)
-            if self._can_preempt(self._rank(job)):
+            if self._can_preempt(self._rank(job), now):
                 decisions.append(self._preempt(now))
                 decisions.append(self._start(job, now))
             else:
@@ -378,7 +415,7 @@
             return []
         decisions: list[core.Decision] = []
         for job in self._queue.jobs():
-            if not self._can_preempt(self._rank(job)):
+            if not self._can_preempt(self._rank(job), now):
                 break
             if now >= self._urgent_from(job.deadline):
                 self._queue.remove(job.job_id)
--- a/bergamotdeal/admission/tests/test_window.py
+++ b/bergamotdeal/admission/tests/test_window.py
@@ -13,7 +13,14 @@
 class _SimulatedServer:
     """Simulated server that drives one control window per step."""
 
-    def __init__(self, *, slots=20, capacity=200.0, offered=(80.0, 720.0)):
+    def __init__(
+        self,
+        *,
+        slots=20,
+        capacity=200.0,
+        offered=(80.0, 720.0),
+        rate_limit=None,
+    ):
         self.thresholds = window.ThresholdController(
             policy=model.AdmissionPolicy(), class_count=2, now=0.0
         )
@@ -21,6 +28,7 @@
         self.slots = slots
         self.capacity = capacity
         self.offered = offered
+        self.rate_limit = rate_limit
         self.queues = [0.0, 0.0]
         self.now = 0.0
 
@@ -37,7 +45,10 @@
                 hash_share = self.rng.uniform(0.0, threshold)
                 self.thresholds.record_arrival(rank, hash_share)
             self.queues[rank] += admitted
-        window_capacity = round(self.capacity * WINDOW_S)
+        slot_capacity = round(self.capacity * WINDOW_S)
+        window_capacity = slot_capacity
+        if self.rate_limit is not None:
+            window_capacity = round(self.rate_limit * WINDOW_S)
         total_served = 0
         for rank in (0, 1):
             served = min(self.queues[rank], window_capacity - total_served)
@@ -46,12 +57,13 @@
                 self.thresholds.record_start(rank, 0.0)
                 self.thresholds.record_completion()
             total_served += served
-        busy_share = min(1.0, total_served / window_capacity)
+        busy_share = min(1.0, total_served / slot_capacity)
         self.thresholds.add_busy_time(busy_share * self.slots * WINDOW_S)
         self.now += WINDOW_S
         self.thresholds.close_window(
             now=self.now,
             limit=self.slots,
+            rate_limit=self.rate_limit,
             depth_by_rank=[int(queue) for queue in self.queues],
             queue_bound=self.slots,
         )
@@ -63,6 +75,14 @@
     assert browse == pytest.approx(120.0 / 720.0, abs=0.06)
 
 
+def test_rate_limit_sheds_although_slots_are_free():
+    server = _SimulatedServer(rate_limit=100.0, offered=(40.0, 360.0))
+    server.run(100)
+    browse_thresholds = [server.run(1)[1] for _ in range(100)]
+    mean = sum(browse_thresholds) / len(browse_thresholds)
+    assert mean == pytest.approx(60.0 / 360.0, abs=0.05)
+
+
 def test_top_class_is_shed_when_it_alone_exceeds_capacity():
     critical, browse = _SimulatedServer(offered=(400.0, 400.0)).run(60)
     assert critical == pytest.approx(0.5, abs=0.1)
--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -148,12 +148,14 @@
         limit: int,
         depth_by_rank: list[int],
         queue_bound: int,
+        rate_limit: float | None = None,
     ) -> None:
         """Updates the thresholds and starts the next window.
 
         Args:
           now: Monotonic seconds.
           limit: Concurrency limit in force.
+          rate_limit: Jobs that may start per second, or None for no limit.
           depth_by_rank: Number of queued jobs of each class.
           queue_bound: Maximum number of queued jobs.
         """
@@ -162,10 +164,10 @@
         windows = max(1, int(window_s * _MS_PER_S / self._policy.window_max_ms))
         target_wait_s = self._policy.target_delay_ms / _MS_PER_S
         target_depth = _TARGET_DEPTH_SHARE * queue_bound
-        capacity = self._capacity(limit)
+        capacity = self._capacity(limit, rate_limit)
         correction_s = self._policy.window_completions / capacity
         correction_s = max(window_s, correction_s)
-        is_idle = self._busy_s < _BUSY_SHARE * limit * self._elapsed_s
+        is_idle = self._is_idle(limit, rate_limit)
         depth = 0
         allocated = 0.0
         for rank, threshold in enumerate(self._thresholds):
@@ -199,10 +201,18 @@
             allocated += offered * adjusted
         self._begin_window(now)
 
-    def _capacity(self, limit: int) -> float:
-        """Returns the completion rate per second with all slots in use."""
+    def _capacity(self, limit: int, rate_limit: float | None) -> float:
+        """Returns the completion rate per second that the limits allow."""
         completed = max(0.5, self._completions)
-        return completed * limit / max(1e-9, self._busy_s)
+        capacity = completed * limit / max(1e-9, self._busy_s)
+        return capacity if rate_limit is None else min(capacity, rate_limit)
+
+    def _is_idle(self, limit: int, rate_limit: float | None) -> bool:
+        """Returns whether the server could have completed more jobs."""
+        if rate_limit is not None:
+            started = sum(counts.started for counts in self._counts)
+            return started < _BUSY_SHARE * rate_limit * self._elapsed_s
+        return self._busy_s < _BUSY_SHARE * limit * self._elapsed_s
 
     def _has_sheddable_lower_classes(self, rank: int) -> bool:
         started = sum(counts.started for counts in self._counts)
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -243,7 +243,7 @@
             case messages.ServerUnresponsive() | messages.ServerLeaving():
                 apply_decisions(self._server.suspend())
             case messages.ServerRateLimited(rate_limit=rate_limit):
-                self._server.set_rate_limit(rate_limit)
+                apply_decisions(self._server.set_rate_limit(rate_limit))
             case messages.ServerConditionRejected(reason=reason):
                 self._state.record_event(
                     catalogue.EventCode.SERVER_CONDITION_REJECTED, reason=reason
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -33,6 +33,7 @@
             policy=state.preset.quarantine, host_id=state.identity.host_id
         )
         self._service = ""
+        self._rate_limit: float | None = None
         self._is_stopped = False
         self._is_absent = False
         self._ended_while_absent: list[tuple[int, bool]] = []
@@ -71,6 +72,7 @@
             slots=slots,
             now=state.now,
         )
+        self._controller.set_rate_limit(self._rate_limit, state.now)
         return decisions
 
     def suspend(self) -> list[admission.Decision]:
@@ -89,18 +91,24 @@
             state.emit(messages.ShareCrashReports(reports=reports))
         return self.suspend()
 
-    def set_rate_limit(self, rate_limit: float | None) -> None:
-        """Records the rate limit that the server sets.
+    def set_rate_limit(
+        self, rate_limit: float | None
+    ) -> list[admission.Decision]:
+        """Applies the rate limit that the server sets.
 
         Args:
           rate_limit: Requests per second, or None for no limit.
         """
+        self._rate_limit = rate_limit
         if rate_limit is None:
             self._state.record_event(_CODES.SERVER_RATE_LIMIT_LIFTED)
         else:
             self._state.record_event(
                 _CODES.SERVER_RATE_LIMITED, rate=rate_limit
             )
+        if not self._is_present():
+            return []
+        return self._controller.set_rate_limit(rate_limit, self._state.now)
 
     def apply_preset(self) -> list[admission.Decision]:
         """Applies the active preset."""
@@ -131,6 +139,7 @@
             running=load.running,
             queued=load.queued,
             limit=load.limit,
+            rate_limit=self._controller.rate_limit,
         )
 
     def withdraw(self, job_id: int) -> list[admission.Decision]:
@@ -217,6 +226,7 @@
         now = self._state.now
         was_absent, self._is_absent = self._is_absent, False
         decisions = self._controller.set_slots(slots, now)
+        decisions += self._controller.set_rate_limit(self._rate_limit, now)
         if not was_absent:
             return decisions
         for job_id, completed in self._ended_while_absent:
--- a/bergamotdeal/calls/tests/test_random_events.py
+++ b/bergamotdeal/calls/tests/test_random_events.py
@@ -87,6 +87,7 @@
         rare_events = (
             messages.ServerStopped,
             messages.ServerUnresponsive,
+            self.server_rate_limited,
             messages.DrainStarted,
         )
         is_rare = self.rng.random() < 0.005
@@ -115,6 +116,10 @@
                 if effect.code is catalogue.EventCode.CALL_FAILED_INTERNALLY:
                     self.failures.append(effect.fields["trace"])
 
+    def server_rate_limited(self):
+        rate_limit = self.rng.choice((None, 0.0, 3.0, 50.0))
+        return messages.ServerRateLimited(rate_limit=rate_limit)
+
     def request(self):
         make = self.rng.choice((scenarios.get_request, scenarios.post_request))
         service = self.rng.choice(("kitview", "nowhere"))
--- a/bergamotdeal/calls/tests/test_server_rate_limit.py
+++ b/bergamotdeal/calls/tests/test_server_rate_limit.py
@@ -1,5 +1,6 @@
 """Load of many hosts on a server that names a rate limit in its answers."""
 
+import dataclasses
 import heapq
 import itertools
 
@@ -8,6 +9,8 @@
 from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import test_host_routes
+from bergamotdeal.errors import core as errors
+from bergamotdeal.presets import model
 
 HOSTS = 16
 RUN_S = 0.06
@@ -18,12 +21,17 @@
 
 MAX_REQUESTS = 1.5 * LIMIT * WINDOW_S + 5
 
+ANNOUNCED = messages.ServerAnnounced(
+    service="kitview", slots=254, connections=300
+)
+
 
 class Server:
     """Node and backend server that other hosts call at a constant rate."""
 
     def __init__(self, *, calls_per_s):
         self.node = test_host_routes.Node()
+        self.node.handle(ANNOUNCED)
         self.started_at = []
         self.errors = []
         self._interval_s = 1.0 / calls_per_s
@@ -90,6 +98,14 @@
         )
         self.handle(messages.PeerCalled(link_id=number % HOSTS, call=call))
 
+    def run_limited(self, rate_limit=LIMIT, duration_s=SETTLE_S):
+        """Calls the server after it has named a limit; returns that time."""
+        self.run(3.0)
+        self.handle(messages.ServerRateLimited(rate_limit=rate_limit))
+        limited_at = self.node.now
+        self.run(duration_s)
+        return limited_at
+
     def count_most_in_window(self, since):
         """Returns the most runs that started in a window after a time."""
         times = [time for time in self.started_at if time >= since]
@@ -104,9 +120,66 @@
 @pytest.mark.parametrize("calls_per_s", [25, 50, 400])
 def test_limited_server_gets_at_most_its_rate_from_all_hosts(calls_per_s):
     server = Server(calls_per_s=calls_per_s)
-    server.run(3.0)
-    server.handle(messages.ServerRateLimited(rate_limit=LIMIT))
-    limited_at = server.node.now
-    server.run(SETTLE_S + 3 * WINDOW_S)
+    limited_at = server.run_limited(duration_s=SETTLE_S + 3 * WINDOW_S)
+    most = server.count_most_in_window(limited_at + SETTLE_S)
+    assert most <= MAX_REQUESTS
+
+
+def test_limited_server_is_used_up_to_its_rate():
+    server = Server(calls_per_s=50)
+    limited_at = server.run_limited(duration_s=20.0)
+    started = sum(time > limited_at for time in server.started_at)
+    assert 0.95 * LIMIT * 20.0 <= started <= LIMIT * 20.0 + 1
+
+
+def test_calls_beyond_the_rate_are_refused_early_and_may_go_elsewhere():
+    server = Server(calls_per_s=50)
+    server.run_limited()
+    assert set(server.errors) == {errors.ErrorKind.SHED}
+    load = server.node.engine.load()
+    # By Little's law, two slots are enough for 21 runs of 60 ms a second.
+    assert load.limit == 2
+    assert load.queued <= 5
+
+
+def test_limit_ends_when_the_server_names_none():
+    server = Server(calls_per_s=50)
+    server.run_limited()
+    server.handle(messages.ServerRateLimited(rate_limit=None))
+    server.run(1.0)
+    before = len(server.started_at)
+    server.run(10.0)
+    assert len(server.started_at) - before >= 499
+
+
+# Guards against a limit that is forgotten when a connection to the server
+# fails: the server counts as stopped until its next heartbeat.
+def test_limit_outlives_a_failed_connection():
+    server = Server(calls_per_s=50)
+    server.run_limited()
+    server.handle(messages.ServerStopped())
+    server.run(0.5)
+    server.handle(ANNOUNCED)
+    returned_at = server.node.now
+    server.run(3 * WINDOW_S)
+    assert server.count_most_in_window(returned_at) <= MAX_REQUESTS
+
+
+def test_limit_holds_while_the_preset_switches_admission_off_and_on():
+    server = Server(calls_per_s=50)
+    limited_at = server.run_limited()
+    preset = test_host_routes.PRESET
+    for epoch, limits in ((2, False), (3, True)):
+        policy = model.AdmissionPolicy(limits=limits)
+        switched = dataclasses.replace(preset, admission=policy)
+        server.handle(messages.PresetInForce(epoch=epoch, preset=switched))
+        server.run(2 * WINDOW_S)
     most = server.count_most_in_window(limited_at + SETTLE_S)
     assert most <= MAX_REQUESTS
+
+
+def test_server_that_names_zero_is_still_tried_now_and_then():
+    server = Server(calls_per_s=50)
+    limited_at = server.run_limited(rate_limit=0.0, duration_s=20.0)
+    started = [time for time in server.started_at if time > limited_at]
+    assert 2 <= len(started) <= 5
--- a/bergamotdeal/pricing/pressure.py
+++ b/bergamotdeal/pricing/pressure.py
@@ -103,7 +103,13 @@
         return self._arrivals >= _MIN_ARRIVALS or age_s >= _MAX_WINDOW_S
 
     def update(
-        self, now: float, *, running: int, queued: int, limit: int
+        self,
+        now: float,
+        *,
+        running: int,
+        queued: int,
+        limit: int,
+        rate_limit: float | None = None,
     ) -> None:
         """Adjusts the share from the current window and starts the next one.
 
@@ -112,18 +118,33 @@
           running: Number of slots in use.
           queued: Number of requests queued for a slot.
           limit: Concurrency limit.
+          rate_limit: Requests per second that the server accepts, or None for
+            no limit.
         """
         age_s = now - self._window_started_at
-        self._adjust_share(age_s, running=running, queued=queued, limit=limit)
+        if self._run_s > 0.0 and limit >= 1:
+            capacity = _TARGET_UTILIZATION * limit / self._run_s
+            if rate_limit is not None:
+                capacity = min(capacity, rate_limit)
+            self._adjust_share(
+                age_s,
+                running=running,
+                queued=queued,
+                limit=limit,
+                capacity=capacity,
+            )
         self._window_started_at = now
         self._arrivals = 0
 
     def _adjust_share(
-        self, age_s: float, *, running: int, queued: int, limit: int
+        self,
+        age_s: float,
+        *,
+        running: int,
+        queued: int,
+        limit: int,
+        capacity: float,
     ) -> None:
-        if self._run_s <= 0.0 or limit < 1:
-            return
-        capacity = _TARGET_UTILIZATION * limit / self._run_s
         target_depth = _TARGET_DEPTH_SHARE * limit
         available = capacity - (queued - target_depth) / _QUEUE_DRAIN_S
         offered = max(1.0, self._arrivals) / age_s
