Give no work to a backend server that says that it leaves

Cause: the same as of the rate limit: the server's statement in the head of its answers was passed on to the caller and read by nobody. A server was taken out by its heartbeats alone, and a node that had just started took the first heartbeat's word, or a health check's, whatever its status was.

Change: the condition of an answer also says whether the server leaves; the node then takes it out as after a heartbeat that says so, for the life of that instance. At its start a node asks its server by a health check before it publishes it, also when a heartbeat came first; the answer counts with any status, as the head holds what the server told an earlier process: that it leaves, or its rate limit.

Conclusion: what a server has told must not depend on the process that heard it. DRAIN and LIMIT both hold through a restart of the node beside the server, where the request began elsewhere.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -242,8 +242,8 @@
                 apply_decisions(self._server.handle_stop())
             case messages.ServerUnresponsive() | messages.ServerLeaving():
                 apply_decisions(self._server.suspend())
-            case messages.ServerRateLimited(rate_limit=rate_limit):
-                apply_decisions(self._server.set_rate_limit(rate_limit))
+            case messages.ServerRateLimited():
+                apply_decisions(self._server.handle_rate_limit(event))
             case messages.ServerConditionRejected(reason=reason):
                 self._state.record_event(
                     catalogue.EventCode.SERVER_CONDITION_REJECTED, reason=reason
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -91,20 +91,19 @@
             state.emit(messages.ShareCrashReports(reports=reports))
         return self.suspend()
 
-    def set_rate_limit(
-        self, rate_limit: float | None
+    def handle_rate_limit(
+        self, event: messages.ServerRateLimited
     ) -> list[admission.Decision]:
-        """Applies the rate limit that the server sets.
-
-        Args:
-          rate_limit: Requests per second, or None for no limit.
-        """
+        """Applies a rate limit, which outlives a stop of the server."""
+        rate_limit = event.rate_limit
         self._rate_limit = rate_limit
         if rate_limit is None:
             self._state.record_event(_CODES.SERVER_RATE_LIMIT_LIFTED)
         else:
             self._state.record_event(
-                _CODES.SERVER_RATE_LIMITED, rate=rate_limit
+                _CODES.SERVER_RATE_LIMITED,
+                rate=rate_limit,
+                provisional=event.is_provisional,
             )
         if not self._is_present():
             return []
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -168,14 +168,17 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServerRateLimited:
-    """Change of the rate limit that the local backend server sets.
+    """Change of the rate limit of the local backend server.
 
     Attributes:
       rate_limit: Requests per second that the server accepts, or None for no
         limit.
+      is_provisional: Whether the limit holds only until the server's first
+        answer.
     """
 
     rate_limit: float | None
+    is_provisional: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -100,6 +100,13 @@
             dialect=platform_hooks.server_dialect,
             announcement_timeout_s=platform_hooks.server_timeout_s,
         )
+        self._inquiry = server_inquiry.ServerInquiry(
+            platform_hooks=platform_hooks,
+            reactor=reactor,
+            service=settings.node.service,
+            instance_tracker=self.instance_tracker,
+            on_finished=self._handle_health_report,
+        )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
         self._store = self._build_store()
@@ -407,8 +414,8 @@
                         slots=event.slots,
                     )
                 self._announcement = event
-                # Admission needs a preset; before, the server is not published.
-                if self.is_ready:
+                # Admission needs a preset, which the inquiry waits for, too.
+                if self._inquiry.is_finished:
                     self._publish_server(event)
             case messages.ServerStopped() | messages.ServerUnresponsive():
                 self._announcement = None
@@ -435,17 +442,14 @@
         if was_ready:
             return
         self._emit(catalogue.EventCode.NODE_READY)
+        self._inquiry.start(event.preset)
+
+    def _handle_health_report(
+        self, report: server_link.HealthReport | None
+    ) -> None:
+        self._server.handle_health_report(report)
         if self._announcement is not None:
             self._publish_server(self._announcement)
-        else:
-            server_inquiry.query_server(
-                platform_hooks=self._platform_hooks,
-                reactor=self._reactor,
-                service=self._settings.node.service,
-                preset=event.preset,
-                instance_tracker=self.instance_tracker,
-                on_announcement=self._server.handle_announcement,
-            )
 
     # Drain and stop.
 
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -100,9 +100,12 @@
     Attributes:
       rate_limit: Requests per second that the server accepts from all callers
         together, or None for no limit.
+      is_leaving: Whether the server is about to stop and must not get new
+        work.
     """
 
     rate_limit: float | None = None
+    is_leaving: bool = False
 
 
 NORMAL_CONDITION = ServerCondition()
@@ -114,9 +117,11 @@
     Attributes:
       accepts_close_delimited: Whether an orderly close (FIN) by the server
         completes an answer that has no length.
+      reports_condition: Whether answers tell the server's condition.
     """
 
     accepts_close_delimited: bool
+    reports_condition: bool
 
     def render_request(self, run: messages.StartRun, server_id: str) -> bytes:
         """Renders the HTTP request of a run as bytes.
--- a/bergamotdeal/node/environment.py
+++ b/bergamotdeal/node/environment.py
@@ -75,9 +75,9 @@
         the entry port like any other caller.
       server_timeout_s: Time without an announcement after which the
         backend server counts as silent, in seconds.
-      probe_server: Asks the backend server to identify itself; takes the
-        reactor, the health check's path and a callable that returns the
-        instance. The deferred fires with an announcement or None.
+      probe_server: Asks the backend server how it is; takes the reactor, the
+        health check's path and the tracker of the server's instances. The
+        deferred fires with a ``server_link.HealthReport`` or None.
       reload_settings: Reads the settings again; returns why they are invalid,
         or None.
       has_settings_changed: Returns whether the settings have changed since
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -331,6 +331,7 @@
     # Without a length, some networks make an interrupted connection look like
     # the end of the answer.
     accepts_close_delimited = False
+    reports_condition = False
 
     def render_request(self, run: messages.StartRun, server_id: str) -> bytes:
         """Renders the HTTP request of a run as bytes."""
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -54,6 +54,22 @@
     server_id: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HealthReport:
+    """Answer of a backend server to a health check by its node.
+
+    Attributes:
+      instance: Instance that answered.
+      condition: Condition of the server, or what is wrong with its report.
+      announcement: Description of the server; None if it does not consider
+        itself healthy, or if its own announcements came first.
+    """
+
+    instance: str
+    condition: server_connection.ReadCondition
+    announcement: Announcement | None
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _ActiveRun:
     """Run in progress.
@@ -141,7 +157,11 @@
         self._announcement_timeout_s = announcement_timeout_s
         self._leaving_instance: str | None = None
         self._announcement: Announcement | None = None
-        self._condition = server_condition.ServerConditionTracker()
+        # The first server found may have run before this process.
+        self._condition = server_condition.ServerConditionTracker(
+            is_known=dialect is None or not dialect.reports_condition
+        )
+        self._posted_rate_limit: float | None = None
         self._last_announced_at = 0.0
         self._is_silent = True
         self._idle_connections: list[server_connection.ServerConnection] = []
@@ -184,7 +204,10 @@
         self._last_announced_at = self._reactor.seconds()
         if previous is not None and _has_restarted(previous, announcement):
             self._report_server_stopped()
-            self._reset_condition()
+            self._condition = server_condition.ServerConditionTracker(
+                is_known=True
+            )
+            self._post_rate_limit()
         # An unchanged announcement isn't passed on, to save the engine work.
         if previous != announcement or self._is_silent:
             self._is_silent = False
@@ -210,6 +233,25 @@
             self._is_silent = True
             self._post(messages.ServerLeaving(instance=instance))
 
+    def handle_health_report(self, report: HealthReport | None) -> None:
+        """Records the answer of the backend server to a health check.
+
+        Args:
+          report: The answer, or None if the server has given none.
+        """
+        current = self._announcement
+        if report is not None and (
+            current is None or current.instance == report.instance
+        ):
+            self._record_condition(
+                report.condition,
+                instance=report.instance,
+                sent_at=self._reactor.seconds(),
+            )
+            if report.announcement is not None:
+                self.handle_announcement(report.announcement)
+        self._post_rate_limit()
+
     def start_run(self, run: messages.StartRun) -> None:
         """Starts a run on an idle connection, or queues it for a new one.
 
@@ -331,27 +373,39 @@
             return
         if active_run.instance != self._announcement.instance:
             return
+        self._record_condition(
+            reported, instance=active_run.instance, sent_at=active_run.sent_at
+        )
+
+    def _record_condition(
+        self,
+        reported: server_connection.ReadCondition,
+        *,
+        instance: str,
+        sent_at: float,
+    ) -> None:
         match reported:
+            case result.Err(reason):
+                self._post(messages.ServerConditionRejected(reason=reason))
+            case result.Ok(condition) if condition.is_leaving:
+                self.handle_server_leaving(instance)
             case result.Ok(condition):
-                before = self._condition.rate_limit
                 self._condition.record(
-                    condition,
-                    sent_at=active_run.sent_at,
-                    now=self._reactor.seconds(),
+                    condition, sent_at=sent_at, now=self._reactor.seconds()
                 )
-                self._post_rate_limit_change(before)
-            case result.Err(reason):
-                self._post(messages.ServerConditionRejected(reason=reason))
-
-    def _reset_condition(self) -> None:
-        before = self._condition.rate_limit
-        self._condition = server_condition.ServerConditionTracker()
-        self._post_rate_limit_change(before)
+                self._post_rate_limit()
 
-    def _post_rate_limit_change(self, before: float | None) -> None:
+    def _post_rate_limit(self) -> None:
         rate_limit = self._condition.rate_limit
-        if rate_limit != before:
-            self._post(messages.ServerRateLimited(rate_limit=rate_limit))
+        if rate_limit == self._posted_rate_limit:
+            return
+        self._posted_rate_limit = rate_limit
+        self._post(
+            messages.ServerRateLimited(
+                rate_limit=rate_limit,
+                is_provisional=not self._condition.is_known,
+            )
+        )
 
     def _post_run_event(self, event: messages.Event) -> None:
         self._active_runs_by_id.pop(event.run_id, None)
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -228,8 +228,10 @@
     assert harness.events == []
 
 
-class RateLimitDialect(server_connection.NativeDialect):
-    """Native dialect whose servers name a rate limit in a header."""
+class ConditionDialect(server_connection.NativeDialect):
+    """Native dialect whose servers report their condition in headers."""
+
+    reports_condition = True
 
     def read_condition(self, headers):
         for name, value in headers:
@@ -239,9 +241,19 @@
                 )
             if name == "rate-limit":
                 return result.Err(f"{value!r} is not a number")
+            if name == "leaving":
+                return result.Ok(dialects.ServerCondition(is_leaving=True))
         return result.Ok(dialects.NORMAL_CONDITION)
 
 
+def build_report(instance="a", announced=None, **condition):
+    return server_link.HealthReport(
+        instance=instance,
+        condition=result.Ok(dialects.ServerCondition(**condition)),
+        announcement=announced,
+    )
+
+
 def build_answer(rate_limit=None):
     header = b"" if rate_limit is None else b"Rate-Limit: %s\r\n" % rate_limit
     return b"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok" % header
@@ -256,7 +268,7 @@
 
 
 def test_rate_limit_is_reported_before_the_answer_and_once():
-    harness = Harness(dialect=RateLimitDialect())
+    harness = Harness(dialect=ConditionDialect())
     harness.pool.start_run(start_run(1))
     connection = harness.accept_connection()
     connection.dataReceived(build_answer(b"21"))
@@ -268,7 +280,7 @@
 
 
 def test_answer_to_an_overlapping_request_does_not_lift_the_rate_limit():
-    harness = Harness(dialect=RateLimitDialect())
+    harness = Harness(dialect=ConditionDialect())
     connections = []
     for run_id in (1, 2):
         harness.pool.start_run(start_run(run_id))
@@ -284,7 +296,7 @@
 
 
 def test_malformed_rate_limit_is_reported_and_the_last_one_holds():
-    harness = Harness(dialect=RateLimitDialect())
+    harness = Harness(dialect=ConditionDialect())
     harness.pool.start_run(start_run(1))
     connection = harness.accept_connection()
     connection.dataReceived(build_answer(b"21"))
@@ -300,7 +312,7 @@
 
 
 def test_rate_limit_ends_with_the_instance_but_not_with_its_connections():
-    harness = Harness(dialect=RateLimitDialect())
+    harness = Harness(dialect=ConditionDialect())
     harness.pool.start_run(start_run(1))
     connection = harness.accept_connection()
     connection.dataReceived(build_answer(b"21"))
@@ -314,9 +326,71 @@
 
 
 def test_late_answer_of_an_earlier_instance_sets_no_rate_limit():
-    harness = Harness(dialect=RateLimitDialect())
+    harness = Harness(dialect=ConditionDialect())
     harness.pool.start_run(start_run(1))
     connection = harness.accept_connection()
     harness.pool.handle_announcement(announcement(instance="b"))
     connection.dataReceived(build_answer(b"21"))
     assert select_rate_limits(harness) == []
+
+
+def test_server_that_says_it_leaves_is_reported_and_not_announced_again():
+    harness = Harness(dialect=ConditionDialect())
+    harness.pool.start_run(start_run(1))
+    connection = harness.accept_connection()
+    answer = build_answer().replace(b"OK\r\n", b"OK\r\nLeaving: 1\r\n")
+    connection.dataReceived(answer)
+    assert harness.events[0] == messages.ServerLeaving(instance="a")
+    assert isinstance(harness.events[1], messages.RunAnswered)
+    harness.pool.handle_announcement(announcement())
+    assert len(harness.events) == 2
+
+
+# Guards against a node that starts beside a limited server and sends as much
+# as there are slots, until the first answer tells the limit.
+def test_server_found_at_start_is_limited_until_its_first_answer():
+    harness = Harness(dialect=ConditionDialect())
+    harness.pool.handle_health_report(None)
+    (limited,) = harness.events
+    assert limited.is_provisional
+    assert limited.rate_limit > 0
+    harness.pool.start_run(start_run(1))
+    harness.accept_connection().dataReceived(build_answer())
+    assert harness.events[1] == messages.ServerRateLimited(rate_limit=None)
+
+
+@pytest.mark.parametrize("rate_limit", [None, 21.0])
+def test_health_report_makes_the_rate_limit_known(rate_limit):
+    harness = Harness(dialect=ConditionDialect())
+    harness.pool.handle_health_report(build_report(rate_limit=rate_limit))
+    expected = [] if rate_limit is None else [rate_limit]
+    assert select_rate_limits(harness) == expected
+
+
+# Guards against a restarted node that takes a leaving server for available,
+# because its heartbeats go on saying that it is ready.
+def test_server_that_leaves_by_its_health_report_is_never_announced():
+    harness = Harness(dialect=ConditionDialect())
+    harness.pool._announcement = None
+    harness.pool._is_silent = True
+    harness.pool.handle_health_report(build_report(is_leaving=True))
+    harness.pool.handle_announcement(announcement())
+    assert not any(
+        isinstance(event, messages.ServerAnnounced) for event in harness.events
+    )
+    harness.pool.handle_announcement(announcement(instance="b"))
+    assert isinstance(harness.events[-1], messages.ServerAnnounced)
+
+
+def test_health_report_of_another_instance_is_ignored():
+    harness = Harness(dialect=ConditionDialect())
+    report = build_report(instance="b", is_leaving=True)
+    harness.pool.handle_health_report(report)
+    (limited,) = harness.events
+    assert limited.is_provisional
+
+
+def test_native_servers_are_never_limited_provisionally():
+    harness = Harness()
+    harness.pool.handle_health_report(None)
+    assert harness.events == []
--- a/bergamotdeal/store/http_calls.py
+++ b/bergamotdeal/store/http_calls.py
@@ -150,6 +150,7 @@
         body: bytes = b"",
         headers_by_name: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        accepts_any_status: bool = False,
     ) -> core.DeferredResult[HttpResponse]:
         """Sends a request.
 
@@ -159,6 +160,8 @@
           body: Body of the request.
           headers_by_name: Headers of the request.
           timeout_s: Timeout for the complete response, in seconds.
+          accepts_any_status: Whether to return each response, whatever its
+            status.
 
         Returns:
           The response if it is successful, or the failure that any other
@@ -183,7 +186,11 @@
         pending_response.addTimeout(timeout_s, self._reactor)
         is_write = method != "GET"
         pending_response.addCallbacks(
-            lambda response: self._check_era(response, is_write=is_write),
+            lambda response: (
+                result.Ok(response)
+                if accepts_any_status
+                else self._check_era(response, is_write=is_write)
+            ),
             lambda error: result.Err(
                 _request_failure(error, is_write=is_write)
             ),
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -140,10 +140,11 @@
     EventCode.SETTINGS_REJECTED: "settings of {source} rejected: {reason}",
     EventCode.ANNOUNCEMENT_REJECTED: "announcement rejected: {reason}",
     EventCode.SERVER_RATE_LIMITED: (
-        "backend server accepts {rate} requests per second"
+        "at most {rate} requests per second to the backend server, until its "
+        "first answer: {provisional}"
     ),
     EventCode.SERVER_RATE_LIMIT_LIFTED: (
-        "backend server limits the request rate no longer"
+        "no rate limit for the backend server any more"
     ),
     EventCode.SERVER_CONDITION_REJECTED: (
         "condition of the backend server rejected: {reason}"
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -11,7 +11,8 @@
 PLATFORM_TERMS = re.compile(
     r"x-bergamotdeal|storeRevision|coldRemainingMs|trafficSplit|heartbeatAddr"
     r"|pathPrefix|routeType|targetLatencyMs|retryBudgetSlack|sidecar\b"
-    r"|non_idempotent|appAddr|nodeName|listenAddrs|server-limit",
+    r"|non_idempotent|appAddr|nodeName|listenAddrs|server-limit"
+    r"|server-leaving",
     re.IGNORECASE,
 )
 DECISION_MODULES = (
