Put a server that names a rate limit into the fault matrix

Cause: the matrix and the soak knew no server that names a limit, which is one reason why no test of ours saw the incident.

Change: the fault "rate-limited server" at each step of a call, at the target and at its parent, and paired with every other fault; the soak's random walks draw it like the others.

--- a/standins/checked_faults.py
+++ b/standins/checked_faults.py
@@ -22,6 +22,8 @@
 _SURGE_CALLERS = 60
 _SURGE_S = 0.05
 _IMMEDIATE_RESENDS = 3
+_RATE_LIMIT = 5.0
+_RATE_LIMIT_S = 3.0
 
 
 class Fault(enum.Enum):
@@ -39,6 +41,7 @@
     CENTRE_CUT_OFF = "data centre cut off"
     DRAIN = "drain"
     JOIN = "join"
+    RATE_LIMIT = "rate-limited server"
 
 
 class FaultInjector:
@@ -103,6 +106,20 @@
                 self.drain(host_id)
             case Fault.JOIN:
                 self.join_host(self._checked.service_of(host_id))
+            case Fault.RATE_LIMIT:
+                self.limit_rate(host_id)
+
+    def limit_rate(self, host_id: str) -> None:
+        """Makes a backend server name a rate limit for some seconds."""
+        self._fleet.send_event(
+            host_id, messages.ServerRateLimited(rate_limit=_RATE_LIMIT)
+        )
+        self._checked.after(
+            _RATE_LIMIT_S,
+            lambda: self._fleet.send_event(
+                host_id, messages.ServerRateLimited(rate_limit=None)
+            ),
+        )
 
     def slow_service(self, service: str) -> None:
         """Multiplies the service time of a service for some seconds."""
--- a/tests/matrix/page.py
+++ b/tests/matrix/page.py
@@ -62,7 +62,8 @@
 These faults have no cell at a step of a switch:
 
 - **slow deep service**, **surge**, **hard-retrying callers**, **crashing
-  request**, **server killed**: a switch passes through no backend server and
+  request**, **server killed**, **rate-limited server**: a switch passes
+  through no backend server and
   no call, and the followers' core takes no event from either. They cost a
   node only time, as late events, which the paused process covers.
 - **drain** and **join** change the watchers and the sources, as **node
--- a/tests/matrix/test_call_faults.py
+++ b/tests/matrix/test_call_faults.py
@@ -23,7 +23,7 @@
     if place is cells.FaultLocation.TARGET
     or fault not in HOST_INDEPENDENT_FAULTS
     if place is not cells.FaultLocation.ENTRY
-    or fault is not cells.Fault.SERVER_KILLED
+    or fault not in (cells.Fault.SERVER_KILLED, cells.Fault.RATE_LIMIT)
 ]
 PAIRS = list(itertools.combinations(cells.Fault, 2))
 
