Say in the log why a server with free slots refuses a call

Cause: a call refused under a rate limit was logged as "0 running, 3 queued", which reads like a fault of admission; whether a limit was the server's own word or a provisional one could not be read at a glance.

--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -47,7 +47,12 @@
     threshold = server.threshold(run.class_name)
     load = server.load()
     waiting = f"{load.running} running, {load.queued} queued" if load else ""
-    return f"{run.class_name}, threshold {threshold:.2f}, {waiting}"
+    limited = (
+        ""
+        if server.rate_limit is None
+        else f", server accepts {server.rate_limit:g} per second"
+    )
+    return f"{run.class_name}, threshold {threshold:.2f}, {waiting}{limited}"
 
 
 def record_error_answer(
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -103,7 +103,11 @@
             self._state.record_event(
                 _CODES.SERVER_RATE_LIMITED,
                 rate=rate_limit,
-                provisional=event.is_provisional,
+                reason=(
+                    "until its first answer"
+                    if event.is_provisional
+                    else "as its answers say"
+                ),
             )
         if not self._is_present():
             return []
@@ -170,6 +174,11 @@
             return None
         return self._controller.next_wakeup()
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests per second that the server accepts, or None."""
+        return self._rate_limit
+
     def threshold(self, class_name: str) -> float:
         """Returns the share of request hashes that admission accepts."""
         if self._controller is None:
--- a/bergamotdeal/calls/tests/test_server_rate_limit.py
+++ b/bergamotdeal/calls/tests/test_server_rate_limit.py
@@ -11,6 +11,7 @@
 from bergamotdeal.calls.tests import test_host_routes
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.telemetry import catalogue
 
 HOSTS = 16
 RUN_S = 0.06
@@ -34,6 +35,7 @@
         self.node.handle(ANNOUNCED)
         self.started_at = []
         self.errors = []
+        self.records = []
         self._interval_s = 1.0 / calls_per_s
         self._next_call_at = self.node.now
         self._numbers = itertools.count(1)
@@ -56,6 +58,8 @@
                     self.started_at.append(self.node.now)
                     end = self.node.now + RUN_S
                     heapq.heappush(self._ends, (end, effect.run_id))
+                case messages.EventRecord():
+                    self.records.append(effect)
                 case messages.SendAnswer(answer=answer) if answer.error:
                     self.errors.append(answer.error)
 
@@ -137,6 +141,12 @@
     server.run_limited()
     assert set(server.errors) == {errors.ErrorKind.SHED}
     load = server.node.engine.load()
+    reasons = {
+        effect.fields["reason"].rpartition(", ")[2]
+        for effect in server.records
+        if effect.code is catalogue.EventCode.CALL_SHED
+    }
+    assert reasons == {"server accepts 21 per second"}
     # By Little's law, two slots are enough for 21 runs of 60 ms a second.
     assert load.limit == 2
     assert load.queued <= 5
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -140,8 +140,7 @@
     EventCode.SETTINGS_REJECTED: "settings of {source} rejected: {reason}",
     EventCode.ANNOUNCEMENT_REJECTED: "announcement rejected: {reason}",
     EventCode.SERVER_RATE_LIMITED: (
-        "at most {rate} requests per second to the backend server, until its "
-        "first answer: {provisional}"
+        "at most {rate} requests per second to the backend server, {reason}"
     ),
     EventCode.SERVER_RATE_LIMIT_LIFTED: (
         "no rate limit for the backend server any more"
