Let no call wait long for the rate of a limited server

Change: under a rate limit the queue holds what starts within a quarter of a second, at a low rate nothing.

Conclusion: a refusal that comes early can go to another server.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -303,7 +303,8 @@
         )
 
     def _queue_bound(self, limit: int) -> int:
-        return math.ceil(self._policy.queue_slots_ratio * limit)
+        jobs = math.ceil(self._policy.queue_slots_ratio * limit)
+        return self._start_rate.bound_queue(jobs)
 
     def _rank(self, job: core.Job) -> int:
         if not self._policy.class_order:
--- a/bergamotdeal/admission/rate.py
+++ b/bergamotdeal/admission/rate.py
@@ -11,6 +11,9 @@
 _BURST_S = 0.25
 """Time at the limited rate whose jobs may start at once."""
 
+_MAX_WAIT_S = 0.25
+"""Time that a job may wait for the rate; another server may be free."""
+
 
 class StartRateLimiter:
     """Rate limit on the starts of jobs; without a limit at first."""
@@ -71,3 +74,13 @@
         if self._rate is None:
             return slots
         return min(slots, max(1, math.ceil(self._rate * run_s)))
+
+    def bound_queue(self, jobs: int) -> int:
+        """Returns how many jobs may wait under the limit.
+
+        Args:
+          jobs: Jobs that may wait without the limit.
+        """
+        if self._rate is None:
+            return jobs
+        return min(jobs, int(self._rate * _MAX_WAIT_S))
--- a/bergamotdeal/calls/tests/test_server_rate_limit.py
+++ b/bergamotdeal/calls/tests/test_server_rate_limit.py
@@ -36,6 +36,8 @@
         self.started_at = []
         self.errors = []
         self.records = []
+        self.refusal_waits_s = []
+        self._called_at = {}
         self._interval_s = 1.0 / calls_per_s
         self._next_call_at = self.node.now
         self._numbers = itertools.count(1)
@@ -62,6 +64,8 @@
                     self.records.append(effect)
                 case messages.SendAnswer(answer=answer) if answer.error:
                     self.errors.append(answer.error)
+                    called_at = self._called_at[effect.number]
+                    self.refusal_waits_s.append(self.node.now - called_at)
 
     def _pass_time(self, until):
         while True:
@@ -83,6 +87,7 @@
 
     def _call(self):
         number = next(self._numbers)
+        self._called_at[number] = self.node.now
         call = core.Call(
             number=number,
             user_request_id=f"r{number}",
@@ -193,3 +198,14 @@
     limited_at = server.run_limited(rate_limit=0.0, duration_s=20.0)
     started = [time for time in server.started_at if time > limited_at]
     assert 2 <= len(started) <= 5
+
+
+# Guards against calls that wait for a start at a server that accepts few, while
+# other servers have room.
+@pytest.mark.parametrize("rate_limit", [0.0, 1.0, 5.0, LIMIT])
+def test_call_does_not_wait_long_for_a_limited_server(rate_limit):
+    server = Server(calls_per_s=50)
+    limited_at = server.run_limited(rate_limit=rate_limit, duration_s=20.0)
+    assert max(server.refusal_waits_s) <= 0.25
+    started = sum(time > limited_at for time in server.started_at)
+    assert started >= 0.9 * rate_limit * 20.0
