Walk at random over what could let a rate limit go

Cause: the tests of the limit tried its faults one by one.

Change: forty seeded walks over stops of the server, missed announcements, switches of admission, restarts and freezes of the node, in close succession, at limits of 3, 21 and 100 a second.

--- a/bergamotdeal/calls/tests/test_server_rate_limit.py
+++ b/bergamotdeal/calls/tests/test_server_rate_limit.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 import itertools
+import random
 
 import pytest
 
@@ -10,6 +11,7 @@
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import test_host_routes
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import server_condition
 from bergamotdeal.presets import model
 from bergamotdeal.telemetry import catalogue
 
@@ -37,6 +39,8 @@
         self.errors = []
         self.records = []
         self.refusal_waits_s = []
+        self.rate_limit = None
+        self.is_limit_unknown = False
         self._called_at = {}
         self._interval_s = 1.0 / calls_per_s
         self._next_call_at = self.node.now
@@ -67,6 +71,27 @@
                     called_at = self._called_at[effect.number]
                     self.refusal_waits_s.append(self.node.now - called_at)
 
+    def restart_node(self):
+        """Starts a new node, which learns the limit from the first answer."""
+        now = self.node.now
+        self.node = test_host_routes.Node()
+        self.node.now = now
+        self._ends.clear()
+        self._called_at.clear()
+        self.handle(ANNOUNCED)
+        self.handle(
+            messages.ServerRateLimited(
+                rate_limit=server_condition.PROVISIONAL_RATE_LIMIT,
+                is_provisional=True,
+            )
+        )
+        self.is_limit_unknown = True
+
+    def freeze(self, duration_s):
+        """Lets time pass in which the node does nothing."""
+        self.node.now += duration_s
+        self._next_call_at = self.node.now
+
     def _pass_time(self, until):
         while True:
             wakeup = self.node.engine.next_wakeup()
@@ -75,6 +100,11 @@
             self.node.now = max(self.node.now, min(times))
             if self._ends and self._ends[0][0] <= self.node.now:
                 _, run_id = heapq.heappop(self._ends)
+                if self.is_limit_unknown:
+                    self.is_limit_unknown = False
+                    self.handle(
+                        messages.ServerRateLimited(rate_limit=self.rate_limit)
+                    )
                 self.handle(
                     messages.RunAnswered(
                         run_id=run_id, status=200, headers=[], body=b""
@@ -110,6 +140,7 @@
     def run_limited(self, rate_limit=LIMIT, duration_s=SETTLE_S):
         """Calls the server after it has named a limit; returns that time."""
         self.run(3.0)
+        self.rate_limit = rate_limit
         self.handle(messages.ServerRateLimited(rate_limit=rate_limit))
         limited_at = self.node.now
         self.run(duration_s)
@@ -209,3 +240,38 @@
     assert max(server.refusal_waits_s) <= 0.25
     started = sum(time > limited_at for time in server.started_at)
     assert started >= 0.9 * rate_limit * 20.0
+
+
+# Guards against a limit that a stop of the server, a restart or a freeze of the
+# node, or a switch of the preset lets go, also in close succession.
+@pytest.mark.parametrize("seed", range(40))
+def test_limit_holds_through_random_faults(seed):
+    rng = random.Random(seed)
+    rate_limit = rng.choice((3.0, LIMIT, 100.0))
+    server = Server(calls_per_s=rng.choice((25, 100, 400)))
+    limited_at = server.run_limited(rate_limit=rate_limit)
+    preset = test_host_routes.PRESET
+    for epoch in range(2, 12):
+        match rng.randrange(5):
+            case 0:
+                server.handle(messages.ServerStopped())
+                server.run(rng.uniform(0.0, 0.5))
+                server.handle(ANNOUNCED)
+            case 1:
+                server.handle(messages.ServerUnresponsive())
+                server.handle(ANNOUNCED)
+            case 2:
+                policy = model.AdmissionPolicy(limits=rng.random() < 0.5)
+                server.handle(
+                    messages.PresetInForce(
+                        epoch=epoch,
+                        preset=dataclasses.replace(preset, admission=policy),
+                    )
+                )
+            case 3:
+                server.restart_node()
+            case 4:
+                server.freeze(rng.uniform(0.5, 6.0))
+        server.run(rng.uniform(0.5, 3.0))
+    most = server.count_most_in_window(limited_at + SETTLE_S)
+    assert most <= 1.5 * rate_limit * WINDOW_S + 5
