--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -28,7 +28,7 @@
 
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
-ReadCondition = result.Result[dialects.ServerCondition, str]
+ConditionResult = result.Result[dialects.ServerCondition, str]
 
 
 class ServerConnection(protocol.Protocol):
@@ -57,7 +57,7 @@
         on_idle: Callable[["ServerConnection"], None],
         on_closed: Callable[["ServerConnection"], None],
         post: Callable[[messages.Event], None],
-        on_condition: Callable[[int, ReadCondition], None] | None = None,
+        on_condition: Callable[[int, ConditionResult], None] | None = None,
         dialect: dialects.ServerDialect | None = None,
     ) -> None:
         self.run: messages.StartRun | None = None
@@ -355,7 +355,7 @@
             headers=header_names.select_end_to_end(headers)
         )
 
-    def read_condition(self, headers: calls.Headers) -> ReadCondition:
+    def read_condition(self, headers: calls.Headers) -> ConditionResult:
         """Returns the normal condition, as native servers report none."""
         del headers
         return result.Ok(dialects.NORMAL_CONDITION)
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -66,7 +66,7 @@
     """
 
     instance: str
-    condition: server_connection.ReadCondition
+    condition: server_connection.ConditionResult
     announcement: Announcement | None
 
 
@@ -366,7 +366,7 @@
             self._connect_if_needed()
 
     def _handle_condition(
-        self, run_id: int, reported: server_connection.ReadCondition
+        self, run_id: int, reported: server_connection.ConditionResult
     ) -> None:
         active_run = self._active_runs_by_id.get(run_id)
         if active_run is None:
@@ -379,7 +379,7 @@
 
     def _record_condition(
         self,
-        reported: server_connection.ReadCondition,
+        reported: server_connection.ConditionResult,
         *,
         instance: str,
         sent_at: float,
