Refuse nobody at the entries for one server's rate limit

Cause: the load share that a node reports to the entries speaks for the whole service. The node beside a limited server took every call that it refused, and its short full queue, for overload of the service.

Ruled out: refusals at the limited servers themselves (15 in 10 s).

Conclusion: a limit of one server is routing's matter, a limit of all of them the entries'.

--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -237,7 +237,9 @@
             deadline=run.deadline,
             arrived=state.now,
         )
-        self.apply_decisions(self._server.submit(job))
+        self.apply_decisions(
+            self._server.submit(job, was_refused_elsewhere=run.call.attempt > 0)
+        )
         if run.phase is runs.Phase.QUEUED and run.run_id in (
             self._runs.runs_by_id
         ):
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -121,10 +121,27 @@
             return []
         return self._set_policy()
 
-    def submit(self, job: admission.Job) -> list[admission.Decision]:
-        """Requests a slot for a job."""
-        self._pressure.count_arrival()
+    def submit(
+        self, job: admission.Job, *, was_refused_elsewhere: bool
+    ) -> list[admission.Decision]:
+        """Requests a slot for a job.
+
+        Args:
+          job: The job.
+          was_refused_elsewhere: Whether another server has refused the call.
+        """
         decisions = self._controller.submit(job, self._state.now)
+        is_refused = _is_refused(job, decisions)
+        # What a limited server refuses is no shortage of the service as long as
+        # another server takes it.
+        if (
+            was_refused_elsewhere
+            or not is_refused
+            or self._controller.rate_limit is None
+        ):
+            self._pressure.count_arrival(
+                is_surplus=is_refused and was_refused_elsewhere
+            )
         self._update_pressure()
         return decisions
 
@@ -254,6 +271,15 @@
         )
 
 
+def _is_refused(
+    job: admission.Job, decisions: list[admission.Decision]
+) -> bool:
+    return any(
+        isinstance(decision, admission.Refuse) and decision.job_id == job.job_id
+        for decision in decisions
+    )
+
+
 class LostRun:
     """Timer key of a lost run whose server has not crashed."""
 
--- a/bergamotdeal/pricing/pressure.py
+++ b/bergamotdeal/pricing/pressure.py
@@ -72,7 +72,9 @@
         self._share = 1.0
         self._window_started_at = now
         self._arrivals = 0
+        self._surplus_arrivals = 0
         self._run_s = 0.0
+        self._was_rate_limited = False
         self._hold_windows = 0
 
     @property
@@ -85,9 +87,15 @@
         """Moving mean of the run time in seconds; zero when unknown."""
         return self._run_s
 
-    def count_arrival(self) -> None:
-        """Records a request for a slot, granted or not."""
+    def count_arrival(self, *, is_surplus: bool = False) -> None:
+        """Records a request for a slot.
+
+        Args:
+          is_surplus: Whether this server and another one of the service have
+            refused the request.
+        """
         self._arrivals += 1
+        self._surplus_arrivals += is_surplus
 
     def record_run_time(self, run_s: float) -> None:
         """Records the duration of a run that ended, in seconds."""
@@ -124,34 +132,43 @@
         age_s = now - self._window_started_at
         if self._run_s > 0.0 and limit >= 1:
             capacity = _TARGET_UTILIZATION * limit / self._run_s
+            target_depth = _TARGET_DEPTH_SHARE * limit
+            is_busy = (
+                running >= _BUSY_UTILIZATION * limit or queued > target_depth
+            )
+            available = capacity - (queued - target_depth) / _QUEUE_DRAIN_S
+            has_overflow = queued > limit
             if rate_limit is not None:
-                capacity = min(capacity, rate_limit)
+                if not self._was_rate_limited:
+                    # Callers send elsewhere once they know the limit.
+                    self._hold_windows = _HOLD_WINDOWS
+                # Other servers of the service may have room.
+                available = min(capacity, rate_limit)
+                is_busy = self._surplus_arrivals > 0
+                has_overflow = False
             self._adjust_share(
                 age_s,
-                running=running,
-                queued=queued,
-                limit=limit,
-                capacity=capacity,
+                available=available,
+                is_busy=is_busy,
+                has_overflow=has_overflow,
             )
+        self._was_rate_limited = rate_limit is not None
         self._window_started_at = now
         self._arrivals = 0
+        self._surplus_arrivals = 0
 
     def _adjust_share(
         self,
         age_s: float,
         *,
-        running: int,
-        queued: int,
-        limit: int,
-        capacity: float,
+        available: float,
+        is_busy: bool,
+        has_overflow: bool,
     ) -> None:
-        target_depth = _TARGET_DEPTH_SHARE * limit
-        available = capacity - (queued - target_depth) / _QUEUE_DRAIN_S
         offered = max(1.0, self._arrivals) / age_s
         ratio = min(
             _MAX_ERROR_RATIO, max(_MIN_ERROR_RATIO, available / offered)
         )
-        is_busy = running >= _BUSY_UTILIZATION * limit or queued > target_depth
         if not is_busy:
             ratio = max(1.0, ratio)
         windows = min(_MAX_WINDOW_S, age_s) / WINDOW_S
@@ -159,7 +176,7 @@
         if self._hold_windows:
             return
         exponent = _GAIN * windows
-        if queued > limit and ratio < 1.0:
+        if has_overflow and ratio < 1.0:
             exponent = _OVERFLOW_GAIN
             self._hold_windows = _HOLD_WINDOWS
         share = self._share * ratio**exponent
