--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+	$(BIN)/lint-imports
 
 # Lines "red: TEST" of KNOWN-RED.txt name the tests that are passed over.
 unit: setup
--- a/bergamotdeal/admission/__init__.py
+++ b/bergamotdeal/admission/__init__.py
@@ -1,3 +1,3 @@
 """Admission control and load shedding on the node beside a server."""
 
-__all__ = ["controller", "core", "feedback", "hashing"]
+__all__ = ["controller", "core", "feedback"]
--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -5,14 +5,14 @@
 
 from bergamotdeal.admission import core
 from bergamotdeal.admission import estimate
-from bergamotdeal.admission import hashing
 from bergamotdeal.admission import limit as limits
 from bergamotdeal.admission import rate
 from bergamotdeal.admission import waiting
 from bergamotdeal.admission import window
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
+from bergamotdeal.utils import hashing
 
 _PEAK_DECAY = 0.95
 _URGENT_RUN_TIME_FACTOR = 2.0
@@ -244,9 +244,9 @@
         rank = class_rank if self._policy.class_order else 0
         return self._thresholds.class_threshold(rank)
 
-    def load(self) -> calls.Load:
+    def load(self) -> rpc.Load:
         """Returns the current load, which answers report to callers."""
-        return calls.Load(
+        return rpc.Load(
             running=len(self._runs_by_id),
             queued=len(self._queue),
             limit=self._usable_limit(self._last_advance),
--- a/bergamotdeal/calls/__init__.py
+++ b/bergamotdeal/calls/__init__.py
@@ -1,7 +1,6 @@
 """Call engine: dispatch of a call at its origin, execution at its target."""
 
 __all__ = [
-    "core",
     "deadlines",
     "dispatch",
     "engine",
--- a/bergamotdeal/calls/acceptance.py
+++ b/bergamotdeal/calls/acceptance.py
@@ -1,11 +1,11 @@
 """Checks of a call at its target's node before it waits for a slot."""
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.errors import core as errors
 from bergamotdeal.retries import server_budget
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.tickets import core as tickets
 
@@ -32,7 +32,7 @@
         self._server = server
         self._budget = budget
 
-    def record_arrival(self, call: core.Call) -> None:
+    def record_arrival(self, call: rpc.Call) -> None:
         """Records a call for the retry budget."""
         if call.attempt == 0 and not call.is_repeat:
             self._budget.record_first_attempt(self._state.now)
@@ -66,7 +66,7 @@
                 return _KINDS.RETRIES_EXHAUSTED
         return None
 
-    def may_retry(self, call: core.Call) -> bool:
+    def may_retry(self, call: rpc.Call) -> bool:
         """Returns whether a retry of a call is likely to be accepted."""
         return not self._budget.is_exhausted(
             self._state.now, prior_calls=call.prior_calls
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -5,7 +5,6 @@
 import result
 
 from bergamotdeal.admission import feedback
-from bergamotdeal.calls import core
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import explanations
 from bergamotdeal.calls import intake as call_intake
@@ -18,6 +17,7 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.retries import budget as retry_budget
 from bergamotdeal.routing import router as routing
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 
 _CODES = catalogue.EventCode
@@ -45,7 +45,7 @@
         router: routing.Router,
         thresholds: feedback.ThresholdTable,
         budget: retry_budget.RetryBudget,
-        send: Callable[[str, core.Call], None],
+        send: Callable[[str, rpc.Call], None],
         cancel: Callable[[str, int], None],
     ):
         self._state = state
@@ -201,7 +201,7 @@
                 exchange.delegated_tokens, carried=exchange.delegated_tokens
             )
         self._close_dispatch(exchange, succeeded=False, load=None)
-        answer = core.build_error_answer(
+        answer = rpc.build_error_answer(
             kind, may_have_run=exchange.may_have_run_despite_refusal
         )
         self._process_answer(exchange, answer)
@@ -240,14 +240,14 @@
         exchange.is_requesting_ticket = (
             not exchange.ticket and state.needs_ticket(route)
         )
-        call = core.Call(
+        call = rpc.Call(
             number=number,
             user_request_id=exchange.user_request_id,
             call_id=exchange.call_id,
             request=exchange.request,
             deadline_ms=remaining_ms,
             attempt=min(
-                core.MAX_ATTEMPT, exchange.attempt + exchange.retry_count
+                rpc.MAX_ATTEMPT, exchange.attempt + exchange.retry_count
             ),
             may_have_run=exchange.may_have_run,
             tokens=exchange.delegated_tokens,
@@ -264,7 +264,7 @@
             repeatable=route.repeatable,
             caller_service=state.caller_service,
             is_repeat=exchange.is_repeat,
-            prior_calls=min(core.MAX_PRIOR_CALLS, exchange.prior_calls),
+            prior_calls=min(rpc.MAX_PRIOR_CALLS, exchange.prior_calls),
         )
         self._send(host_id, call)
 
@@ -273,7 +273,7 @@
         exchange: exchanges.Exchange,
         *,
         succeeded: bool,
-        load: core.Load | None,
+        load: rpc.Load | None,
         has_run: bool = True,
     ) -> None:
         """Ends the dispatch in flight and reports it to the router."""
@@ -307,7 +307,7 @@
             exchange.repeatable = False
 
     def _process_answer(
-        self, exchange: exchanges.Exchange, answer: core.Answer
+        self, exchange: exchanges.Exchange, answer: rpc.Answer
     ) -> None:
         """Retries the call or replies to the caller."""
         if (
@@ -326,7 +326,7 @@
         self._reply(exchange, answer)
 
     def _should_use_ticket(
-        self, exchange: exchanges.Exchange, answer: core.Answer
+        self, exchange: exchanges.Exchange, answer: rpc.Answer
     ) -> bool:
         """Returns whether this node uses an issued ticket for its caller."""
         if answer.error is not _KINDS.TICKET_REQUIRED or not answer.ticket:
@@ -357,7 +357,7 @@
             parent.tickets_by_key.pop(key, None)
 
     def _try_retry(
-        self, exchange: exchanges.Exchange, answer: core.Answer
+        self, exchange: exchanges.Exchange, answer: rpc.Answer
     ) -> bool:
         """Retries a call if that is safe and within allowance and budget.
 
@@ -419,12 +419,12 @@
         self._refuse(exchange, kind)
 
     def _refuse(self, exchange: exchanges.Exchange, kind: _KINDS) -> None:
-        answer = core.build_error_answer(
+        answer = rpc.build_error_answer(
             kind, may_have_run=exchange.may_have_run_despite_refusal
         )
         self._reply(exchange, answer)
 
-    def _reply(self, exchange: exchanges.Exchange, answer: core.Answer) -> None:
+    def _reply(self, exchange: exchanges.Exchange, answer: rpc.Answer) -> None:
         """Sends the final answer to the caller."""
         state = self._state
         del self._exchanges_by_origin_id[exchange.origin_id]
@@ -461,5 +461,5 @@
         )
 
 
-def _is_refusal(answer: core.Answer) -> bool:
+def _is_refusal(answer: rpc.Answer) -> bool:
     return answer.outcome is errors.Outcome.NOT_RUN
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -4,7 +4,6 @@
 import random
 
 from bergamotdeal.admission import feedback
-from bergamotdeal.calls import core
 from bergamotdeal.calls import dispatch
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import execution
@@ -20,6 +19,7 @@
 from bergamotdeal.retries import budget as retry_budget
 from bergamotdeal.retries import server_budget
 from bergamotdeal.routing import router as routing
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 
 LOCAL_LINK_ID = -1
@@ -132,7 +132,7 @@
         """Returns whether no exchange, call or run is open."""
         return self._dispatcher.is_idle() and self._executor.is_idle()
 
-    def load(self) -> core.Load | None:
+    def load(self) -> rpc.Load | None:
         """Returns the backend server's load, or None before an announcement."""
         return self._server.load()
 
@@ -169,7 +169,7 @@
     def _answer_unopened_call(self, event: messages.Event) -> None:
         """Answers a call that failed before it had an exchange or a run."""
         state = self._state
-        answer = core.build_error_answer(errors.ErrorKind.INTERNAL)
+        answer = rpc.build_error_answer(errors.ErrorKind.INTERNAL)
         answer.epoch = state.epoch
         match event:
             case messages.CallArrived():
@@ -292,7 +292,7 @@
             case runs.Run():
                 self._executor.fail(item)
 
-    def _send(self, host_id: str, call: core.Call) -> None:
+    def _send(self, host_id: str, call: rpc.Call) -> None:
         if host_id == self._state.identity.host_id:
             self._local_events.append(
                 messages.PeerCalled(link_id=LOCAL_LINK_ID, call=call)
@@ -309,7 +309,7 @@
         self._state.emit(messages.SendCancel(host_id=host_id, number=number))
 
     def _send_answer(
-        self, link_id: int, call: core.Call, answer: core.Answer
+        self, link_id: int, call: rpc.Call, answer: rpc.Answer
     ) -> None:
         if link_id == LOCAL_LINK_ID:
             self._local_events.append(
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
 from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
+from bergamotdeal.rpc import core as rpc
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -55,7 +55,7 @@
 
     origin_id: int
     face: messages.Face
-    request: core.Request
+    request: rpc.Request
     user_request_id: str
     call_id: str
     route: model.Route
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -4,9 +4,7 @@
 import dataclasses
 
 from bergamotdeal.admission import core as admission
-from bergamotdeal.admission import hashing
 from bergamotdeal.calls import acceptance
-from bergamotdeal.calls import core
 from bergamotdeal.calls import explanations
 from bergamotdeal.calls import failures
 from bergamotdeal.calls import local_server
@@ -19,8 +17,10 @@
 from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
 from bergamotdeal.retries import server_budget
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.tickets import table
+from bergamotdeal.utils import hashing
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
@@ -53,7 +53,7 @@
         server: local_server.LocalServer,
         ticket_manager: call_ticketing.TicketManager,
         budget: server_budget.ServerRetryBudget,
-        send_answer: Callable[[int, core.Call, core.Answer], None],
+        send_answer: Callable[[int, rpc.Call, rpc.Answer], None],
         cancel_child_calls: Callable[[runs.Run], None],
     ):
         self._state = state
@@ -89,7 +89,7 @@
                 return self._runs.runs_by_id.get(event.run_id)
         return None
 
-    def handle_call(self, link_id: int, call: core.Call) -> None:
+    def handle_call(self, link_id: int, call: rpc.Call) -> None:
         """Opens a run for a call and admits, answers or refuses it."""
         if (link_id, call.number) in self._runs.runs_by_call:
             return
@@ -135,7 +135,7 @@
             return
         self._free_slot(run, completed=not run.is_abandoned)
         self._server.untrack_run(run.run_id)
-        answer = core.Answer(
+        answer = rpc.Answer(
             outcome=errors.Outcome.COMPLETED,
             status=event.status,
             headers=event.headers,
@@ -158,7 +158,7 @@
             self._server.record_lost_run(run.run_id)
         else:
             self._server.untrack_run(run.run_id)
-        self._finish_run(run, core.build_error_answer(kind))
+        self._finish_run(run, rpc.build_error_answer(kind))
 
     def expire(self, run: runs.Run) -> None:
         """Handles the expiry of a run's timer.
@@ -169,7 +169,7 @@
         if run.is_answered:
             self._abort_run(run)
             return
-        answer = core.build_error_answer(_KINDS.DEADLINE_EXCEEDED)
+        answer = rpc.build_error_answer(_KINDS.DEADLINE_EXCEEDED)
         self._end_call(run, answer)
 
     def fail(self, run: runs.Run) -> None:
@@ -177,7 +177,7 @@
         phase = run.phase
         if phase is runs.Phase.ENDED and run.is_answered:
             return
-        answer = core.build_error_answer(_KINDS.INTERNAL)
+        answer = rpc.build_error_answer(_KINDS.INTERNAL)
         if not run.is_answered:
             # Sends the answer first and leaves out what might raise again.
             self._runs.close_call(run)
@@ -192,7 +192,7 @@
             self.apply_decisions(self._server.withdraw(run.run_id))
         self._finish_run(run, answer)
 
-    def _open(self, link_id: int, call: core.Call) -> runs.Run:
+    def _open(self, link_id: int, call: rpc.Call) -> runs.Run:
         state = self._state
         if call.route_name:
             route = state.find_call_route(call)
@@ -273,7 +273,7 @@
             case admission.Start():
                 self._start_run(run)
             case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
-                answer = core.build_error_answer(_KINDS.DEADLINE_EXCEEDED)
+                answer = rpc.build_error_answer(_KINDS.DEADLINE_EXCEEDED)
                 self._end_queued(run, answer)
             case admission.Refuse(kind=kind):
                 self._refuse(run, kind)
@@ -317,7 +317,7 @@
         """Cancels a running request in favour of a more important one."""
         self._state.emit(messages.CancelRun(run_id=run.run_id))
         self._server.untrack_run(run.run_id)
-        answer = core.build_error_answer(_KINDS.SHED, may_have_run=True)
+        answer = rpc.build_error_answer(_KINDS.SHED, may_have_run=True)
         self._finish_run(run, answer)
 
     def _cancel_call(self, run: runs.Run) -> None:
@@ -329,7 +329,7 @@
         )
         self._end_call(run, None)
 
-    def _end_call(self, run: runs.Run, answer: core.Answer | None) -> None:
+    def _end_call(self, run: runs.Run, answer: rpc.Answer | None) -> None:
         """Answers a call and stops its work if possible."""
         match run.phase:
             case runs.Phase.JOINED:
@@ -343,7 +343,7 @@
             case runs.Phase.RUNNING:
                 self._detach_run(run, answer)
 
-    def _end_queued(self, run: runs.Run, answer: core.Answer | None) -> None:
+    def _end_queued(self, run: runs.Run, answer: rpc.Answer | None) -> None:
         """Ends a request that left the queue without a run."""
         self._acceptance.release(run)
         successor = self._ticket_manager.transfer(run)
@@ -353,7 +353,7 @@
             successor.fingerprint = run.fingerprint
             self._admit(successor)
 
-    def _detach_run(self, run: runs.Run, answer: core.Answer | None) -> None:
+    def _detach_run(self, run: runs.Run, answer: rpc.Answer | None) -> None:
         """Answers the call of a running request and cancels the run.
 
         A run under a ticket continues so that its answer can be replayed.
@@ -370,7 +370,7 @@
         self._state.emit(messages.CancelRun(run_id=run.run_id))
         self._free_slot(run, completed=False)
         self._server.untrack_run(run.run_id)
-        self._finish_run(run, core.build_error_answer(_KINDS.DEADLINE_EXCEEDED))
+        self._finish_run(run, rpc.build_error_answer(_KINDS.DEADLINE_EXCEEDED))
 
     def _free_slot(self, run: runs.Run, *, completed: bool) -> None:
         run.phase = runs.Phase.ENDED
@@ -401,7 +401,7 @@
         self._acceptance.release(run)
         calls = [run, *run.joined]
         answers = [
-            core.build_error_answer(kind, may_have_run=each.may_have_run)
+            rpc.build_error_answer(kind, may_have_run=each.may_have_run)
             for each in calls
         ]
         self._ticket_manager.settle_refused(run, answers)
@@ -416,12 +416,12 @@
             self._runs.remove(each)
             self._answer_call(each, answer)
 
-    def _finish_without_run(self, run: runs.Run, answer: core.Answer) -> None:
+    def _finish_without_run(self, run: runs.Run, answer: rpc.Answer) -> None:
         """Answers a call that needs no run of its own."""
         self._runs.remove(run)
         self._answer_call(run, answer)
 
-    def _finish_run(self, run: runs.Run, answer: core.Answer) -> None:
+    def _finish_run(self, run: runs.Run, answer: rpc.Answer) -> None:
         """Answers a call whose run has ended and the calls that joined it."""
         self._ticket_manager.settle_finished(run, answer)
         self._runs.remove(run)
@@ -430,7 +430,7 @@
             self._answer_call(joined, dataclasses.replace(answer))
         self._answer_call(run, answer)
 
-    def _answer_call(self, run: runs.Run, answer: core.Answer | None) -> None:
+    def _answer_call(self, run: runs.Run, answer: rpc.Answer | None) -> None:
         """Sends the answer of a call unless it is already answered.
 
         Args:
@@ -451,7 +451,7 @@
             self._send_answer(run.link_id, run.call, answer)
 
     def _fill_in_answer(
-        self, run: runs.Run, answer: core.Answer, *, is_running: bool
+        self, run: runs.Run, answer: rpc.Answer, *, is_running: bool
     ) -> None:
         """Sets the fields of an answer that report more than the result."""
         truth.correct_outcome(answer, may_have_run=run.may_have_run)
@@ -474,7 +474,7 @@
 
 
 def _classify_call(
-    state: engine_state.EngineState, call: core.Call, route: model.Route
+    state: engine_state.EngineState, call: rpc.Call, route: model.Route
 ) -> str:
     """Returns the class of a call; on a host route that of its origin."""
     if not call.route_name:
--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -1,14 +1,14 @@
 """Time line records for calls that a node answered with an error."""
 
 from bergamotdeal.admission import feedback
-from bergamotdeal.admission import hashing
-from bergamotdeal.calls import core
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.utils import hashing
 
 _CODES = catalogue.EventCode
 _MS_PER_S = 1000
@@ -59,7 +59,7 @@
     *,
     state: engine_state.EngineState,
     exchange: exchanges.Exchange,
-    answer: core.Answer,
+    answer: rpc.Answer,
 ) -> None:
     """Records why a caller gets an error instead of a server's answer."""
     is_refusal = answer.outcome is errors.Outcome.NOT_RUN
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -3,8 +3,6 @@
 import hashlib
 
 from bergamotdeal.admission import feedback
-from bergamotdeal.admission import hashing
-from bergamotdeal.calls import core
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
@@ -14,6 +12,8 @@
 from bergamotdeal.pricing import origins
 from bergamotdeal.retries import allowance
 from bergamotdeal.routing import router as routing
+from bergamotdeal.rpc import core as rpc
+from bergamotdeal.utils import hashing
 
 _KINDS = errors.ErrorKind
 _CALL_ID_BYTES = 16
@@ -130,7 +130,7 @@
     def find_refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
         """Returns the reason to refuse a request on arrival, or None."""
         state = self._state
-        if exchange.depth > core.MAX_CALL_DEPTH:
+        if exchange.depth > rpc.MAX_CALL_DEPTH:
             return _KINDS.CALL_TOO_DEEP
         if exchange.route is _NO_ROUTE:
             return _KINDS.NO_ROUTE
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -2,13 +2,13 @@
 
 from bergamotdeal.admission import controller
 from bergamotdeal.admission import core as admission
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.pricing import pressure
 from bergamotdeal.quarantine import register
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 
 _CODES = catalogue.EventCode
@@ -204,7 +204,7 @@
             self._state.preset.get_class_rank(class_name)
         )
 
-    def load(self) -> core.Load | None:
+    def load(self) -> rpc.Load | None:
         """Returns the load to report, or None before an announcement."""
         if self._controller is None:
             return None
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -7,10 +7,10 @@
 import dataclasses
 import enum
 
-from bergamotdeal.calls import core
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
-from bergamotdeal.telemetry import catalogue
+from bergamotdeal.rpc import core as rpc
+from bergamotdeal.telemetry import records
 
 
 class Face(enum.Enum):
@@ -43,7 +43,7 @@
 
     origin_id: int
     face: Face
-    request: core.Request
+    request: rpc.Request
     user_request_id: str
     deadline_ms: int | None = None
     attempt: int = 0
@@ -64,7 +64,7 @@
     """Call frame received on an incoming peer link."""
 
     link_id: int
-    call: core.Call
+    call: rpc.Call
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -89,7 +89,7 @@
     host_id: str
     number: int
     user_request_id: str
-    answer: core.Answer
+    answer: rpc.Answer
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -112,7 +112,7 @@
 
     run_id: int
     status: int
-    headers: core.Headers
+    headers: rpc.Headers
     body: bytes
 
 
@@ -272,7 +272,7 @@
 
     origin_id: int
     user_request_id: str
-    answer: core.Answer
+    answer: rpc.Answer
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -280,7 +280,7 @@
     """Call frame to send to a host; the link is opened if there is none."""
 
     host_id: str
-    call: core.Call
+    call: rpc.Call
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -298,7 +298,7 @@
     link_id: int
     number: int
     user_request_id: str
-    answer: core.Answer
+    answer: rpc.Answer
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -318,7 +318,7 @@
     """
 
     run_id: int
-    request: core.Request
+    request: rpc.Request
     user_request_id: str
     context: str
     deadline_ms: int
@@ -339,24 +339,6 @@
     reports: list[membership.CrashReport]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class EventRecord:
-    """Event to add to the time line.
-
-    Attributes:
-      code: Code of the event in the catalogue.
-      user_request_id: Id of the user request that the event belongs to, or
-        empty.
-      fields: Values for the event's message by field name.
-    """
-
-    code: catalogue.EventCode
-    user_request_id: str = ""
-    fields: dict[str, str | int | float | bool] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 Effect = (
     ReplyToCaller
     | SendCall
@@ -365,5 +347,5 @@
     | StartRun
     | CancelRun
     | ShareCrashReports
-    | EventRecord
+    | records.EventRecord
 )
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -3,10 +3,10 @@
 import dataclasses
 import enum
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import deadlines
 from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.tickets import table as tickets
 
 CONTEXT_SEPARATOR = "."
@@ -58,7 +58,7 @@
 
     run_id: int
     link_id: int
-    call: core.Call
+    call: rpc.Call
     route: model.Route
     class_name: str
     deadline: float
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -4,7 +4,6 @@
 import random
 import traceback
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
@@ -12,7 +11,9 @@
 from bergamotdeal.presets import model
 from bergamotdeal.pricing import book
 from bergamotdeal.routing import split
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 _MAX_CACHED_SERVICES = 256
 _MAX_CACHED_CALL_ROUTES = 4096
@@ -71,7 +72,7 @@
         self._routes_by_destination: dict[tuple[str, str], model.Route] = {}
         self._call_routes_by_key: dict[tuple, model.Route] = {}
 
-    def select_host_route(self, request: core.Request) -> model.Route | None:
+    def select_host_route(self, request: rpc.Request) -> model.Route | None:
         """Selects the route and destination of a request to a host name.
 
         Args:
@@ -97,7 +98,7 @@
             self._routes_by_destination[key] = route
         return route
 
-    def find_call_route(self, call: core.Call) -> model.Route:
+    def find_call_route(self, call: rpc.Call) -> model.Route:
         """Returns the route of a call that was selected by its origin.
 
         The origin's selection is used because this node may have another
@@ -127,7 +128,7 @@
             self._call_routes_by_key[key] = route
         return route
 
-    def route_for(self, request: core.Request) -> model.Route:
+    def route_for(self, request: rpc.Request) -> model.Route:
         """Returns the route of a request.
 
         Only the routes of the request's service are searched, which are few
@@ -159,7 +160,7 @@
     ) -> None:
         """Adds an event to the time line."""
         self.effects.append(
-            messages.EventRecord(
+            records.EventRecord(
                 code=code, user_request_id=user_request_id, fields=fields
             )
         )
--- a/bergamotdeal/calls/tests/scenarios.py
+++ b/bergamotdeal/calls/tests/scenarios.py
@@ -1,8 +1,8 @@
 """Shared presets, requests, server programs and fleets of the tests."""
 
-from bergamotdeal.calls import core
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from standins import fleet
 from standins import fleet_model
 
@@ -37,13 +37,13 @@
 
 
 def get_request(service):
-    return core.Request(
+    return rpc.Request(
         service=service, method="GET", path="/x", headers=[], body=b""
     )
 
 
 def post_request(service, body=b"reserve"):
-    return core.Request(
+    return rpc.Request(
         service=service, method="POST", path="/x", headers=[], body=body
     )
 
--- a/bergamotdeal/calls/tests/test_chain.py
+++ b/bergamotdeal/calls/tests/test_chain.py
@@ -1,11 +1,11 @@
 import random
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 
 PRESET = model.Preset(
     name="ordinary",
@@ -19,7 +19,7 @@
         ),
     ),
 )
-REQUEST = core.Request(
+REQUEST = rpc.Request(
     service="kitview", method="GET", path="/kits", headers=[], body=b""
 )
 
--- a/bergamotdeal/calls/tests/test_fleet_bookings.py
+++ b/bergamotdeal/calls/tests/test_fleet_bookings.py
@@ -1,9 +1,9 @@
 """Non-repeatable calls made by a backend server."""
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import scenarios
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from standins import fleet_model
 
 KINDS = errors.ErrorKind
@@ -137,7 +137,7 @@
 
     def refuse_first(frame):
         call = frame.content
-        if isinstance(call, core.Call) and call.ticket and not drained:
+        if isinstance(call, rpc.Call) and call.ticket and not drained:
             drained.add(frame.target)
             refusing_hosts.append(frame.target)
             pool.send_event(frame.target, messages.DrainStarted())
--- a/bergamotdeal/calls/tests/test_fleet_quarantine.py
+++ b/bergamotdeal/calls/tests/test_fleet_quarantine.py
@@ -1,8 +1,8 @@
 """Quarantine stops a request that crashes servers and no other request."""
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls.tests import scenarios
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 
 KINDS = errors.ErrorKind
 SENDINGS = 6
@@ -11,7 +11,7 @@
 
 
 def make_poison_request():
-    return core.Request(
+    return rpc.Request(
         service="orderline",
         method="GET",
         path="/poison",
@@ -21,7 +21,7 @@
 
 
 def make_harmless_request(number):
-    return core.Request(
+    return rpc.Request(
         service="orderline",
         method="GET",
         path=f"/kits/{number}",
--- a/bergamotdeal/calls/tests/test_fleet_rate_limit.py
+++ b/bergamotdeal/calls/tests/test_fleet_rate_limit.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import scenarios
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import files as preset_files
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from standins import fleet as fleets
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -77,7 +77,7 @@
         end = fleet.now + duration_s
         host_ids = sorted(fleet.nodes_by_id)
         while fleet.now < end:
-            request = core.Request(
+            request = rpc.Request(
                 service="",
                 method="GET",
                 path="/kits",
--- a/bergamotdeal/calls/tests/test_fleet_tickets.py
+++ b/bergamotdeal/calls/tests/test_fleet_tickets.py
@@ -1,9 +1,9 @@
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import scenarios
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.tickets import core as tickets
 
 KINDS = errors.ErrorKind
@@ -237,7 +237,7 @@
     node = sim.nodes_by_id[host_id]
     service = node.member.server.service
     for number in range(4):
-        call = core.Call(
+        call = rpc.Call(
             number=1000 + number,
             user_request_id=f"filler-{number}",
             call_id=f"filler-{number}",
--- a/bergamotdeal/calls/tests/test_fleet_truth.py
+++ b/bergamotdeal/calls/tests/test_fleet_truth.py
@@ -5,12 +5,12 @@
 import hypothesis
 from hypothesis import strategies
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import scenarios
 from bergamotdeal.calls.tests import test_fleet_allowance as random_fleet
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from standins import fleet
 from standins import fleet_model
@@ -192,7 +192,7 @@
         ("orderline-1", call.number + 1, "r"),
         ("orderline-1", call.number, "other"),
     ):
-        answer = core.Answer(outcome=COMPLETED, body=b"not for you")
+        answer = rpc.Answer(outcome=COMPLETED, body=b"not for you")
         pool.send_event(
             "entry-1",
             messages.PeerAnswered(
--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -3,13 +3,14 @@
 import dataclasses
 import random
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 OWN = membership.Member(
     host_id="a",
@@ -71,7 +72,7 @@
             messages.CallArrived(
                 origin_id=1,
                 face=messages.Face.ENTRY,
-                request=core.Request(
+                request=rpc.Request(
                     service="",
                     method="GET",
                     path=path,
@@ -175,7 +176,7 @@
     dispatcher = node.engine._dispatcher
     effects = node.send_request(request_id="r2")
     (exchange,) = dispatcher._exchanges_by_origin_id.values()
-    answer = core.Answer(outcome=errors.Outcome.COMPLETED, report=b"\xc1")
+    answer = rpc.Answer(outcome=errors.Outcome.COMPLETED, report=b"\xc1")
     effects = node.handle(
         messages.PeerAnswered(
             host_id="a",
@@ -187,7 +188,7 @@
     rejected_hosts = [
         effect.fields["host"]
         for effect in effects
-        if isinstance(effect, messages.EventRecord)
+        if isinstance(effect, records.EventRecord)
         and effect.code is catalogue.EventCode.COST_REPORT_REJECTED
     ]
     assert rejected_hosts == ["a"]
@@ -201,7 +202,7 @@
 
 
 def make_call(number, *, request_id="r1", is_repeat=False):
-    request = core.Request(
+    request = rpc.Request(
         service="kitview",
         method="GET",
         path=f"/kits/{number}",
@@ -209,7 +210,7 @@
         body=b"",
         authority="kits.example",
     )
-    return core.Call(
+    return rpc.Call(
         number=number,
         user_request_id=request_id,
         call_id=request_id,
--- a/bergamotdeal/calls/tests/test_random_events.py
+++ b/bergamotdeal/calls/tests/test_random_events.py
@@ -6,14 +6,15 @@
 import hypothesis
 from hypothesis import strategies
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import scenarios
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 STEPS = 300
 HOSTS = ("here", "there", "elsewhere")
@@ -112,7 +113,7 @@
             case messages.StartRun():
                 self.run_ids.append(effect.run_id)
                 self.contexts.append(effect.context)
-            case messages.EventRecord():
+            case records.EventRecord():
                 if effect.code is catalogue.EventCode.CALL_FAILED_INTERNALLY:
                     self.failures.append(effect.fields["trace"])
 
@@ -149,7 +150,7 @@
                 link_id=link_id, call=self.rng.choice(self.calls)
             )
         user_request_id = self.user_request_id()
-        call = core.Call(
+        call = rpc.Call(
             number=len(self.calls) + 1,
             user_request_id=user_request_id,
             call_id=user_request_id,
@@ -184,7 +185,7 @@
         if not self.sent:
             return messages.TimePassed()
         host_id, call = self.rng.choice(self.sent)
-        answer = core.Answer(
+        answer = rpc.Answer(
             outcome=self.rng.choice(OUTCOMES),
             error=self.rng.choice(KINDS),
             ticket=self.rng.choice(self.tickets),
--- a/bergamotdeal/calls/tests/test_server_rate_limit.py
+++ b/bergamotdeal/calls/tests/test_server_rate_limit.py
@@ -7,13 +7,14 @@
 
 import pytest
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import test_host_routes
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import server_condition
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 HOSTS = 16
 RUN_S = 0.06
@@ -64,7 +65,7 @@
                     self.started_at.append(self.node.now)
                     end = self.node.now + RUN_S
                     heapq.heappush(self._ends, (end, effect.run_id))
-                case messages.EventRecord():
+                case records.EventRecord():
                     self.records.append(effect)
                 case messages.SendAnswer(answer=answer) if answer.error:
                     self.errors.append(answer.error)
@@ -118,11 +119,11 @@
     def _call(self):
         number = next(self._numbers)
         self._called_at[number] = self.node.now
-        call = core.Call(
+        call = rpc.Call(
             number=number,
             user_request_id=f"r{number}",
             call_id=f"c{number}",
-            request=core.Request(
+            request=rpc.Request(
                 service="kitview",
                 method="GET",
                 path="/kits/7",
--- a/bergamotdeal/calls/ticketing.py
+++ b/bergamotdeal/calls/ticketing.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-from bergamotdeal.admission import hashing
-from bergamotdeal.calls import core
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.tickets import mint
 from bergamotdeal.tickets import table
+from bergamotdeal.utils import hashing
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
@@ -43,7 +43,7 @@
         call = run.call
         return call.needs_ticket or self._state.needs_ticket(run.route)
 
-    def issue(self, run: runs.Run, *, threshold: float) -> core.Answer:
+    def issue(self, run: runs.Run, *, threshold: float) -> rpc.Answer:
         """Issues a ticket and returns the answer that carries it.
 
         The most important class is never shed here, since only admission knows
@@ -61,19 +61,19 @@
         if state.preset.get_class_rank(run.class_name) > 0:
             share = hashing.hash_share(call.user_request_id)
             if share >= threshold:
-                return core.build_error_answer(
+                return rpc.build_error_answer(
                     _KINDS.SHED, may_have_run=run.may_have_run
                 )
         record = self._table.issue(call.call_id, call.request, state.now)
         if record is None:
-            return core.build_error_answer(
+            return rpc.build_error_answer(
                 _KINDS.TICKET_TABLE_FULL, may_have_run=run.may_have_run
             )
         state.record_event(
             _CODES.TICKET_ISSUED, call.user_request_id, serial=record.serial
         )
         used = record.state is not table.TicketState.ISSUED
-        answer = core.build_error_answer(
+        answer = rpc.build_error_answer(
             _KINDS.TICKET_REQUIRED, may_have_run=run.may_have_run or used
         )
         answer.ticket = self._table.encode_ticket(record)
@@ -134,7 +134,7 @@
         self._runs_by_serial[record.serial] = successor
         return successor
 
-    def settle_refused(self, run: runs.Run, answers: list[core.Answer]) -> None:
+    def settle_refused(self, run: runs.Run, answers: list[rpc.Answer]) -> None:
         """Burns or releases the ticket of a request that did not run.
 
         Args:
@@ -152,7 +152,7 @@
         else:
             self._table.release(record)
 
-    def settle_finished(self, run: runs.Run, answer: core.Answer) -> None:
+    def settle_finished(self, run: runs.Run, answer: rpc.Answer) -> None:
         """Keeps the answer of a request that was sent to the backend server."""
         record = run.ticket_record
         if record is None:
--- a/bergamotdeal/calls/truth.py
+++ b/bergamotdeal/calls/truth.py
@@ -6,9 +6,9 @@
 hand the request over.
 """
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import exchanges
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 
 _KINDS = errors.ErrorKind
 
@@ -47,7 +47,7 @@
 """Lost answers after which a repeatable call may go to another server."""
 
 
-def correct_outcome(answer: core.Answer, *, may_have_run: bool) -> core.Answer:
+def correct_outcome(answer: rpc.Answer, *, may_have_run: bool) -> rpc.Answer:
     """Replaces ``not-run`` by ``unknown`` if an earlier attempt may have run.
 
     Args:
@@ -64,7 +64,7 @@
 
 def is_retry_safe(
     exchange: exchanges.Exchange,
-    answer: core.Answer,
+    answer: rpc.Answer,
     *,
     max_lost_dispatches: int,
     shed_elsewhere: bool = False,
@@ -96,7 +96,7 @@
 
 
 def _is_retry_safe_after_refusal(
-    exchange: exchanges.Exchange, answer: core.Answer
+    exchange: exchanges.Exchange, answer: rpc.Answer
 ) -> bool:
     if not exchange.ticket:
         return True
--- a/bergamotdeal/node/admin.py
+++ b/bergamotdeal/node/admin.py
@@ -11,12 +11,12 @@
 import result
 from twisted.internet import interfaces
 
-from bergamotdeal.calls import core as calls
-from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import http_server
 from bergamotdeal.node import status as node_status
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 from bergamotdeal.telemetry import timeline
 
@@ -92,7 +92,7 @@
         host_id: str,
         events: ring.EventRing,
         token: str,
-        record: Callable[[messages.EventRecord], None],
+        record: Callable[[records.EventRecord], None],
     ):
         self._node = node
         self._host_id = host_id
@@ -136,7 +136,7 @@
             answer = self._route_request(request)
         except Exception:
             self._record(
-                messages.EventRecord(
+                records.EventRecord(
                     code=catalogue.EventCode.CALL_FAILED_INTERNALLY,
                     fields={"trace": traceback.format_exc()},
                 )
@@ -144,7 +144,7 @@
             answer = _build_error_answer(errors.ErrorKind.INTERNAL)
         exchange.respond(answer, http_server.build_answer_headers(answer, ""))
 
-    def _route_request(self, request: http_server.HttpRequest) -> calls.Answer:
+    def _route_request(self, request: http_server.HttpRequest) -> rpc.Answer:
         if not self._is_authorized(request):
             return _build_error_answer(errors.ErrorKind.UNAUTHORIZED)
         path, _, query = request.target.partition("?")
@@ -178,13 +178,13 @@
         received = request.header("authorization").encode("latin-1")
         return hmac.compare_digest(expected, received)
 
-    def _answer_status(self, query: str) -> calls.Answer:
+    def _answer_status(self, query: str) -> rpc.Answer:
         values_by_name = dict(urllib.parse.parse_qsl(query))
         with_members = values_by_name.get("members") != "no"
         status = self._node.status(with_members=with_members)
         return _build_json_answer(node_status.encode(status))
 
-    def _answer_timeline(self, query: str) -> calls.Answer:
+    def _answer_timeline(self, query: str) -> rpc.Answer:
         parsed = parse_event_query(query)
         if isinstance(parsed, result.Err):
             return _build_error_answer(
@@ -201,7 +201,7 @@
             for event in events
             if self._matches_host(event, event_query.host)
         ]
-        return calls.Answer(
+        return rpc.Answer(
             outcome=errors.Outcome.COMPLETED,
             headers=[("content-type", "application/x-ndjson")],
             body=timeline.encode(entries[-event_query.limit :]),
@@ -212,7 +212,7 @@
             return True
         return event.fields_by_name.get("host") == host
 
-    def _answer_offer_in_force(self, body: bytes) -> calls.Answer:
+    def _answer_offer_in_force(self, body: bytes) -> rpc.Answer:
         match self._node.offer_in_force(body):
             case result.Ok(epoch):
                 return _build_json_answer(msgspec.json.encode({"epoch": epoch}))
@@ -260,8 +260,8 @@
 _QUERY_PARAMETERS = frozenset(("request", "host", "event", "since", "limit"))
 
 
-def _build_json_answer(body: bytes, *, status: int = 200) -> calls.Answer:
-    return calls.Answer(
+def _build_json_answer(body: bytes, *, status: int = 200) -> rpc.Answer:
+    return rpc.Answer(
         outcome=errors.Outcome.COMPLETED,
         status=status,
         headers=[("content-type", "application/json")],
@@ -269,10 +269,8 @@
     )
 
 
-def _build_error_answer(
-    kind: errors.ErrorKind, detail: str = ""
-) -> calls.Answer:
-    answer = calls.build_error_answer(kind)
+def _build_error_answer(kind: errors.ErrorKind, detail: str = "") -> rpc.Answer:
+    answer = rpc.build_error_answer(kind)
     message = detail or errors.ANSWERS_BY_KIND[kind].message
     answer.headers = [("content-type", "application/json")]
     answer.body = msgspec.json.encode({"error": kind.value, "message": message})
--- a/bergamotdeal/node/announcements.py
+++ b/bergamotdeal/node/announcements.py
@@ -6,10 +6,10 @@
 import msgspec
 import result
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import http_server
 from bergamotdeal.node import server_link
+from bergamotdeal.rpc import core as rpc
 
 ANNOUNCE_TARGET = "/v1/server"
 DRAIN_TARGET = "/v1/server/drain"
@@ -61,26 +61,24 @@
         answer = self._route_request(request)
         exchange.respond(answer, http_server.build_answer_headers(answer, ""))
 
-    def _route_request(self, request: http_server.HttpRequest) -> calls.Answer:
+    def _route_request(self, request: http_server.HttpRequest) -> rpc.Answer:
         match request.method, request.target:
             case "PUT", target if target == ANNOUNCE_TARGET:
                 return self._answer_announcement(request.body)
             case "POST", target if target == DRAIN_TARGET:
                 self._on_drain()
-                return calls.Answer(
-                    outcome=errors.Outcome.COMPLETED, status=202
-                )
+                return rpc.Answer(outcome=errors.Outcome.COMPLETED, status=202)
             case _:
-                return calls.build_error_answer(errors.ErrorKind.NOT_FOUND)
+                return rpc.build_error_answer(errors.ErrorKind.NOT_FOUND)
 
-    def _answer_announcement(self, body: bytes) -> calls.Answer:
+    def _answer_announcement(self, body: bytes) -> rpc.Answer:
         parsed = parse_announcement(body)
         if isinstance(parsed, result.Err):
-            return calls.build_error_answer(
+            return rpc.build_error_answer(
                 errors.ErrorKind.MALFORMED_REQUEST, detail=parsed.err_value
             )
         self._on_announced(parsed.ok_value)
-        return calls.Answer(outcome=errors.Outcome.COMPLETED, status=204)
+        return rpc.Answer(outcome=errors.Outcome.COMPLETED, status=204)
 
 
 def parse_announcement(
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -34,6 +34,7 @@
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import metrics
+from bergamotdeal.telemetry import records
 
 INCARNATION_BYTES = 16
 FLUSH_POLL_S = 0.01
@@ -494,4 +495,4 @@
         self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
 
     def _emit(self, code: catalogue.EventCode, **fields) -> None:
-        self._record(messages.EventRecord(code=code, fields=fields))
+        self._record(records.EventRecord(code=code, fields=fields))
--- a/bergamotdeal/node/change_watch.py
+++ b/bergamotdeal/node/change_watch.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from bergamotdeal.calls import messages
 from bergamotdeal.node import status as node_status
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 MIN_THRESHOLD_CHANGE = 0.05
 """Smallest change of an admission threshold that is recorded."""
@@ -27,7 +27,7 @@
       record: Takes the events.
     """
 
-    def __init__(self, *, record: Callable[[messages.EventRecord], None]):
+    def __init__(self, *, record: Callable[[records.EventRecord], None]):
         self._record = record
         self._recorded_limit = 0
         self._recorded_thresholds_by_class: dict[str, float] = {}
@@ -64,7 +64,7 @@
     def _record_event(
         self, code: catalogue.EventCode, fields: dict[str, str | int | float]
     ) -> None:
-        self._record(messages.EventRecord(code=code, fields=fields))
+        self._record(records.EventRecord(code=code, fields=fields))
 
 
 def _is_significant(previous: float, current: float) -> bool:
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -11,10 +11,10 @@
 
 import result
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import http_server
+from bergamotdeal.rpc import core as rpc
 
 
 class CallerDialect(typing.Protocol):
@@ -46,8 +46,8 @@
         """
 
     def finalize_answer(
-        self, answer: calls.Answer, user_request_id: str
-    ) -> calls.Headers:
+        self, answer: rpc.Answer, user_request_id: str
+    ) -> rpc.Headers:
         """Adapts an answer to the dialect before it is sent to the caller.
 
         Args:
@@ -67,7 +67,7 @@
       headers: End-to-end headers of the answer.
     """
 
-    headers: calls.Headers
+    headers: rpc.Headers
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,7 +132,7 @@
         """
 
     def classify_answer(
-        self, run: messages.StartRun, status: int, headers: calls.Headers
+        self, run: messages.StartRun, status: int, headers: rpc.Headers
     ) -> AnswerClass:
         """Classifies an answer by what it says about the run.
 
@@ -143,7 +143,7 @@
         """
 
     def read_condition(
-        self, headers: calls.Headers
+        self, headers: rpc.Headers
     ) -> result.Result[ServerCondition, str]:
         """Parses the server's condition from the headers of an answer.
 
--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -11,12 +11,12 @@
 from twisted.internet import task
 from twisted.internet import tcp
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import http_server
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import headers as header_names
 
 ACCEPT_BATCHES = 3
@@ -113,7 +113,7 @@
           limits: Limits of the preset in force.
         """
         self._factory.max_body_bytes = min(
-            limits.body_bytes, calls.MAX_REQUEST_BODY_BYTES
+            limits.body_bytes, rpc.MAX_REQUEST_BODY_BYTES
         )
         self._factory.idle_timeout_s = max(
             http_server.IDLE_TIMEOUT_S, limits.idle_timeout_ms / _MS_PER_S
@@ -187,7 +187,7 @@
         kind: errors.ErrorKind,
     ) -> None:
         may_have_run = self._dialect.is_retry(request)
-        answer = calls.build_error_answer(kind, may_have_run=may_have_run)
+        answer = rpc.build_error_answer(kind, may_have_run=may_have_run)
         exchange.respond(answer, self._dialect.finalize_answer(answer, ""))
 
     def _enforce_idle_timeout(self) -> None:
@@ -228,8 +228,8 @@
         return is_repeated or bool(request.header(header_names.TICKET))
 
     def finalize_answer(
-        self, answer: calls.Answer, user_request_id: str
-    ) -> calls.Headers:
+        self, answer: rpc.Answer, user_request_id: str
+    ) -> rpc.Headers:
         """Returns the headers that the node adds to an answer."""
         headers = http_server.build_answer_headers(answer, user_request_id)
         if answer.ticket:
@@ -295,7 +295,7 @@
         messages.CallArrived(
             origin_id=origin_id,
             face=face,
-            request=calls.Request(
+            request=rpc.Request(
                 service=service,
                 method=request.method,
                 path=path,
--- a/bergamotdeal/node/failure_observer.py
+++ b/bergamotdeal/node/failure_observer.py
@@ -4,8 +4,8 @@
 
 from twisted import logger
 
-from bergamotdeal.calls import messages
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 MAX_TRACE_CHARS = 4_000
 
@@ -19,7 +19,7 @@
       record: Takes the events.
     """
 
-    def __init__(self, *, record: Callable[[messages.EventRecord], None]):
+    def __init__(self, *, record: Callable[[records.EventRecord], None]):
         self._record = record
 
     def start(self) -> None:
@@ -49,7 +49,7 @@
             "trace": trace[-MAX_TRACE_CHARS:],
         }
         self._record(
-            messages.EventRecord(
+            records.EventRecord(
                 code=catalogue.EventCode.TASK_FAILED, fields=fields
             )
         )
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -14,8 +14,8 @@
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import framing
 from bergamotdeal.utils import headers as header_names
 from bergamotdeal.utils import transport
@@ -50,7 +50,7 @@
 
     method: str
     target: str
-    headers: calls.Headers
+    headers: rpc.Headers
     body: bytes
     keep_alive: bool = True
 
@@ -96,7 +96,7 @@
         self._keep_alive = keep_alive
         self._responded = False
 
-    def respond(self, answer: calls.Answer, headers: calls.Headers) -> None:
+    def respond(self, answer: rpc.Answer, headers: rpc.Headers) -> None:
         """Writes the response; later calls do nothing.
 
         Args:
@@ -139,7 +139,7 @@
 
     def _reset_request(self) -> None:
         self._target: list[bytes] = []
-        self._headers: calls.Headers = []
+        self._headers: rpc.Headers = []
         self._body_parts: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
@@ -187,7 +187,7 @@
         except httptools.HttpParserError:
             self._reject_unparsable()
             return
-        if self._is_reading_head and self._head_bytes > calls.MAX_HEADER_BYTES:
+        if self._is_reading_head and self._head_bytes > rpc.MAX_HEADER_BYTES:
             self.reject_request(errors.ErrorKind.HEADERS_TOO_LARGE)
         elif not self._is_reading_head and framing.exceeds_limit(
             self._request_bytes, self._body_bytes
@@ -225,7 +225,7 @@
         """Checks the size of the head and the declared body length."""
         self._is_reading_head = False
         size = sum(len(name) + len(value) for name, value in self._headers)
-        if size > calls.MAX_HEADER_BYTES:
+        if size > rpc.MAX_HEADER_BYTES:
             self.reject_request(errors.ErrorKind.HEADERS_TOO_LARGE)
             return
         for name, value in self._headers:
@@ -304,7 +304,7 @@
             # the last one on this connection.
             self._close_after_response = True
             return
-        answer = calls.build_error_answer(kind)
+        answer = rpc.build_error_answer(kind)
         headers = self.factory.build_error_headers(answer)
         self.transport.write(render_response(answer, headers, close=True))
         self.transport.loseConnection()
@@ -324,7 +324,7 @@
 
     def _reject_unparsable(self) -> None:
         is_head_too_long = (
-            self._is_reading_head and self._head_bytes > calls.MAX_HEADER_BYTES
+            self._is_reading_head and self._head_bytes > rpc.MAX_HEADER_BYTES
         )
         self.reject_request(
             errors.ErrorKind.HEADERS_TOO_LARGE
@@ -360,13 +360,12 @@
         *,
         handler: Callable[[Exchange, HttpRequest], None],
         seconds: Callable[[], float] | None = None,
-        build_error_headers: Callable[[calls.Answer], calls.Headers]
-        | None = None,
+        build_error_headers: Callable[[rpc.Answer], rpc.Headers] | None = None,
     ) -> None:
         self.handler = handler
         self.seconds = seconds or _get_zero_seconds
         self.build_error_headers = build_error_headers or _build_native_headers
-        self.max_body_bytes = calls.MAX_BODY_BYTES
+        self.max_body_bytes = rpc.MAX_BODY_BYTES
         self.idle_timeout_s = IDLE_TIMEOUT_S
         self.channels: set[Channel] = set()
         self.is_draining = False
@@ -405,8 +404,8 @@
 
 
 def build_answer_headers(
-    answer: calls.Answer, user_request_id: str
-) -> calls.Headers:
+    answer: rpc.Answer, user_request_id: str
+) -> rpc.Headers:
     """Returns the ``bergamot-`` headers and ``Retry-After`` of an answer.
 
     Args:
@@ -424,8 +423,8 @@
 
 
 def render_response(
-    answer: calls.Answer,
-    headers: calls.Headers,
+    answer: rpc.Answer,
+    headers: rpc.Headers,
     *,
     close: bool,
     is_head: bool = False,
@@ -479,7 +478,7 @@
     )
 
 
-def _build_native_headers(answer: calls.Answer) -> calls.Headers:
+def _build_native_headers(answer: rpc.Answer) -> rpc.Headers:
     return build_answer_headers(answer, "")
 
 
--- a/bergamotdeal/node/hub.py
+++ b/bergamotdeal/node/hub.py
@@ -12,6 +12,7 @@
 from bergamotdeal.node import peer
 from bergamotdeal.node import server_link
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 
 class EventDispatcher:
@@ -33,7 +34,7 @@
         *,
         reactor,
         engine: call_engine.Engine,
-        record: Callable[[messages.EventRecord], None],
+        record: Callable[[records.EventRecord], None],
         share_crash_reports: Callable[[messages.ShareCrashReports], None],
     ) -> None:
         self._reactor = reactor
@@ -95,7 +96,7 @@
 
     def _record_failure(self) -> None:
         self._record(
-            messages.EventRecord(
+            records.EventRecord(
                 code=catalogue.EventCode.CALL_FAILED_INTERNALLY,
                 fields={"trace": traceback.format_exc()},
             )
@@ -103,7 +104,7 @@
 
     def _execute_effect(self, effect: messages.Effect) -> None:
         match effect:
-            case messages.EventRecord():
+            case records.EventRecord():
                 self._record(effect)
             case messages.SendCall():
                 self._peer_task.outgoing.send_call(effect)
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -17,6 +17,7 @@
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import metrics
+from bergamotdeal.telemetry import records
 from bergamotdeal.wire import gossip as codec
 
 PUBLISH_DELAY_S = 0.02
@@ -55,7 +56,7 @@
       on_epoch_heard: Called with each ``EpochAdvertised``.
       on_store_era_heard: Called with each era of the store that another node
         told.
-      record: Called with each ``calls.messages.EventRecord`` for the event log.
+      record: Called with each event for the event log.
       count: Called with a counter and its increment.
       timing: Intervals and timeouts of the protocol.
       clock: Returns monotonic seconds.
@@ -74,7 +75,7 @@
         on_epoch_heard: Callable[[messages.EpochAdvertised], None]
         | None = None,
         on_store_era_heard: Callable[[int], None] | None = None,
-        record: Callable[[calls.EventRecord], None] | None = None,
+        record: Callable[[records.EventRecord], None] | None = None,
         count: Callable[[metrics.Counter, int], None] | None = None,
         timing: timings.Timing = timings.DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
@@ -264,7 +265,7 @@
 
     def _record_failure(self, trace: str) -> None:
         self._record(
-            calls.EventRecord(
+            records.EventRecord(
                 code=catalogue.EventCode.TASK_FAILED,
                 fields={"task": "membership", "trace": trace},
             )
@@ -289,7 +290,7 @@
                 case messages.CrashReportsReceived(reports=reports):
                     self._post(calls.PeerCrashesReported(reports=list(reports)))
                 case messages.EmitEvent(code=code, fields=fields):
-                    self._record(calls.EventRecord(code=code, fields=fields))
+                    self._record(records.EventRecord(code=code, fields=fields))
         if has_changed and self._publish_timer is None:
             # Each event copies all members, so changes close together are
             # published as one.
--- a/bergamotdeal/node/observation.py
+++ b/bergamotdeal/node/observation.py
@@ -8,7 +8,6 @@
 
 from twisted.internet import task
 
-from bergamotdeal.calls import messages
 from bergamotdeal.node import change_watch
 from bergamotdeal.node import gauges
 from bergamotdeal.node import status as node_status
@@ -18,6 +17,7 @@
 from bergamotdeal.telemetry import log
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.telemetry import recorder
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 from bergamotdeal.utils import log_stream
 
@@ -93,7 +93,7 @@
         except Exception:
             # An exception would stop the looping call and thus all flushes.
             self.recorder.record(
-                messages.EventRecord(
+                records.EventRecord(
                     code=catalogue.EventCode.TASK_FAILED,
                     fields={
                         "task": "observation",
--- a/bergamotdeal/node/outgoing.py
+++ b/bergamotdeal/node/outgoing.py
@@ -8,6 +8,7 @@
 from bergamotdeal.node import peer_link
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import clock
+from bergamotdeal.telemetry import records
 from bergamotdeal.wire import messages
 
 CONNECT_TIMEOUT_S = 1.0
@@ -61,7 +62,7 @@
         builder: peer_link.LinkBuilder,
         post: Callable[[calls.Event], None],
         on_peer_epoch: Callable[[int, str], None],
-        record: Callable[[calls.EventRecord], None],
+        record: Callable[[records.EventRecord], None],
         hybrid_clock: clock.HybridLogicalClock,
     ) -> None:
         self._reactor = reactor
@@ -247,4 +248,4 @@
     def _record_link_event(
         self, code: catalogue.EventCode, fields: dict[str, str]
     ) -> None:
-        self._record(calls.EventRecord(code=code, fields=fields))
+        self._record(records.EventRecord(code=code, fields=fields))
--- a/bergamotdeal/node/peer.py
+++ b/bergamotdeal/node/peer.py
@@ -19,6 +19,7 @@
 from bergamotdeal.node import peer_link
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import clock
+from bergamotdeal.telemetry import records
 from bergamotdeal.wire import messages
 
 LIVENESS_CHECK_INTERVAL_S = 0.25
@@ -55,7 +56,7 @@
         rng: random.Random,
         post: Callable[[calls.Event], None],
         on_peer_epoch: Callable[[int, str], None],
-        record: Callable[[calls.EventRecord], None],
+        record: Callable[[records.EventRecord], None],
         on_bulk_request: Callable[[bytes], bytes],
         hybrid_clock: clock.HybridLogicalClock,
         data_centre: str = "",
@@ -189,7 +190,7 @@
     ) -> None:
         if link.has_malformed_input and link.transport is not None:
             self._record(
-                calls.EventRecord(
+                records.EventRecord(
                     code=catalogue.EventCode.FRAME_MALFORMED,
                     fields={"address": link.transport.getPeer().host},
                 )
@@ -241,7 +242,7 @@
             "reason": link.close_reason,
         }
         self._record(
-            calls.EventRecord(
+            records.EventRecord(
                 code=catalogue.EventCode.PEER_REJECTED, fields=fields
             )
         )
--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -21,6 +21,7 @@
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 from bergamotdeal.wire import gossip as codec
 
 PresetPushed = follower.PresetPushed
@@ -40,7 +41,7 @@
       membership: The membership task, which disseminates the epoch.
       store: The platform's object store, or None to run without.
       initial_preset: Preset of the settings, active until the first switch.
-      record: Called with each ``calls.messages.EventRecord`` for the event log.
+      record: Called with each event for the event log.
       clock: Returns monotonic seconds.
     """
 
@@ -55,7 +56,7 @@
         membership: membership_task.MembershipTask,
         store: store_core.Store | None = None,
         initial_preset: model.Preset | None = None,
-        record: Callable[[calls.EventRecord], None] | None = None,
+        record: Callable[[records.EventRecord], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._reactor = reactor
@@ -186,7 +187,7 @@
         except Exception:  # A fault in one event must not stop the task.
             fields = {"task": "presets", "trace": traceback.format_exc()}
             code = catalogue.EventCode.TASK_FAILED
-            self._record(calls.EventRecord(code=code, fields=fields))
+            self._record(records.EventRecord(code=code, fields=fields))
         self._schedule_wakeup()
 
     def _schedule_wakeup(self) -> None:
@@ -218,14 +219,14 @@
             case follower.Reject(epoch=epoch, reason=reason):
                 fields = {"epoch": epoch, "reason": reason}
                 code = catalogue.EventCode.PRESET_REJECTED
-                self._record(calls.EventRecord(code=code, fields=fields))
+                self._record(records.EventRecord(code=code, fields=fields))
 
     def _apply_preset(self, epoch: int, preset: model.Preset) -> None:
         self._post(calls.PresetInForce(epoch=epoch, preset=preset))
         self._membership.deliver(gossip.EpochChanged(epoch=epoch))
         fields = {"name": preset.name, "epoch": epoch}
         code = catalogue.EventCode.PRESET_IN_FORCE
-        self._record(calls.EventRecord(code=code, fields=fields))
+        self._record(records.EventRecord(code=code, fields=fields))
 
     def _send_pull(self, effect: follower.Pull) -> None:
         member = self._membership.members_by_id().get(effect.host_id)
@@ -280,7 +281,7 @@
         else:
             code = catalogue.EventCode.STORE_UNAVAILABLE
             fields = {"reason": problem}
-        self._record(calls.EventRecord(code=code, fields=fields))
+        self._record(records.EventRecord(code=code, fields=fields))
 
 
 def _ignore(_) -> None:
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -6,13 +6,13 @@
 import result
 from twisted.internet import defer
 
-from bergamotdeal.calls import messages as calls
 from bergamotdeal.membership import registry
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import backoff
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 START_JITTER_S = 0.2
 """Upper bound of the random delay before the first poll, which spreads the
@@ -60,7 +60,7 @@
         rng: random.Random,
         store: store_core.Store,
         membership: membership_task.MembershipTask,
-        record: Callable[[calls.EventRecord], None],
+        record: Callable[[records.EventRecord], None],
     ) -> None:
         self._host_id = settings.node.host_id
         self._data_centre = settings.node.data_centre
@@ -229,7 +229,7 @@
 
     def _record_failure(self, step: str, reason: str) -> None:
         self._record(
-            calls.EventRecord(
+            records.EventRecord(
                 code=catalogue.EventCode.REGISTRY_FAILED,
                 fields={"step": step, "reason": reason},
             )
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -14,10 +14,10 @@
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import http_server
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import framing
 from bergamotdeal.utils import headers as header_names
 from bergamotdeal.utils import transport
@@ -108,7 +108,7 @@
         transport.write_now(self.transport, request)
 
     def _reset_answer(self) -> None:
-        self._headers: calls.Headers = []
+        self._headers: rpc.Headers = []
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._received_bytes = 0
@@ -245,7 +245,7 @@
           ValueError: The body exceeds ``MAX_BODY_BYTES``.
         """
         self._body_bytes += len(body)
-        if self._body_bytes > calls.MAX_BODY_BYTES:
+        if self._body_bytes > rpc.MAX_BODY_BYTES:
             self._parse_failure_kind = messages.RunFailure.TOO_LARGE
             raise ValueError("body too large")
         self._body_parts.append(body)
@@ -347,7 +347,7 @@
         )
 
     def classify_answer(
-        self, run: messages.StartRun, status: int, headers: calls.Headers
+        self, run: messages.StartRun, status: int, headers: rpc.Headers
     ) -> dialects.AnswerClass:
         """Classifies every answer as the complete answer to the run."""
         del run, status
@@ -355,7 +355,7 @@
             headers=header_names.select_end_to_end(headers)
         )
 
-    def read_condition(self, headers: calls.Headers) -> ConditionResult:
+    def read_condition(self, headers: rpc.Headers) -> ConditionResult:
         """Returns the normal condition, as native servers report none."""
         del headers
         return result.Ok(dialects.NORMAL_CONDITION)
@@ -389,7 +389,7 @@
     return b"%s\r\n%s" % (head, request.body)
 
 
-def _parse_keep_alive_timeout(headers: calls.Headers) -> float:
+def _parse_keep_alive_timeout(headers: rpc.Headers) -> float:
     """Returns the timeout of a ``Keep-Alive`` header in seconds."""
     for name, value in headers:
         if name != "keep-alive":
--- a/bergamotdeal/node/side_face.py
+++ b/bergamotdeal/node/side_face.py
@@ -6,9 +6,9 @@
 from twisted.internet import interfaces
 from twisted.internet import task
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import http_server
+from bergamotdeal.rpc import core as rpc
 
 
 class HttpListener:
@@ -26,7 +26,7 @@
         *,
         address: str,
         port: int,
-        handler: Callable[[http_server.HttpRequest], calls.Answer],
+        handler: Callable[[http_server.HttpRequest], rpc.Answer],
         path: str = "",
     ) -> None:
         self._path = path
@@ -70,7 +70,7 @@
 
 def build_plain_answer(
     status: int, body: bytes = b"", content_type: str = "application/json"
-) -> calls.Answer:
+) -> rpc.Answer:
     """Returns an answer that carries none of the node's own headers.
 
     Args:
@@ -78,7 +78,7 @@
       body: Body of the answer.
       content_type: Media type of the body.
     """
-    return calls.Answer(
+    return rpc.Answer(
         outcome=errors.Outcome.COMPLETED,
         status=status,
         headers=[("content-type", content_type)],
--- a/bergamotdeal/node/tests/test_admin.py
+++ b/bergamotdeal/node/tests/test_admin.py
@@ -8,10 +8,10 @@
 import result
 from twisted.internet import testing
 
-from bergamotdeal.calls import messages
 from bergamotdeal.node import admin
 from bergamotdeal.node import status
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 from bergamotdeal.telemetry import timeline
 
@@ -71,7 +71,7 @@
         ).build_factory()
 
     def add_event(self, stamp, code, request="", **fields):
-        entry = messages.EventRecord(
+        entry = records.EventRecord(
             code=code, user_request_id=request, fields=fields
         )
         self.events.add(stamp, entry)
--- a/bergamotdeal/node/tests/test_endless_input.py
+++ b/bergamotdeal/node/tests/test_endless_input.py
@@ -8,15 +8,15 @@
 import pytest
 from twisted.internet import testing
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.node import http_server
 from bergamotdeal.node import peer_link
 from bergamotdeal.node import server_connection
 from bergamotdeal.node.tests import test_peer_link
+from bergamotdeal.rpc import core as rpc
 
 CHUNK_BYTES = 4096
-MAX_ACCEPTED_BYTES = 2 * calls.MAX_HEADER_BYTES
+MAX_ACCEPTED_BYTES = 2 * rpc.MAX_HEADER_BYTES
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -72,7 +72,7 @@
         on_idle=lambda _: None, on_closed=lambda _: None, post=events.append
     )
     connection.makeConnection(testing.StringTransport())
-    request = calls.Request(
+    request = rpc.Request(
         service="kitview", method="GET", path="/", headers=[], body=b""
     )
     connection.send_request(
@@ -114,7 +114,7 @@
     finally:
         tracemalloc.stop()
     assert isinstance(events[0], messages.RunFailed)
-    assert held_bytes < calls.MAX_BODY_BYTES / 4
+    assert held_bytes < rpc.MAX_BODY_BYTES / 4
 
 
 @pytest.mark.parametrize("name", ENDLESS_REQUESTS)
--- a/bergamotdeal/node/tests/test_faces.py
+++ b/bergamotdeal/node/tests/test_faces.py
@@ -6,11 +6,11 @@
 import pytest
 from twisted.internet import testing
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import faces
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.wire import codec
 from bergamotdeal.wire import messages as wire
 
@@ -54,7 +54,7 @@
             messages.ReplyToCaller(
                 origin_id=origin_id,
                 user_request_id="r-1",
-                answer=calls.Answer(
+                answer=rpc.Answer(
                     outcome=errors.Outcome.COMPLETED, body=body, ticket=b"\xfft"
                 ),
             )
@@ -78,7 +78,7 @@
         )
     )
     (event,) = harness.events
-    assert event.request == calls.Request(
+    assert event.request == rpc.Request(
         service="kitview",
         method="POST",
         path="/kits?line=3",
@@ -235,14 +235,14 @@
     harness.listener.apply_request_limits(
         model.RequestLimits(body_bytes=64 * 1024 * 1024)
     )
-    size = calls.MAX_REQUEST_BODY_BYTES
+    size = rpc.MAX_REQUEST_BODY_BYTES
     harness.send(
         request(headers=f"Content-Length: {size}\r\n", body=b"x" * size)
     )
     (event,) = harness.events
     frame = codec.encode(
         wire.CallFrame(
-            call=calls.Call(
+            call=rpc.Call(
                 number=1,
                 user_request_id="r",
                 call_id="r",
--- a/bergamotdeal/node/tests/test_metrics_sources.py
+++ b/bergamotdeal/node/tests/test_metrics_sources.py
@@ -1,15 +1,15 @@
 import random
 import types
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import gauges
 from bergamotdeal.node import status
 from bergamotdeal.node import timed_engine
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import metrics
 
-REQUEST = calls.Request(
+REQUEST = rpc.Request(
     service="kitview", method="GET", path="/", headers=[], body=b""
 )
 
@@ -82,7 +82,7 @@
     return messages.ReplyToCaller(
         origin_id=origin_id,
         user_request_id="r",
-        answer=calls.Answer(outcome=errors.Outcome.COMPLETED),
+        answer=rpc.Answer(outcome=errors.Outcome.COMPLETED),
     )
 
 
--- a/bergamotdeal/node/tests/test_outgoing.py
+++ b/bergamotdeal/node/tests/test_outgoing.py
@@ -6,12 +6,12 @@
 from twisted.internet import testing
 from twisted.python import failure
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.node import outgoing
 from bergamotdeal.node import peer_link
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import clock
 from bergamotdeal.wire import messages as frames
 
@@ -79,11 +79,11 @@
         self.links.send_call(
             messages.SendCall(
                 host_id=TARGET,
-                call=calls.Call(
+                call=rpc.Call(
                     number=number,
                     user_request_id="r-1",
                     call_id="r-1",
-                    request=calls.Request(
+                    request=rpc.Request(
                         service="orderline",
                         method="GET",
                         path="/",
@@ -138,7 +138,7 @@
     return frames.AnswerFrame(
         number=number,
         user_request_id="r-1",
-        answer=calls.Answer(
+        answer=rpc.Answer(
             outcome=errors.Outcome.COMPLETED, body=b"ok", epoch=5
         ),
     )
--- a/bergamotdeal/node/tests/test_peer_link.py
+++ b/bergamotdeal/node/tests/test_peer_link.py
@@ -5,9 +5,9 @@
 import pytest
 from twisted.internet import testing
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import peer_link
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.wire import codec
 from bergamotdeal.wire import messages
 
@@ -84,7 +84,7 @@
     return messages.AnswerFrame(
         number=number,
         user_request_id="r-1",
-        answer=calls.Answer(
+        answer=rpc.Answer(
             outcome=errors.Outcome.COMPLETED, status=200, body=b"hello"
         ),
     )
--- a/bergamotdeal/node/tests/test_peer_stamps.py
+++ b/bergamotdeal/node/tests/test_peer_stamps.py
@@ -5,15 +5,16 @@
 import pytest
 from twisted.internet import testing
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.node import peer
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import clock
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.telemetry import recorder
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 from bergamotdeal.telemetry import timeline
 
@@ -48,7 +49,7 @@
 
     def record_event(self, code):
         self.recorder.record(
-            messages.EventRecord(code=code, user_request_id="r-1")
+            records.EventRecord(code=code, user_request_id="r-1")
         )
 
     def entries(self):
@@ -76,11 +77,11 @@
     origin.peer.outgoing.send_call(
         messages.SendCall(
             host_id=target.host_id,
-            call=calls.Call(
+            call=rpc.Call(
                 number=1,
                 user_request_id="r-1",
                 call_id="c-1",
-                request=calls.Request(
+                request=rpc.Request(
                     service="orderline",
                     method="GET",
                     path="/",
@@ -125,7 +126,7 @@
             link_id=called.link_id,
             number=1,
             user_request_id="r-1",
-            answer=calls.Answer(outcome=errors.Outcome.COMPLETED),
+            answer=rpc.Answer(outcome=errors.Outcome.COMPLETED),
         )
     )
     exchange_bytes()
--- a/bergamotdeal/node/tests/test_server_connection.py
+++ b/bergamotdeal/node/tests/test_server_connection.py
@@ -5,10 +5,10 @@
 from twisted.internet import testing
 from twisted.python import failure
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import server_connection
+from bergamotdeal.rpc import core as rpc
 
 LENGTH_DELIMITED = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Kit: 7\r\n\r\nhello"
@@ -36,7 +36,7 @@
         self.connection.send_request(
             messages.StartRun(
                 run_id=4,
-                request=calls.Request(
+                request=rpc.Request(
                     service="kitview",
                     method=method,
                     path="/kits",
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -6,11 +6,11 @@
 from twisted.internet import testing
 from twisted.python import failure
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.calls import messages
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import server_connection
 from bergamotdeal.node import server_link
+from bergamotdeal.rpc import core as rpc
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -30,7 +30,7 @@
 def start_run(run_id, deadline_ms=1000):
     return messages.StartRun(
         run_id=run_id,
-        request=calls.Request(
+        request=rpc.Request(
             service="kitview", method="GET", path="/", headers=[], body=b""
         ),
         user_request_id=f"r-{run_id}",
--- a/bergamotdeal/routing/core.py
+++ b/bergamotdeal/routing/core.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.membership import core as membership
+from bergamotdeal.rpc import core as rpc
 
 REPORT_TTL_S = 2.0
 EWMA_WEIGHT = 0.1
@@ -32,7 +32,7 @@
     member: membership.Member
     locality_tier: int
     in_flight: int = 0
-    load_report: calls.Load | None = None
+    load_report: rpc.Load | None = None
     reported_at: float = 0.0
     in_flight_at_report: int = 0
     calls: int = 0
--- a/bergamotdeal/routing/rendezvous.py
+++ b/bergamotdeal/routing/rendezvous.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 import hashlib
 
-from bergamotdeal.admission import hashing
+from bergamotdeal.utils import hashing
 
 _DIGEST_BYTES = 8
 
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -2,12 +2,12 @@
 
 import random
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.routing import core
 from bergamotdeal.routing import outliers
 from bergamotdeal.routing import rendezvous
+from bergamotdeal.rpc import core as rpc
 
 _LOCALITY_TIERS = 3
 _MAX_SUBSET_SIZE = 32
@@ -223,7 +223,7 @@
         *,
         latency_s: float | None,
         succeeded: bool,
-        load: calls.Load | None,
+        load: rpc.Load | None,
         now: float,
     ) -> None:
         """Records the end of a call to a server.
--- a/bergamotdeal/routing/tests/test_router.py
+++ b/bergamotdeal/routing/tests/test_router.py
@@ -4,10 +4,10 @@
 import heapq
 import random
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.routing import router
+from bergamotdeal.rpc import core as rpc
 
 
 def _make_member(
@@ -107,7 +107,7 @@
                 name,
                 latency_s=0.01,
                 succeeded=name != "a",
-                load=calls.Load(running=0, queued=0, limit=10),
+                load=rpc.Load(running=0, queued=0, limit=10),
                 now=0.0,
             )
     selections = _count_selections(balancer, count=4000, now=5.0)
@@ -115,7 +115,7 @@
 
 
 def _record_answer(balancer, host_id, now, *, latency_s=0.01, **changes):
-    load = calls.Load(running=0, queued=0, limit=10)
+    load = rpc.Load(running=0, queued=0, limit=10)
     arguments = {"succeeded": True, "load": load} | changes
     balancer.record_call_end(host_id, latency_s=latency_s, now=now, **arguments)
 
@@ -141,7 +141,7 @@
                 host_id,
                 ended,
                 latency_s=latency_by_host[host_id],
-                load=calls.Load(running=reported, queued=0, limit=10),
+                load=rpc.Load(running=reported, queued=0, limit=10),
             )
         host_id = balancer.select_server(
             "forecaster", exclude=frozenset(), now=now
--- /dev/null
+++ b/bergamotdeal/rpc/__init__.py
@@ -0,0 +1,3 @@
+"""Value types of requests, calls, answers and load reports."""
+
+__all__ = ["core"]
--- a/bergamotdeal/telemetry/recorder.py
+++ b/bergamotdeal/telemetry/recorder.py
@@ -1,9 +1,9 @@
 """Recorder through which a node records all of its events."""
 
-from bergamotdeal.calls import messages
 from bergamotdeal.telemetry import clock
 from bergamotdeal.telemetry import log
 from bergamotdeal.telemetry import metrics
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 
 
@@ -59,7 +59,7 @@
                 is_request_event=True
             )
 
-    def record(self, event: messages.EventRecord) -> None:
+    def record(self, event: records.EventRecord) -> None:
         """Records an event.
 
         Args:
--- a/bergamotdeal/telemetry/ring.py
+++ b/bergamotdeal/telemetry/ring.py
@@ -4,15 +4,15 @@
 from collections.abc import Iterator
 import dataclasses
 
-from bergamotdeal.calls import messages
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 FieldValue = str | int | float | bool
 
 NODE_CAPACITY_DIVISOR = 4
 """Ratio of the capacity for request events to that for node events."""
 
-_StampedRecord = tuple[int, messages.EventRecord]
+_StampedRecord = tuple[int, records.EventRecord]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -53,7 +53,7 @@
             collections.deque(maxlen=max(1, capacity // NODE_CAPACITY_DIVISOR))
         )
 
-    def add(self, stamp: int, record: messages.EventRecord) -> None:
+    def add(self, stamp: int, record: records.EventRecord) -> None:
         """Adds an event.
 
         Args:
@@ -104,7 +104,7 @@
         yield from self._node_events
 
 
-def build_event(stamp: int, record: messages.EventRecord) -> Event:
+def build_event(stamp: int, record: records.EventRecord) -> Event:
     """Builds an event from its record and stamp.
 
     Args:
--- a/bergamotdeal/telemetry/tests/test_metrics.py
+++ b/bergamotdeal/telemetry/tests/test_metrics.py
@@ -1,11 +1,11 @@
 import random
 import socket
 
-from bergamotdeal.calls import messages
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import clock
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.telemetry import recorder
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 
 
@@ -73,13 +73,13 @@
         node_metrics=node_metrics,
     ).record
     record(
-        messages.EventRecord(
+        records.EventRecord(
             code=catalogue.EventCode.CALL_SHED,
             user_request_id="r1",
             fields={"place": "entry"},
         )
     )
-    record(messages.EventRecord(code=catalogue.EventCode.NODE_READY))
+    record(records.EventRecord(code=catalogue.EventCode.NODE_READY))
     shed, ready = event_ring.select()
     assert shed.stamp < ready.stamp
     assert node_metrics.get_totals()["admission.shed"] == 1
--- a/bergamotdeal/telemetry/tests/test_ring.py
+++ b/bergamotdeal/telemetry/tests/test_ring.py
@@ -1,10 +1,10 @@
-from bergamotdeal.calls import messages
 from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 from bergamotdeal.telemetry import ring
 
 
 def _stamped_record(stamp, request="", code=catalogue.EventCode.CALL_ARRIVED):
-    return stamp, messages.EventRecord(code=code, user_request_id=request)
+    return stamp, records.EventRecord(code=code, user_request_id=request)
 
 
 def _stamps(events):
--- a/bergamotdeal/tickets/core.py
+++ b/bergamotdeal/tickets/core.py
@@ -6,7 +6,7 @@
 
 import result
 
-from bergamotdeal.calls import core as calls
+from bergamotdeal.rpc import core as rpc
 
 _VERSION = 1
 _HEADER = struct.Struct(">B16sQQQBB")
@@ -102,7 +102,7 @@
     return result.Ok(ticket)
 
 
-def compute_fingerprint(request: calls.Request) -> str:
+def compute_fingerprint(request: rpc.Request) -> str:
     """Computes a digest that is equal for all attempts of a request.
 
     Args:
--- a/bergamotdeal/tickets/table.py
+++ b/bergamotdeal/tickets/table.py
@@ -14,9 +14,9 @@
 
 import result
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.tickets import core
 from bergamotdeal.tickets import mint
 
@@ -61,7 +61,7 @@
     request_key: bytes = b""
     state: TicketState = TicketState.ISSUED
     fingerprint: str = ""
-    answer: calls.Answer | None = None
+    answer: rpc.Answer | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,7 +82,7 @@
 class Replay:
     """Verdict that the request has run, with the answer to replay."""
 
-    answer: calls.Answer
+    answer: rpc.Answer
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -137,7 +137,7 @@
         self._evict_answers()
 
     def issue(
-        self, call_id: str, request: calls.Request, now: float
+        self, call_id: str, request: rpc.Request, now: float
     ) -> TicketRecord | None:
         """Issues a ticket, or returns the one that the request already has.
 
@@ -181,7 +181,7 @@
         )
 
     def present(
-        self, encoded: bytes, request: calls.Request, now: float
+        self, encoded: bytes, request: rpc.Request, now: float
     ) -> Verdict:
         """Decides whether a request may run under the ticket it presents.
 
@@ -230,7 +230,7 @@
         """Invalidates a ticket so that its refused request never runs."""
         record.state = TicketState.BURNT
 
-    def finish(self, record: TicketRecord, answer: calls.Answer) -> None:
+    def finish(self, record: TicketRecord, answer: rpc.Answer) -> None:
         """Keeps the answer of a request that was sent to the backend server.
 
         Args:
@@ -252,7 +252,7 @@
         self,
         ticket: core.Ticket,
         record: TicketRecord | None,
-        request: calls.Request,
+        request: rpc.Request,
         now_ms: int,
     ) -> Verdict:
         """Handles the first use of a ticket."""
@@ -327,7 +327,7 @@
             record.answer = None
 
 
-def _compute_request_key(call_id: str, request: calls.Request) -> bytes:
+def _compute_request_key(call_id: str, request: rpc.Request) -> bytes:
     digest = hashlib.blake2b(
         core.compute_fingerprint(request).encode(),
         digest_size=_REQUEST_KEY_BYTES,
@@ -336,6 +336,6 @@
     return digest.digest()
 
 
-def _compute_size(answer: calls.Answer) -> int:
+def _compute_size(answer: rpc.Answer) -> int:
     headers_size = sum(len(k) + len(v) for k, v in answer.headers)
     return len(answer.body) + headers_size
--- a/bergamotdeal/tickets/tests/test_core.py
+++ b/bergamotdeal/tickets/tests/test_core.py
@@ -1,8 +1,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.tickets import core
 from bergamotdeal.tickets import mint
 
@@ -33,7 +33,7 @@
         "headers": [],
         "body": b"b",
     }
-    return calls.Request(**(fields | kwargs))
+    return rpc.Request(**(fields | kwargs))
 
 
 @hypothesis.given(names, names, numbers, numbers, numbers)
--- a/bergamotdeal/tickets/tests/test_table.py
+++ b/bergamotdeal/tickets/tests/test_table.py
@@ -5,17 +5,17 @@
 import hypothesis
 from hypothesis import strategies
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.tickets import mint
 from bergamotdeal.tickets import table
 
 KINDS = errors.ErrorKind
-REQUEST = calls.Request(
+REQUEST = rpc.Request(
     service="orderline", method="POST", path="/x", headers=[], body=b"b"
 )
-OTHER = calls.Request(
+OTHER = rpc.Request(
     service="orderline", method="POST", path="/x", headers=[], body=b"c"
 )
 
@@ -28,7 +28,7 @@
 
 
 def answer(body=b"done"):
-    return calls.Answer(outcome=errors.Outcome.COMPLETED, body=body)
+    return rpc.Answer(outcome=errors.Outcome.COMPLETED, body=body)
 
 
 class Walk:
--- a/bergamotdeal/utils/framing.py
+++ b/bergamotdeal/utils/framing.py
@@ -1,6 +1,6 @@
 """Limit on the bytes of an HTTP message that are not its body."""
 
-from bergamotdeal.calls import core as calls
+from bergamotdeal.rpc import core as rpc
 
 _MAX_FRAMING_PER_BODY_BYTE = 8
 """Bytes of chunk sizes for each byte of a body; a chunk of one byte takes 5."""
@@ -17,5 +17,5 @@
       body_bytes: Bytes of its body among them.
     """
     framing_bytes = received_bytes - body_bytes
-    limit = calls.MAX_HEADER_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
+    limit = rpc.MAX_HEADER_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
     return framing_bytes > limit
--- a/bergamotdeal/admission/tests/test_hashing.py
+++ b/bergamotdeal/utils/tests/test_hashing.py
@@ -1,6 +1,6 @@
 """Tests of the shedding order hashes."""
 
-from bergamotdeal.admission import hashing
+from bergamotdeal.utils import hashing
 
 
 def test_hash_share_is_deterministic_and_uniform():
--- a/bergamotdeal/wire/heads.py
+++ b/bergamotdeal/wire/heads.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.wire import messages
 
 _UInt16 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 16) - 1)]
@@ -23,14 +23,14 @@
 
 
 class _CallHead(msgspec.Struct, array_like=True, gc=False):
-    """The head of a call; see ``calls.Call``."""
+    """The head of a call; see ``rpc.Call``."""
 
     user_request_id: str
     call_id: str
     service: str
     method: str
     path: str
-    headers: calls.Headers
+    headers: rpc.Headers
     authority: str
     deadline_ms: _UInt32
     attempt: _UInt16
@@ -51,7 +51,7 @@
 
 
 class _LoadHead(msgspec.Struct, array_like=True, gc=False):
-    """The load report in the head of an answer; see ``calls.Load``."""
+    """The load report in the head of an answer; see ``rpc.Load``."""
 
     running: _UInt32
     queued: _UInt32
@@ -60,13 +60,13 @@
 
 
 class _AnswerHead(msgspec.Struct, array_like=True, gc=False):
-    """The head of an answer; see ``calls.Answer``."""
+    """The head of an answer; see ``rpc.Answer``."""
 
     user_request_id: str
     outcome: errors.Outcome
     error: errors.ErrorKind | None
     status: _UInt16
-    headers: calls.Headers
+    headers: rpc.Headers
     ticket: bytes
     retry_after_s: _Duration | None
     tokens_left: _UInt16
@@ -87,7 +87,7 @@
 # Arrays are encoded from tuples, in the field order of the structs.
 
 
-def encode_call(call: calls.Call) -> bytes:
+def encode_call(call: rpc.Call) -> bytes:
     """Encodes the head of a call.
 
     Args:
@@ -142,11 +142,11 @@
     """
     head = _decode_call(data)
     return messages.CallFrame(
-        call=calls.Call(
+        call=rpc.Call(
             number=number,
             user_request_id=head.user_request_id,
             call_id=head.call_id,
-            request=calls.Request(
+            request=rpc.Request(
                 service=head.service,
                 method=head.method,
                 path=head.path,
@@ -224,7 +224,7 @@
     """
     head = _decode_answer(data)
     load_head = head.load
-    load = load_head and calls.Load(
+    load = load_head and rpc.Load(
         running=load_head.running,
         queued=load_head.queued,
         limit=load_head.limit,
@@ -233,7 +233,7 @@
     return messages.AnswerFrame(
         number=number,
         user_request_id=head.user_request_id,
-        answer=calls.Answer(
+        answer=rpc.Answer(
             outcome=head.outcome,
             error=head.error,
             status=head.status,
--- a/bergamotdeal/wire/messages.py
+++ b/bergamotdeal/wire/messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bergamotdeal.calls import core as calls
+from bergamotdeal.rpc import core as rpc
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -40,7 +40,7 @@
 class CallFrame:
     """A call to the receiving node."""
 
-    call: calls.Call
+    call: rpc.Call
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -55,7 +55,7 @@
 
     number: int
     user_request_id: str
-    answer: calls.Answer
+    answer: rpc.Answer
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/wire/tests/test_codec.py
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -6,18 +6,18 @@
 import msgspec
 import pytest
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.wire import codec
 from bergamotdeal.wire import heads
 from bergamotdeal.wire import messages
 
 CALL = messages.CallFrame(
-    call=calls.Call(
+    call=rpc.Call(
         number=7,
         user_request_id="r-1",
         call_id="r-1.2",
-        request=calls.Request(
+        request=rpc.Request(
             service="kitview",
             method="POST",
             path="/kits?line=3",
@@ -38,7 +38,7 @@
 ANSWER = messages.AnswerFrame(
     number=7,
     user_request_id="r-1",
-    answer=calls.Answer(
+    answer=rpc.Answer(
         outcome=errors.Outcome.NOT_RUN,
         error=errors.ErrorKind.SHED,
         status=503,
@@ -48,7 +48,7 @@
         tokens_left=2,
         repeatable=False,
         threshold=0.5,
-        load=calls.Load(running=1, queued=2, limit=3),
+        load=rpc.Load(running=1, queued=2, limit=3),
         epoch=4,
         stamp=7,
     ),
@@ -82,7 +82,7 @@
     frame = messages.AnswerFrame(
         number=1,
         user_request_id="r-1",
-        answer=calls.Answer(
+        answer=rpc.Answer(
             outcome=errors.Outcome.NOT_RUN,
             error=errors.ErrorKind.NOT_READY,
             epoch=-1,
--- a/standins/checked_fleet.py
+++ b/standins/checked_fleet.py
@@ -8,10 +8,10 @@
 import dataclasses
 import enum
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
 from standins import fleet as fleets
 from standins import fleet_link
 from standins import fleet_model
@@ -270,7 +270,7 @@
     def _deliver(self, frame: fleet_link.Frame) -> list[float]:
         content = frame.content
         match content:
-            case core.Call():
+            case rpc.Call():
                 self._record_call(frame, content)
             case messages.SendAnswer():
                 self._record_answer(frame, content)
@@ -278,7 +278,7 @@
             return []
         return [fleet_link.LATENCY_S]
 
-    def _record_call(self, frame: fleet_link.Frame, call: core.Call) -> None:
+    def _record_call(self, frame: fleet_link.Frame, call: rpc.Call) -> None:
         self._record_epoch(frame.source, call.epoch)
         self.entries.append(
             ledger.Dispatched(
@@ -417,9 +417,9 @@
         return 200 if answer is not None and answer.status == 200 else 502
 
 
-def make_request(label: ledger.Label, *, path: str) -> core.Request:
+def make_request(label: ledger.Label, *, path: str) -> rpc.Request:
     """Builds the request that carries a label."""
-    return core.Request(
+    return rpc.Request(
         service=label.service,
         method="GET" if label.repeatable else "POST",
         path=path,
@@ -428,14 +428,14 @@
     )
 
 
-def decode_label(request: core.Request) -> ledger.Label:
+def decode_label(request: rpc.Request) -> ledger.Label:
     """Decodes the label in the headers of a request."""
     values_by_name = dict(request.headers)
     return ledger.Label.decode(values_by_name[ledger.LABEL_HEADER])
 
 
 def entry_for(
-    now: float, label: ledger.Label, answer: core.Answer | None
+    now: float, label: ledger.Label, answer: rpc.Answer | None
 ) -> ledger.Entry:
     """Builds the ledger entry for the answer that a caller received."""
     if answer is None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,11 +12,12 @@
 import itertools
 import random
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.rpc import core as rpc
+from bergamotdeal.telemetry import records
 from standins import fleet_link
 from standins import fleet_model
 from standins import fleet_servers
@@ -58,8 +59,8 @@
         self.nodes_by_id: dict[str, fleet_model.Node] = {}
         self.links = fleet_link.Links(fleet=self, deliver=deliver)
         self.servers = fleet_servers.Servers(fleet=self)
-        self.event_records: list[tuple[float, str, messages.EventRecord]] = []
-        self.calls_sent: list[tuple[str, str, core.Call]] = []
+        self.event_records: list[tuple[float, str, records.EventRecord]] = []
+        self.calls_sent: list[tuple[str, str, rpc.Call]] = []
         self._replies: dict[tuple[str, int], fleet_model.Reply] = {}
         self._actions: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
@@ -206,7 +207,7 @@
     def call(
         self,
         host_id: str,
-        request: core.Request,
+        request: rpc.Request,
         *,
         user_request_id: str,
         attempt: int = 0,
@@ -368,7 +369,7 @@
                 self.servers.cancel_run(node, effect.run_id)
             case messages.ShareCrashReports():
                 self._share_crash_reports(host_id, effect)
-            case messages.EventRecord():
+            case records.EventRecord():
                 self.event_records.append((self.now, host_id, effect))
 
     def _reply(self, host_id: str, effect: messages.ReplyToCaller) -> None:
--- a/standins/fleet_link.py
+++ b/standins/fleet_link.py
@@ -5,8 +5,8 @@
 import dataclasses
 import itertools
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import messages
+from bergamotdeal.rpc import core as rpc
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -21,7 +21,7 @@
 
     source: str
     target: str
-    content: core.Call | messages.SendAnswer | int
+    content: rpc.Call | messages.SendAnswer | int
 
 
 DeliveryRule = Callable[[Frame], list[float]]
@@ -93,7 +93,7 @@
             if host_id in (origin, target):
                 self._close(origin, target)
 
-    def send_call(self, origin: str, target: str, call: core.Call) -> None:
+    def send_call(self, origin: str, target: str, call: rpc.Call) -> None:
         """Sends a call frame and opens a link if there is none."""
         link = self._open_link(origin, target)
         if link is None:
--- a/standins/fleet_model.py
+++ b/standins/fleet_model.py
@@ -4,11 +4,11 @@
 from collections.abc import Generator
 import dataclasses
 
-from bergamotdeal.calls import core
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
+from bergamotdeal.rpc import core as rpc
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -31,7 +31,7 @@
       deadline_ms: Deadline of the calls in milliseconds, or None.
     """
 
-    requests: list[core.Request]
+    requests: list[rpc.Request]
     idempotency_keys: list[str] = dataclasses.field(default_factory=list)
     copy_context: bool = True
     deadline_ms: int | None = None
@@ -42,7 +42,7 @@
     """A response returned by a server program."""
 
     status: int = 200
-    headers: core.Headers = dataclasses.field(default_factory=list)
+    headers: rpc.Headers = dataclasses.field(default_factory=list)
     body: bytes = b"ok"
 
 
@@ -67,8 +67,8 @@
 
     host_id: str
     origin_id: int
-    request: core.Request
-    answer: core.Answer | None = None
+    request: rpc.Request
+    answer: rpc.Answer | None = None
     disconnected: bool = False
     user_request_id: str = ""
     when_done: Callable[["Reply"], None] | None = None
--- a/standins/server.py
+++ b/standins/server.py
@@ -16,9 +16,9 @@
 from twisted.internet import reactor as twisted_reactor
 from twisted.internet import task
 
-from bergamotdeal.calls import core as calls
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import http_server
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import headers as header_names
 from standins import http_client
 
@@ -294,8 +294,8 @@
         )
 
 
-def _build_answer(status: int, body: bytes) -> calls.Answer:
-    return calls.Answer(
+def _build_answer(status: int, body: bytes) -> rpc.Answer:
+    return rpc.Answer(
         outcome=errors.Outcome.COMPLETED, status=status, body=body
     )
 
--- a/standins/study/simulation.py
+++ b/standins/study/simulation.py
@@ -9,8 +9,8 @@
 from bergamotdeal.admission import controller
 from bergamotdeal.admission import core
 from bergamotdeal.admission import feedback
-from bergamotdeal.admission import hashing
 from bergamotdeal.presets import model as presets
+from bergamotdeal.utils import hashing
 from standins.study import model
 
 _PREFIX = "/"
