Add the types of organisations, caps and work factors

Change: the preset model gets organisations and the precision of their caps, calls and runs name their organisation, a load report has a work factor, and there is an error kind for a reached cap (429). Fields between nodes are appended with defaults, so older nodes read the frames. Nothing sets these fields yet.

--- a/bergamotdeal/admission/core.py
+++ b/bergamotdeal/admission/core.py
@@ -15,6 +15,7 @@
       hash_share: Hash of the user request id mapped to [0, 1).
       deadline: Time by which the run must end, monotonic seconds.
       arrived: Time of arrival, monotonic seconds.
+      organisation: Organisation of the user request, or empty.
     """
 
     job_id: int
@@ -22,6 +23,7 @@
     hash_share: float
     deadline: float
     arrived: float
+    organisation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -265,6 +265,7 @@
             caller_service=state.caller_service,
             is_repeat=exchange.is_repeat,
             prior_calls=min(rpc.MAX_PRIOR_CALLS, exchange.prior_calls),
+            organisation=exchange.organisation,
         )
         self._send(host_id, call)
 
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -49,6 +49,7 @@
       is_repeat: Whether the next dispatch counts as a retry at its service.
       lost_dispatches: Number of dispatches whose answer was lost.
       repeatable: False once a dispatch may have caused non-repeatable work.
+      organisation: Organisation of the caller, or empty.
       tried_host_ids: Hosts that refused or lost a dispatch.
       timer: Timer of the deadline.
     """
@@ -83,6 +84,7 @@
     is_repeat: bool = False
     lost_dispatches: int = 0
     repeatable: bool = True
+    organisation: str = ""
     tried_host_ids: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
 
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -236,6 +236,7 @@
             hash_share=_hash_share(state, run),
             deadline=run.deadline,
             arrived=state.now,
+            organisation=run.call.organisation,
         )
         self.apply_decisions(
             self._server.submit(job, was_refused_elsewhere=run.call.attempt > 0)
@@ -304,6 +305,7 @@
                 context=self._runs.build_context(run),
                 deadline_ms=remaining_ms,
                 caller_service=run.call.caller_service,
+                organisation=run.call.organisation,
             )
         )
 
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -39,6 +39,8 @@
       context: Value of the context header. On egress it identifies the run
         that makes this call; empty if the backend server did not copy it.
       idempotency_key: Idempotency key of the call, or empty.
+      key_digest: Digest of the organisation's key that the caller presented;
+        None without a key and empty if the header was malformed.
     """
 
     origin_id: int
@@ -50,6 +52,7 @@
     ticket: bytes = b""
     context: str = ""
     idempotency_key: str = ""
+    key_digest: str | None = None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -315,6 +318,7 @@
         out.
       caller_service: Service of the host where the request originated; empty
         if unknown.
+      organisation: Organisation of the user request, or empty.
     """
 
     run_id: int
@@ -323,6 +327,7 @@
     context: str
     deadline_ms: int
     caller_service: str = ""
+    organisation: str = ""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -23,6 +23,7 @@
     UNKNOWN_SERVICE = "unknown-service"
     NO_ROUTE = "no-route"
     UNAUTHORIZED = "unauthorized"
+    QUOTA_EXCEEDED = "quota-exceeded"
 
     # Tickets.
     TICKET_REQUIRED = "ticket-required"
@@ -120,6 +121,9 @@
     ErrorKind.UNAUTHORIZED: _build_not_run(
         401, "The credentials are not valid."
     ),
+    ErrorKind.QUOTA_EXCEEDED: _build_not_run(
+        429, "The organisation's cap is reached.", 1
+    ),
     ErrorKind.TICKET_REQUIRED: _build_not_run(
         428, "Send the request again with the ticket.", 0
     ),
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -78,6 +78,7 @@
       target_latency_ms: Target latency in milliseconds, or zero for none. A
         later answer is worth less.
       max_sendings: Maximum number of servers to which one request is sent.
+      public: Whether requests need no key of an organisation.
     """
 
     name: str
@@ -89,6 +90,7 @@
     timeout_ms: Milliseconds = 5000
     target_latency_ms: Count = 0
     max_sendings: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
+    public: bool = False
 
     def build_route(self, service: str) -> Route:
         """Builds the route of the requests that are sent to one destination.
@@ -109,6 +111,42 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Organisation:
+    """An organisation whose callers present its keys.
+
+    Attributes:
+      name: Name of the organisation.
+      key_digests: Digests of its keys; a preset holds no key itself.
+      class_name: Class of its requests, or empty for the class of their
+        route.
+      rate_per_s: Requests per second that the whole fleet accepts, or zero
+        for no cap.
+      burst: Requests that may exceed the rate at once.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    class_name: str = ""
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaPolicy:
+    """The precision of the caps of organisations.
+
+    Attributes:
+      window_ms: Milliseconds of the sliding window in which a cap is judged.
+      overshoot: Share by which a window may exceed the cap.
+      slack: Requests by which a window may exceed the cap besides.
+    """
+
+    window_ms: Milliseconds = 5000
+    overshoot: Share = 0.1
+    slack: Count = 20
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestLimits:
     """Limits on requests and connections of callers.
@@ -290,6 +328,9 @@
       services_by_name: Policies of the services by service name.
       routes: Routes of requests to services; the longest matching prefix wins.
       host_routes: Routes of requests that are addressed by host name.
+      organisations: Organisations whose keys callers present; without any,
+        callers need no key.
+      quotas: Precision of the organisations' caps.
       limits: Limits on requests and connections of callers.
       default_deadline_ms: Deadline in milliseconds of requests that match no
         route.
@@ -310,6 +351,8 @@
     )
     routes: tuple[Route, ...] = ()
     host_routes: tuple[HostRoute, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    quotas: QuotaPolicy = dataclasses.field(default_factory=QuotaPolicy)
     limits: RequestLimits = dataclasses.field(default_factory=RequestLimits)
     default_deadline_ms: Milliseconds = 5000
     hop_margin_ms: Count = 5
--- a/bergamotdeal/presets/parser.py
+++ b/bergamotdeal/presets/parser.py
@@ -39,11 +39,13 @@
     "quarantine": model.QuarantinePolicy,
     "tickets": model.TicketPolicy,
     "limits": model.RequestLimits,
+    "quotas": model.QuotaPolicy,
 }
 _SECTION_FIELDS = (
     "services_by_name",
     "routes",
     "host_routes",
+    "organisations",
     *_POLICY_BY_SECTION,
 )
 _DESTINATIONS_KEY = "destinations"
--- a/bergamotdeal/presets/sections.py
+++ b/bergamotdeal/presets/sections.py
@@ -26,6 +26,8 @@
     "tickets",
     "limits",
     "host_routes",
+    "organisations",
+    "quotas",
 )
 _SPLIT_FIELDS = ("services_by_name", "routes", *_POLICY_FIELDS)
 
--- a/bergamotdeal/rpc/core.py
+++ b/bergamotdeal/rpc/core.py
@@ -52,12 +52,15 @@
       limit: Current concurrency limit.
       run_ms: Moving average of the run time in milliseconds; zero if
         unknown.
+      work_factor: How long work takes at this moment as a multiple of the
+        server's usual time.
     """
 
     running: int
     queued: int
     limit: int
     run_ms: float = 0.0
+    work_factor: float = 1.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -94,6 +97,7 @@
       is_repeat: Whether an earlier attempt of this call, or of a call above
         it, may have reached a server; it then counts as a retry.
       prior_calls: Number of calls that the run that makes this one made before.
+      organisation: Organisation of the user request, or empty.
     """
 
     number: int
@@ -116,6 +120,7 @@
     caller_service: str = ""
     is_repeat: bool = False
     prior_calls: int = 0
+    organisation: str = ""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/wire/heads.py
+++ b/bergamotdeal/wire/heads.py
@@ -48,6 +48,7 @@
     caller_service: str
     is_repeat: bool = False
     prior_calls: _UInt16 = 0
+    organisation: str = ""
 
 
 class _LoadHead(msgspec.Struct, array_like=True, gc=False):
@@ -57,6 +58,7 @@
     queued: _UInt32
     limit: _UInt32
     run_ms: _Duration
+    work_factor: _Duration = 1.0
 
 
 class _AnswerHead(msgspec.Struct, array_like=True, gc=False):
@@ -122,6 +124,7 @@
             call.caller_service,
             call.is_repeat,
             call.prior_calls,
+            call.organisation,
         )
     )
 
@@ -170,6 +173,7 @@
             caller_service=head.caller_service,
             is_repeat=head.is_repeat,
             prior_calls=head.prior_calls,
+            organisation=head.organisation,
         )
     )
 
@@ -197,7 +201,14 @@
             answer.tokens_left,
             answer.repeatable,
             answer.threshold,
-            load and (load.running, load.queued, load.limit, load.run_ms),
+            load
+            and (
+                load.running,
+                load.queued,
+                load.limit,
+                load.run_ms,
+                load.work_factor,
+            ),
             max(0, answer.epoch),
             answer.stamp,
             answer.report,
@@ -229,6 +240,7 @@
         queued=load_head.queued,
         limit=load_head.limit,
         run_ms=load_head.run_ms,
+        work_factor=load_head.work_factor,
     )
     return messages.AnswerFrame(
         number=number,
