Call servers that reported a limit again

Cause: one call at the single usable slot of a limited server counted as full use, so each comparison chose another server; the report, its limit and its run time had no maximum age, so nothing corrected them. The failure rate and latency of an outlier had none either. Change: while a limit leaves a slot free, a further call counts as one of the announced slots. Reports are dropped after 5 s, and a server without a result for 8 s is no outlier. Real nodes were not measured. A service with less than a call in 8 s per server and node has no outliers.

--- a/bergamotdeal/routing/core.py
+++ b/bergamotdeal/routing/core.py
@@ -6,6 +6,8 @@
 from bergamotdeal.rpc import core as rpc
 
 REPORT_TTL_S = 2.0
+REPORT_MAX_AGE_S = 5.0
+RESULT_MAX_AGE_S = 8.0
 EWMA_WEIGHT = 0.1
 
 
@@ -22,6 +24,7 @@
       reported_at: Time of the report, monotonic seconds.
       in_flight_at_report: Calls of this node in flight when the report arrived.
       calls: Number of calls of this node that have ended.
+      ended_at: Time at which the latest call ended, monotonic seconds.
       failure_rate: Moving average of the failure rate, in [0, 1].
       latency_s: Moving average of the latency of successful calls, seconds.
       first_call_at: Time of the first call, monotonic seconds, or None.
@@ -36,6 +39,7 @@
     reported_at: float = 0.0
     in_flight_at_report: int = 0
     calls: int = 0
+    ended_at: float = 0.0
     failure_rate: float = 0.0
     latency_s: float = 0.0
     first_call_at: float | None = None
@@ -44,10 +48,14 @@
 
     def slots(self) -> int:
         """Returns the server's concurrency limit in requests."""
-        announced = self.member.server.slots if self.member.server else 1
+        announced = self.announced_slots()
         if self.load_report is None or self.load_report.limit < 1:
-            return max(1, announced)
-        return max(1, min(announced, self.load_report.limit))
+            return announced
+        return min(announced, self.load_report.limit)
+
+    def announced_slots(self) -> int:
+        """Returns the number of requests the server can run concurrently."""
+        return max(1, self.member.server.slots if self.member.server else 1)
 
     def estimated_load(self, now: float) -> float:
         """Returns the estimated number of requests running or queued.
@@ -102,5 +110,30 @@
         )
 
     def projected_utilization(self, now: float) -> float:
-        """Returns the slot utilization if one more call were sent."""
-        return (self.estimated_load(now) + 1.0) / self.slots()
+        """Returns the slot utilization if one more call were sent.
+
+        While a reported limit leaves a slot free, the additional call counts as
+        one of the announced slots. As one of the few slots of a limited server
+        it would make an idle server look fuller than any other.
+
+        Args:
+          now: Monotonic seconds.
+        """
+        slots = self.slots()
+        load = self.estimated_load(now)
+        if load + 1.0 > slots:
+            return (load + 1.0) / slots
+        return load / slots + 1.0 / self.announced_slots()
+
+    def expire_report(self, now: float) -> None:
+        """Drops the load report if it is too old to describe the server."""
+        if now - self.reported_at >= REPORT_MAX_AGE_S:
+            self.load_report = None
+
+    def has_recent_result(self, now: float) -> bool:
+        """Returns whether a call has ended lately, so that its result counts.
+
+        Args:
+          now: Monotonic seconds.
+        """
+        return now - self.ended_at < RESULT_MAX_AGE_S
--- a/bergamotdeal/routing/outliers.py
+++ b/bergamotdeal/routing/outliers.py
@@ -14,22 +14,28 @@
 
 
 def update_outliers(
-    targets: list[core.Target], policy: model.RoutingPolicy
+    targets: list[core.Target], policy: model.RoutingPolicy, now: float
 ) -> list[str]:
     """Updates which servers of a service are outliers.
 
     A server is an outlier if its failure rate or latency clearly exceeds the
     median of the service, so a problem that affects all servers ejects none.
-    At least one outlier is allowed in a service of three or more servers.
+    At least one outlier is allowed in a service of three or more servers. A
+    server without recent calls is none, so that it is called again.
 
     Args:
       targets: Servers of one service; ``is_outlier`` is set on each.
       policy: Routing policy, which limits the share of outliers.
+      now: Monotonic seconds.
 
     Returns:
       Host ids of the servers that became outliers.
     """
-    measured = [target for target in targets if target.calls >= _MIN_CALLS]
+    measured = [
+        target
+        for target in targets
+        if target.calls >= _MIN_CALLS and target.has_recent_result(now)
+    ]
     max_outliers = _max_outliers(len(targets), policy.outlier_share_max)
     excess_by_host = _excess_by_host(measured) if max_outliers else {}
     host_ids_by_excess = sorted(
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -241,6 +241,7 @@
             return
         target.in_flight = max(0, target.in_flight - 1)
         target.calls += 1
+        target.ended_at = now
         failed = 0.0 if succeeded else 1.0
         weight = core.EWMA_WEIGHT
         target.failure_rate += weight * (failed - target.failure_rate)
@@ -408,9 +409,11 @@
         if now < service.next_outlier_check:
             return
         service.next_outlier_check = now + _OUTLIER_CHECK_INTERVAL_S
+        for target in service.targets:
+            target.expire_report(now)
         service.update_mean_run_time()
         self._new_outliers += outliers.update_outliers(
-            service.targets, self._policy
+            service.targets, self._policy, now
         )
 
     def _select_fallback(
--- a/bergamotdeal/routing/tests/test_router.py
+++ b/bergamotdeal/routing/tests/test_router.py
@@ -1,14 +1,19 @@
 """Tests of the load balancer."""
 
 import collections
+import dataclasses
 import heapq
 import random
 
+import pytest
+
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.routing import router
 from bergamotdeal.rpc import core as rpc
 
+IDLE_LOAD = rpc.Load(running=0, queued=0, limit=10, run_ms=10.0)
+
 
 def _make_member(
     host_id, *, state=membership.MemberState.ALIVE, dc="odori", region="north"
@@ -114,10 +119,13 @@
     assert 0 < selections["a"] < 300
 
 
-def _record_answer(balancer, host_id, now, *, latency_s=0.01, **changes):
-    load = rpc.Load(running=0, queued=0, limit=10)
-    arguments = {"succeeded": True, "load": load} | changes
-    balancer.record_call_end(host_id, latency_s=latency_s, now=now, **arguments)
+def _record_answer(balancer, host_id, now, **changes):
+    arguments = {
+        "latency_s": 0.01,
+        "succeeded": True,
+        "load": IDLE_LOAD,
+    } | changes
+    balancer.record_call_end(host_id, now=now, **arguments)
 
 
 def _simulate_calls(
@@ -306,3 +314,37 @@
     balancer.update_members({member.host_id: member for member in members})
     selections = _count_selections(balancer)
     assert selections["b"] > 2 * selections["a"]
+
+
+# Guards against a server that one report or a few results exclude forever,
+# because only a further call could correct them.
+@pytest.mark.parametrize("weigh_speed", [True, False])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        *(
+            {"load": dataclasses.replace(IDLE_LOAD, **{field.name: value})}
+            for field in dataclasses.fields(rpc.Load)
+            for value in (0, 1, 1000)
+        ),
+        {"succeeded": False},
+        {"latency_s": 60.0},
+    ],
+    ids=str,
+)
+def test_nothing_reported_ten_seconds_ago_keeps_calls_away(answer, weigh_speed):
+    balancer = _make_router(
+        *[_make_member(name) for name in "abcd"],
+        policy=model.RoutingPolicy(weigh_speed=weigh_speed),
+    )
+    for _ in range(20):
+        balancer.record_call_start("a", 0.0)
+        _record_answer(balancer, "a", 0.0, **answer)
+    for now in range(11):
+        for name in "bcd":
+            balancer.record_call_start(name, now)
+            _record_answer(balancer, name, now)
+        _count_selections(balancer, count=1, now=now)
+    for name in "bcd":
+        balancer.record_call_start(name, now)
+    assert _count_selections(balancer, now=now)["a"] >= 250
