Authenticate requests by the keys of organisations

Change: the engine builds a table of key digests per preset and sets the organisation and class of a request, or refuses it with UNAUTHORIZED. Calls of the backend server inherit the organisation of their run; a call whose run has ended is refused as cancelled (the last 4,096 ended ids are kept). A key is checked again before each dispatch. The call frame carries the digest, so that the target refuses an arriving or queued call whose key a newer preset has revoked. Route gets 'public', so the rule holds for requests by service name as well. New event 1100 and counter organisations.keys_refused.

--- a/bergamotdeal/calls/acceptance.py
+++ b/bergamotdeal/calls/acceptance.py
@@ -1,5 +1,6 @@
 """Checks of a call at its target's node before it waits for a slot."""
 
+from bergamotdeal.calls import explanations
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
@@ -46,6 +47,11 @@
             return _KINDS.NOT_READY
         if run.call.request.service != state.service:
             return _KINDS.NO_SERVER
+        if not state.update_key(run.call):
+            explanations.record_key_refusal(
+                state, run.call.user_request_id, "arriving call"
+            )
+            return _KINDS.UNAUTHORIZED
         if run.call.deadline_ms <= 0:
             return _KINDS.DEADLINE_EXCEEDED
         if run.call.only_repeatable and not run.route.repeatable:
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -208,6 +208,9 @@
 
     def _dispatch(self, exchange: exchanges.Exchange) -> None:
         """Sends a call to a server or refuses it."""
+        if not self._intake.confirm_key(exchange):
+            self._refuse(exchange, _KINDS.UNAUTHORIZED)
+            return
         match self._targets.choose_host(exchange):
             case result.Ok(host_id):
                 self._send_to(exchange, host_id)
@@ -266,6 +269,7 @@
             is_repeat=exchange.is_repeat,
             prior_calls=min(rpc.MAX_PRIOR_CALLS, exchange.prior_calls),
             organisation=exchange.organisation,
+            key_digest="" if route.public else exchange.key_digest,
         )
         self._send(host_id, call)
 
@@ -378,6 +382,8 @@
         cost = 2 if exchange.ticket else 1
         if exchange.allowance.tokens < cost or exchange.deadline <= state.now:
             return False
+        if not self._intake.confirm_key(exchange):
+            return False
         # A retry adds load to the service only if the last attempt reached it.
         exchange.is_repeat |= answer.error not in truth.REFUSED_BEFORE_SERVER
         if exchange.is_repeat and not answer.may_retry:
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -264,6 +264,7 @@
         self._budget.set_policy(event.preset.retries)
         self._server_budget.set_policy(event.preset.retries)
         self._ticket_manager.apply_preset()
+        self._executor.refuse_revoked_calls()
         self._executor.apply_decisions(self._server.apply_preset())
 
     def _handle_time(self) -> None:
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -5,6 +5,7 @@
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
+from bergamotdeal.errors import core as errors
 from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
 from bergamotdeal.rpc import core as rpc
@@ -50,6 +51,11 @@
       lost_dispatches: Number of dispatches whose answer was lost.
       repeatable: False once a dispatch may have caused non-repeatable work.
       organisation: Organisation of the caller, or empty.
+      key_digest: Digest of the key that the organisation was found by; empty
+        if the organisation is inherited from a run.
+      key_epoch: Epoch of the preset in which the key was last found.
+      key_refusal: Reason to refuse the request for want of a valid key, or
+        None.
       tried_host_ids: Hosts that refused or lost a dispatch.
       timer: Timer of the deadline.
     """
@@ -85,6 +91,9 @@
     lost_dispatches: int = 0
     repeatable: bool = True
     organisation: str = ""
+    key_digest: str = ""
+    key_epoch: int = 0
+    key_refusal: errors.ErrorKind | None = None
     tried_host_ids: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
 
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -14,7 +14,6 @@
 from bergamotdeal.calls import ticketing as call_ticketing
 from bergamotdeal.calls import truth
 from bergamotdeal.errors import core as errors
-from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
 from bergamotdeal.retries import server_budget
 from bergamotdeal.rpc import core as rpc
@@ -121,6 +120,16 @@
             if run.link_id == link_id:
                 self._cancel_call(run)
 
+    def refuse_revoked_calls(self) -> None:
+        """Refuses the waiting calls whose key the new preset has revoked."""
+        for run in list(self._runs.runs_by_id.values()):
+            is_waiting = run.phase in (runs.Phase.QUEUED, runs.Phase.JOINED)
+            if is_waiting and not self._state.update_key(run.call):
+                explanations.record_key_refusal(
+                    self._state, run.call.user_request_id, "waiting call"
+                )
+                self._end_call(run, rpc.build_error_answer(_KINDS.UNAUTHORIZED))
+
     def handle_run_answer(self, event: messages.RunAnswered) -> None:
         """Handles a complete answer of the local backend server."""
         run = self._runs.runs_by_id.get(event.run_id)
@@ -204,7 +213,7 @@
             link_id=link_id,
             call=call,
             route=route,
-            class_name=_classify_call(state, call, route),
+            class_name=state.classify_call(call, route),
             deadline=state.now + (call.deadline_ms - margin_ms) / 1000,
             allowance=allowance.Allowance(tokens=call.tokens),
         )
@@ -475,16 +484,6 @@
     return RUN_GRACE_MS if run.ticket_record is None else TICKET_RUN_GRACE_MS
 
 
-def _classify_call(
-    state: engine_state.EngineState, call: rpc.Call, route: model.Route
-) -> str:
-    """Returns the class of a call; on a host route that of its origin."""
-    if not call.route_name:
-        return state.select_class(call.class_name, route.class_name)
-    state.cost_model.record_inbound_call(call.route_name, call.caller_service)
-    return call.class_name
-
-
 def _hash_share(state: engine_state.EngineState, run: runs.Run) -> float:
     if not state.preset.admission.consistent_hash:
         return 0.0
--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -13,6 +13,9 @@
 _CODES = catalogue.EventCode
 _MS_PER_S = 1000
 
+ARRIVAL = "arrival"
+"""Place of the check of a request that has just arrived."""
+
 
 def explain_entry_shed(
     *,
@@ -55,6 +58,38 @@
     return f"{run.class_name}, threshold {threshold:.2f}, {waiting}{limited}"
 
 
+def record_key_refusal(
+    state: engine_state.EngineState,
+    user_request_id: str,
+    place: str,
+    key_digest: str | None = "",
+) -> None:
+    """Records why a request is refused for want of a valid key.
+
+    Args:
+      state: State of the engine.
+      user_request_id: Id of the user request.
+      place: What was checked.
+      key_digest: Digest of the presented key, None without a key, empty if
+        the header was malformed or the key was valid when the call began.
+    """
+    if key_digest is None:
+        reason = "no key"
+    elif place != ARRIVAL:
+        reason = "key revoked meanwhile"
+    elif not key_digest:
+        reason = "malformed header"
+    else:
+        reason = f"unknown or revoked key with the digest {key_digest}"
+    state.record_event(
+        _CODES.KEY_REFUSED,
+        user_request_id,
+        place=place,
+        reason=reason,
+        epoch=state.epoch,
+    )
+
+
 def record_error_answer(
     *,
     state: engine_state.EngineState,
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from bergamotdeal.admission import feedback
+from bergamotdeal.calls import authentication
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
@@ -49,6 +50,10 @@
         self._router = router
         self._thresholds = thresholds
         self._last_call = 0
+        self._authenticator = authentication.Authenticator(
+            state=state, run_table=run_table
+        )
+        self.confirm_key = self._authenticator.confirm_key
 
     def open(self, event: messages.CallArrived) -> exchanges.Exchange:
         """Creates the exchange of a request that arrived."""
@@ -71,7 +76,9 @@
             may_have_run=event.attempt > 0,
             ticket=event.ticket,
         )
-        if request.authority and route is not _NO_ROUTE:
+        self._authenticator.authenticate(exchange, event)
+        is_refused = route is _NO_ROUTE or exchange.key_refusal is not None
+        if request.authority and not is_refused:
             self._classify_origin(exchange)
         match event.face:
             case messages.Face.ENTRY:
@@ -85,7 +92,9 @@
     def _classify_origin(self, exchange: exchanges.Exchange) -> None:
         """Distinguishes calls of the backend server from user requests."""
         state = self._state
-        parent = self._run_table.find_parent(exchange.user_request_id)
+        parent = None
+        if not exchange.key_digest:
+            parent = self._run_table.find_parent(exchange.user_request_id)
         if parent is not None:
             # All calls of a tree have the class of the user request.
             exchange.is_internal = True
@@ -98,6 +107,10 @@
             )
             return
         origin = state.cost_model.record_entry_request(exchange.route.prefix)
+        if exchange.key_digest:
+            # Backend servers have no key.
+            exchange.is_priced = True
+            return
         exchange.is_priced = origin is origins.Origin.CALLERS
         exchange.is_internal = origin is origins.Origin.SERVERS
         if exchange.is_internal:
@@ -136,6 +149,8 @@
             return _KINDS.NO_ROUTE
         if not state.members_by_id:
             return _KINDS.NOT_READY
+        if exchange.key_refusal is not None:
+            return exchange.key_refusal
         if not self._router.has_service(exchange.request.service):
             return _KINDS.UNKNOWN_SERVICE
         if exchange.face is messages.Face.ENTRY:
@@ -207,7 +222,9 @@
         self, exchange: exchanges.Exchange, event: messages.CallArrived
     ) -> None:
         exchange.key = event.idempotency_key
-        parent = self._run_table.find_by_context(event.context)
+        parent = None
+        if not exchange.key_digest:
+            parent = self._run_table.find_by_context(event.context)
         if parent is not None:
             self._link_to_parent(exchange, parent)
         elif not exchange.route.repeatable:
@@ -223,7 +240,9 @@
         exchange.parent = parent
         exchange.user_request_id = call.user_request_id
         exchange.class_name = self._state.select_class(
-            parent.class_name, exchange.route.class_name
+            parent.class_name,
+            exchange.route.class_name,
+            organisation=call.organisation,
         )
         exchange.deadline = min(exchange.deadline, parent.deadline)
         exchange.depth = call.depth + 1
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -1,5 +1,6 @@
 """Requests at their target's node and the table that holds them."""
 
+import collections
 import dataclasses
 import enum
 
@@ -87,6 +88,9 @@
         return self.call.may_have_run
 
 
+MAX_ENDED_REQUESTS = 4096
+"""Number of remembered ids of ended runs, some tens of seconds at one node."""
+
 REQUEST_ID_SEPARATOR = "."
 """Separates the id of a request from the suffix for a call below it."""
 
@@ -101,6 +105,9 @@
         self.runs_by_call: dict[tuple[int, int], Run] = {}
         self._runs_by_request_id: dict[str, Run] = {}
         self._repeat_count = 0
+        self._ended_request_ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     @property
     def repeat_share(self) -> float:
@@ -134,6 +141,11 @@
         request_id = run.call.user_request_id
         if self._runs_by_request_id.get(request_id) is run:
             del self._runs_by_request_id[request_id]
+        if run.started_at:
+            self._ended_request_ids[request_id] = None
+            self._ended_request_ids.move_to_end(request_id)
+            if len(self._ended_request_ids) > MAX_ENDED_REQUESTS:
+                self._ended_request_ids.popitem(last=False)
 
     def build_context(self, run: Run) -> str:
         """Builds the context value that identifies a run."""
@@ -145,14 +157,18 @@
         Args:
           context: Value of a context header, untrusted.
         """
+        run_id = self._parse_context(context)
+        return None if run_id is None else self.runs_by_id.get(run_id)
+
+    def _parse_context(self, context: str) -> int | None:
+        """Returns the run id in a context value of this process, or None."""
         number, _, incarnation = context.partition(CONTEXT_SEPARATOR)
         if incarnation != self._incarnation:
             return None
         try:
-            run_id = int(number, 16)
+            return int(number, 16)
         except ValueError:
             return None
-        return self.runs_by_id.get(run_id)
 
     def find_parent(self, user_request_id: str) -> Run | None:
         """Finds the running parent of a call whose id extends a run's id.
@@ -173,6 +189,23 @@
         run = self._runs_by_request_id.get(above)
         return run if run and run.phase is Phase.RUNNING else None
 
+    def has_ended_parent(self, user_request_id: str, context: str) -> bool:
+        """Returns whether the run that made a call has ended recently.
+
+        Args:
+          user_request_id: Id of the call.
+          context: Value of a context header, untrusted.
+        """
+        above, separator, _ = user_request_id.rpartition(REQUEST_ID_SEPARATOR)
+        if separator and above in self._ended_request_ids:
+            return True
+        run_id = self._parse_context(context)
+        return (
+            run_id is not None
+            and 0 < run_id <= self._last_id
+            and run_id not in self.runs_by_id
+        )
+
     def mark_all_not_repeatable(self) -> None:
         """Marks all runs as possible causes of non-repeatable work."""
         for run in self.runs_by_id.values():
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -7,6 +7,7 @@
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
+from bergamotdeal.organisations import keys
 from bergamotdeal.presets import hosts
 from bergamotdeal.presets import model
 from bergamotdeal.pricing import book
@@ -26,6 +27,7 @@
       identity: Membership entry of this node.
       preset: Active preset.
       epoch: Epoch of the active preset.
+      key_table: Keys of the active preset.
       rng: Random number generator.
       members_by_id: Members by host id.
       service: Service that the local backend server announces, or empty.
@@ -66,6 +68,7 @@
         """Activates a preset with its epoch."""
         self.preset = preset
         self.epoch = epoch
+        self.key_table = keys.KeyTable(organisations=preset.organisations)
         self._presets_by_service: dict[str, model.Preset] = {}
         self._hosts = hosts.HostRouteTable(host_routes=preset.host_routes)
         self._splits_by_route: dict[str, split.WeightedSplit] = {}
@@ -172,19 +175,67 @@
             trace=traceback.format_exc(),
         )
 
+    def update_key(self, call: rpc.Call) -> bool:
+        """Checks the key of a call against a preset that its origin lacked.
+
+        A key that moved to another organisation now belongs to that one.
+
+        Args:
+          call: Call that has not run; its organisation is updated.
+
+        Returns:
+          Whether the call may still run.
+        """
+        key_table = self.key_table
+        if (
+            not call.key_digest
+            or call.epoch >= self.epoch
+            or not key_table.is_required
+        ):
+            return True
+        found = key_table.find(call.key_digest)
+        if found is None:
+            return False
+        call.organisation = found.name
+        return True
+
+    def classify_call(self, call: rpc.Call, route: model.Route) -> str:
+        """Returns the class of a call; on a host route that of its origin.
+
+        Args:
+          call: Call that arrived at its target.
+          route: Route of the call.
+        """
+        if not call.route_name:
+            return self.select_class(
+                call.class_name,
+                route.class_name,
+                organisation=call.organisation,
+            )
+        self.cost_model.record_inbound_call(
+            call.route_name, call.caller_service
+        )
+        return call.class_name
+
     def needs_ticket(self, route: model.Route) -> bool:
         """Returns whether requests of a route require a ticket."""
         return self.preset.tickets.required and not route.repeatable
 
-    def select_class(self, inherited: str, own: str) -> str:
+    def select_class(
+        self, inherited: str, own: str, *, organisation: str = ""
+    ) -> str:
         """Selects the more important one of two classes.
 
         Args:
           inherited: Class of the user request; empty if not yet known.
           own: Class of the call's own route.
+          organisation: Organisation of the user request; if it has a class,
+            that class takes precedence over the route's.
         """
         if not inherited:
             return own
+        if organisation and self.key_table.get_class_name(organisation):
+            return inherited
         get_class_rank = self.preset.get_class_rank
         return (
             inherited
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -12,6 +12,7 @@
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+KeyDigest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{32}$")]
 Status = Annotated[int, msgspec.Meta(ge=400, le=599)]
 
 CRITICAL = "critical"
@@ -36,6 +37,7 @@
         later answer is worth less.
       max_sendings: Maximum number of servers to which one request is sent, or
         zero to limit it only by the allowance of ``[retries]``.
+      public: Whether requests need no key of an organisation.
     """
 
     service: str
@@ -47,6 +49,7 @@
     repeatable_below: bool = False
     target_latency_ms: Count = 0
     max_sendings: Count = 0
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -108,6 +111,7 @@
             repeatable_below=self.repeatable,
             target_latency_ms=self.target_latency_ms,
             max_sendings=self.max_sendings,
+            public=self.public,
         )
 
 
@@ -126,7 +130,7 @@
     """
 
     name: str
-    key_digests: tuple[str, ...] = ()
+    key_digests: tuple[KeyDigest, ...] = ()
     class_name: str = ""
     rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
     burst: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
--- a/bergamotdeal/rpc/core.py
+++ b/bergamotdeal/rpc/core.py
@@ -98,6 +98,8 @@
         it, may have reached a server; it then counts as a retry.
       prior_calls: Number of calls that the run that makes this one made before.
       organisation: Organisation of the user request, or empty.
+      key_digest: Digest of the key that must still be valid when the call
+        runs; empty if the call needs no key or inherits its organisation.
     """
 
     number: int
@@ -121,6 +123,7 @@
     is_repeat: bool = False
     prior_calls: int = 0
     organisation: str = ""
+    key_digest: str = ""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -82,6 +82,9 @@
     # 1000 pricing
     COST_REPORT_REJECTED = 1000
 
+    # 1100 organisations
+    KEY_REFUSED = 1100
+
 
 MESSAGES_BY_CODE: dict[EventCode, str] = {
     EventCode.CALL_ARRIVED: "{method} {service}{path} arrived at {face}",
@@ -156,6 +159,9 @@
     EventCode.COST_REPORT_REJECTED: (
         "cost report of {host} on {route} rejected: {reason}"
     ),
+    EventCode.KEY_REFUSED: (
+        "key of {place} refused under epoch {epoch}: {reason}"
+    ),
 }
 
 
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -63,6 +63,7 @@
     GOSSIP_DATAGRAMS_SENT = "gossip.datagrams_sent"
     GOSSIP_DATAGRAMS_DROPPED = "gossip.datagrams_dropped"
     SERVER_STOPS = "server.stops"
+    ORGANISATIONS_KEYS_REFUSED = "organisations.keys_refused"
 
 
 for _slot, _counter in enumerate(Counter):
@@ -126,6 +127,7 @@
     catalogue.EventCode.PEER_LINK_CLOSED: Counter.PEER_LINKS_CLOSED,
     catalogue.EventCode.PEER_REJECTED: Counter.PEER_REJECTED,
     catalogue.EventCode.FRAME_MALFORMED: Counter.PEER_MALFORMED,
+    catalogue.EventCode.KEY_REFUSED: Counter.ORGANISATIONS_KEYS_REFUSED,
 }
 
 
--- a/bergamotdeal/wire/heads.py
+++ b/bergamotdeal/wire/heads.py
@@ -49,6 +49,7 @@
     is_repeat: bool = False
     prior_calls: _UInt16 = 0
     organisation: str = ""
+    key_digest: str = ""
 
 
 class _LoadHead(msgspec.Struct, array_like=True, gc=False):
@@ -125,6 +126,7 @@
             call.is_repeat,
             call.prior_calls,
             call.organisation,
+            call.key_digest,
         )
     )
 
@@ -174,6 +176,7 @@
             is_repeat=head.is_repeat,
             prior_calls=head.prior_calls,
             organisation=head.organisation,
+            key_digest=head.key_digest,
         )
     )
 
