Read organisations from preset files

Change: [organisation NAME] sections are parsed, validated and rendered. Names can be sent in a header, digests have the right form and belong to one organisation, rates are finite (the annotation's range lets NaN pass). The settings section [revocation] holds what strict revocation needs; nothing uses it yet.

--- a/bergamotdeal/presets/parser.py
+++ b/bergamotdeal/presets/parser.py
@@ -14,8 +14,13 @@
     [host-route kits kits.example /kits/]
     destinations = kitview:90, orderline:10
 
+    [organisation harbour works]
+    key_digests = 0c5f27cbaba4ebd3ca06a07c5cc5b3a1
+    rate_per_s = 40
+
 The sections ``[retries]``, ``[admission]``, ``[routing]``, ``[quarantine]``,
-``[tickets]`` and ``[limits]`` contain the fields of the model's policies.
+``[tickets]``, ``[limits]`` and ``[quotas]`` contain the fields of the model's
+policies.
 """
 
 from collections.abc import Mapping
@@ -27,6 +32,7 @@
 import result
 
 from bergamotdeal.presets import model
+from bergamotdeal.presets import organisations
 from bergamotdeal.utils import ini
 
 NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
@@ -66,6 +72,9 @@
     host_routes_by_name: dict[str, model.HostRoute] = dataclasses.field(
         default_factory=dict
     )
+    organisations_by_name: dict[str, model.Organisation] = dataclasses.field(
+        default_factory=dict
+    )
     policies_by_section: dict[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
@@ -117,6 +126,8 @@
             _read_route(draft, section, (service, method, prefix), values)
         case ["host-route", name, host, prefix]:
             _read_host_route(draft, section, (name, host, prefix), values)
+        case ["organisation", word, *words]:
+            _read_organisation(draft, section, " ".join((word, *words)), values)
         case ["host-route", *_]:
             draft.report(
                 section, "", "accepted is [host-route NAME HOST /PREFIX/]"
@@ -133,6 +144,7 @@
                 "service NAME",
                 "route SERVICE METHOD /PREFIX",
                 "host-route NAME HOST /PREFIX/",
+                "organisation NAME",
             ]
             known.extend(_POLICY_BY_SECTION)
             advice = ini.suggest_name(" ".join(words), known)
@@ -220,6 +232,23 @@
         draft.host_routes_by_name[name] = route
 
 
+def _read_organisation(
+    draft: _Draft, section: str, name: str, values: Mapping[str, str]
+) -> None:
+    if name in draft.organisations_by_name:
+        draft.report(section, "", "given twice")
+    organisation = _convert(
+        draft,
+        model.Organisation,
+        section,
+        values,
+        fixed_values={"name": name},
+        field_names_by_key=_ROUTE_FIELD_BY_KEY,
+    )
+    if organisation is not None:
+        draft.organisations_by_name[name] = organisation
+
+
 def _read_destinations(text: str) -> tuple[model.Destination, ...] | None:
     destinations = []
     for word in text.split(","):
@@ -242,6 +271,7 @@
         "services_by_name": draft.services_by_name,
         "routes": tuple(draft.routes_by_match.values()),
         "host_routes": tuple(draft.host_routes_by_name.values()),
+        "organisations": tuple(draft.organisations_by_name.values()),
     }
     for section, kind in _POLICY_BY_SECTION.items():
         given[section] = draft.policies_by_section.get(section) or kind()
@@ -273,6 +303,7 @@
         problems.extend(_check_route(preset, route))
     for host_route in preset.host_routes:
         problems.extend(_check_host_route(preset, host_route))
+    problems.extend(organisations.find_problems(preset))
     admission = preset.admission
     if admission.window_min_ms > admission.window_max_ms:
         problems.append(
@@ -389,6 +420,9 @@
         )
         words = [f"{d.service}:{d.weight!r}" for d in host_route.destinations]
         blocks.append(f"{block}{_DESTINATIONS_KEY} = {', '.join(words)}\n")
+    for organisation in preset.organisations:
+        section = organisations.format_section(organisation.name)
+        blocks.append(_render_section(section, organisation, omit=("name",)))
     return "\n".join(blocks)
 
 
--- a/bergamotdeal/presets/tests/test_parser.py
+++ b/bergamotdeal/presets/tests/test_parser.py
@@ -112,6 +112,46 @@
     assert words in problems[0].message
 
 
+def test_organisations_are_parsed_and_rendered():
+    digest = "0c5f27cbaba4ebd3ca06a07c5cc5b3a1"
+    text = (
+        "[preset]\nname = p\n[organisation harbour works]\n"
+        f"key_digests = {digest}\nclass = browse\nrate_per_s = 40.5\n"
+    )
+    preset = parser.parse(text).unwrap()
+    assert preset.organisations == (
+        model.Organisation(
+            name="harbour works",
+            key_digests=(digest,),
+            class_name="browse",
+            rate_per_s=40.5,
+        ),
+    )
+    assert parser.parse(parser.render(preset)).unwrap() == preset
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "key_digests = secret",
+        "key_digests = 0C5F27CBABA4EBD3CA06A07C5CC5B3A1",
+        "class = none",
+        "rate_per_s = nan",
+        "rate_per_s = -1",
+        "burst = inf",
+        "name = other",
+        "[organisation ä]",
+        "key_digests = {0}, {0}",
+        "key_digests = {0}\n[organisation b]\nkey_digests = {0}",
+    ],
+)
+def test_invalid_organisation_is_a_problem(body):
+    digest = "0c5f27cbaba4ebd3ca06a07c5cc5b3a1"
+    text = f"[preset]\nname = p\n[organisation a]\n{body.format(digest)}\n"
+    problems = parser.parse(text).unwrap_err()
+    assert "organisation" in problems[0].section
+
+
 def test_parse_reports_all_problems():
     text = TEXT.replace("allowance = 2", "allowance = -1\nnope = 1")
     text = text.replace("deadline_ms = 800", "deadline_ms = 0")
--- a/bergamotdeal/settings/model.py
+++ b/bergamotdeal/settings/model.py
@@ -146,6 +146,22 @@
     flush_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 2000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RevocationSection:
+    """``[revocation]``: the handling of keys that may have been revoked.
+
+    Attributes:
+      strict: Whether requests that need a key are refused while this node
+        can't learn of new presets.
+      max_silence_ms: Time without news of the preset in force, from the store
+        or another node, after which strict revocation refuses, in
+        milliseconds.
+    """
+
+    strict: bool = False
+    max_silence_ms: Annotated[int, msgspec.Meta(ge=1, le=3_600_000)] = 5000
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PresetSection:
     """``[preset]``: the preset in force before the first switch.
@@ -198,6 +214,9 @@
     admin: AdminSection = dataclasses.field(default_factory=AdminSection)
     store: StoreSection = dataclasses.field(default_factory=StoreSection)
     drain: DrainSection = dataclasses.field(default_factory=DrainSection)
+    revocation: RevocationSection = dataclasses.field(
+        default_factory=RevocationSection
+    )
     preset: PresetSection = dataclasses.field(default_factory=PresetSection)
     statsd: StatsdSection = dataclasses.field(default_factory=StatsdSection)
     telemetry: TelemetrySection = dataclasses.field(
--- a/tools/build_pages.py
+++ b/tools/build_pages.py
@@ -110,6 +110,8 @@
         "services_by_name",
         "routes",
         "host_routes",
+        "organisations",
+        "quotas",
         "limits",
         "retries",
         "admission",
@@ -137,7 +139,11 @@
     "host-route": functools.partial(
         _section_rows, model.HostRoute, _HOST_ROUTE_HEADER_FIELDS
     ),
+    "organisation": functools.partial(
+        _section_rows, model.Organisation, frozenset(("name",))
+    ),
     "limits": functools.partial(_section_rows, model.RequestLimits),
+    "quotas": functools.partial(_section_rows, model.QuotaPolicy),
     "retries": functools.partial(_section_rows, model.RetryPolicy),
     "admission": functools.partial(_section_rows, model.AdmissionPolicy),
     "routing": functools.partial(_section_rows, model.RoutingPolicy),
