Decode the work figure of server load reports at the edge

Cause: the load header of a server that reports its speed has a fourth figure. The health check rejected such a header, so that it announced no slots, and answers' load headers were not read at all. A malformed load header is recorded as a defect, at most once per second, while the rate limit of the same answer counts. The connection pool passes the factor to the call engine when it changed by 5% (at most every 20 ms) or is 100 ms old; the last figure is posted by the periodic check if no further answer comes.

--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -184,6 +184,17 @@
     is_provisional: bool = False
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ServerSpeedReported:
+    """Report of the local backend server on its speed at this moment.
+
+    Attributes:
+      work_factor: How long work takes as a multiple of the usual time.
+    """
+
+    work_factor: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServerConditionRejected:
     """Malformed report of the local backend server about its condition.
@@ -257,6 +268,7 @@
     | ServerUnresponsive
     | ServerLeaving
     | ServerRateLimited
+    | ServerSpeedReported
     | ServerConditionRejected
     | DrainStarted
     | MembersChanged
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -102,10 +102,16 @@
         together, or None for no limit.
       is_leaving: Whether the server is about to stop and must not get new
         work.
+      work_factor: How long work takes at this moment as a multiple of the
+        usual time, or None if the server does not say.
+      defect: What is wrong with a part of the report that does not count, or
+        empty.
     """
 
     rate_limit: float | None = None
     is_leaving: bool = False
+    work_factor: float | None = None
+    defect: str = ""
 
 
 NORMAL_CONDITION = ServerCondition()
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -7,15 +7,17 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 
 import result
-from twisted.internet import protocol
 from twisted.internet import task
 
 from bergamotdeal.calls import messages
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import server_condition
 from bergamotdeal.node import server_connection
+from bergamotdeal.node import server_connector
+from bergamotdeal.node import server_speed
 
 ANNOUNCEMENT_TIMEOUT_S = 5.0
 """Time without an announcement after which the server counts as silent."""
@@ -27,6 +29,10 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time to establish a connection; the server is on the same host."""
 
+DEFECT_INTERVAL_S = 1.0
+"""Minimum time between events on reports with a malformed part, which may come
+with every answer."""
+
 KEEP_ALIVE_MARGIN_S = 1.0
 """Unused part of the server's keep-alive timeout, for clock and queue lag."""
 
@@ -87,50 +93,6 @@
     deadline: float
 
 
-class _ConnectionFactory(protocol.ClientFactory):
-    """Client factory of a single connection."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        *,
-        connection: server_connection.ServerConnection,
-        on_connected: Callable[[server_connection.ServerConnection], None],
-        on_failed: Callable[[], None],
-    ) -> None:
-        self._connection = connection
-        self._on_connected = on_connected
-        self._on_failed = on_failed
-
-    def buildProtocol(self, addr) -> server_connection.ServerConnection:
-        """Returns the connection, which reports when it is established.
-
-        Args:
-          addr: Address of the server.
-        """
-        del addr
-        connection = self._connection
-        original_connection_made = connection.connectionMade
-
-        def connection_made() -> None:
-            original_connection_made()
-            self._on_connected(connection)
-
-        connection.connectionMade = connection_made
-        return connection
-
-    def clientConnectionFailed(self, connector, reason) -> None:
-        """Reports that the connection can't be established.
-
-        Args:
-          connector: Connector of the attempt.
-          reason: Why the attempt failed.
-        """
-        del connector, reason
-        self._on_failed()
-
-
 class ServerConnectionPool:
     """Pool of connections that run requests on the backend server.
 
@@ -162,6 +124,8 @@
             is_known=dialect is None or not dialect.reports_condition
         )
         self._posted_rate_limit: float | None = None
+        self._speed = server_speed.SpeedReporter()
+        self._defect_posted_at = -math.inf
         self._last_announced_at = 0.0
         self._is_silent = True
         self._idle_connections: list[server_connection.ServerConnection] = []
@@ -207,6 +171,7 @@
             self._condition = server_condition.ServerConditionTracker(
                 is_known=True
             )
+            self._speed.forget()
             self._post_rate_limit()
         # An unchanged announcement isn't passed on, to save the engine work.
         if previous != announcement or self._is_silent:
@@ -324,7 +289,7 @@
         self._reactor.connectTCP(
             self._announcement.address,
             self._announcement.port,
-            _ConnectionFactory(
+            server_connector.ConnectionFactory(
                 connection=connection,
                 on_connected=self._handle_connected,
                 on_failed=self._handle_connect_failure,
@@ -390,10 +355,24 @@
             case result.Ok(condition) if condition.is_leaving:
                 self.handle_server_leaving(instance)
             case result.Ok(condition):
-                self._condition.record(
-                    condition, sent_at=sent_at, now=self._reactor.seconds()
-                )
+                now = self._reactor.seconds()
+                self._condition.record(condition, sent_at=sent_at, now=now)
                 self._post_rate_limit()
+                if condition.work_factor is not None:
+                    self._speed.record(condition.work_factor)
+                    self._post_speed(now)
+                if condition.defect:
+                    self._post_defect(condition.defect, now)
+
+    def _post_speed(self, now: float) -> None:
+        work_factor = self._speed.take_due(now)
+        if work_factor is not None:
+            self._post(messages.ServerSpeedReported(work_factor=work_factor))
+
+    def _post_defect(self, reason: str, now: float) -> None:
+        if now - self._defect_posted_at >= DEFECT_INTERVAL_S:
+            self._defect_posted_at = now
+            self._post(messages.ServerConditionRejected(reason=reason))
 
     def _post_rate_limit(self) -> None:
         rate_limit = self._condition.rate_limit
@@ -447,6 +426,7 @@
 
     def _check_timeouts(self) -> None:
         now = self._reactor.seconds()
+        self._post_speed(now)
         overdue_runs = [
             active_run
             for active_run in self._active_runs_by_id.values()
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -239,6 +239,12 @@
                 return result.Ok(
                     dialects.ServerCondition(rate_limit=float(value))
                 )
+            if name == "work":
+                return result.Ok(
+                    dialects.ServerCondition(work_factor=float(value))
+                    if value != "many"
+                    else dialects.ServerCondition(defect="work many")
+                )
             if name == "rate-limit":
                 return result.Err(f"{value!r} is not a number")
             if name == "leaving":
@@ -394,3 +400,44 @@
     harness = Harness()
     harness.pool.handle_health_report(None)
     assert harness.events == []
+
+
+def send_work_figures(harness, figures, interval_s):
+    connection = None
+    for run_id, figure in enumerate(figures):
+        harness.pool.start_run(start_run(run_id))
+        connection = connection or harness.accept_connection()
+        header = b"OK\r\nWork: %s\r\n" % figure
+        connection.dataReceived(build_answer().replace(b"OK\r\n", header))
+        harness.reactor.advance(interval_s)
+
+
+def select_events(harness, event_type):
+    return [each for each in harness.events if isinstance(each, event_type)]
+
+
+# Guards against an engine that handles a speed report with every answer of a
+# server that changes its figure several hundred times a second.
+def test_speed_reports_are_bounded_and_the_last_one_is_posted():
+    harness = Harness(dialect=ConditionDialect())
+    send_work_figures(harness, [b"1.0", b"2.0"] * 100, interval_s=0.002)
+    harness.reactor.advance(0.1)
+    reports = select_events(harness, messages.ServerSpeedReported)
+    assert 10 <= len(reports) <= 22
+    assert reports[-1].work_factor == 2.0
+
+
+def test_unchanged_speed_is_repeated_and_noise_is_not_posted():
+    harness = Harness(dialect=ConditionDialect())
+    send_work_figures(harness, [b"1.0", b"1.02"] * 100, interval_s=0.002)
+    reports = select_events(harness, messages.ServerSpeedReported)
+    assert 3 <= len(reports) <= 5
+
+
+# Guards against a log that fills up with one event per answer.
+def test_malformed_speed_is_reported_at_most_once_per_second():
+    harness = Harness(dialect=ConditionDialect())
+    send_work_figures(harness, [b"many"] * 100, interval_s=0.002)
+    rejected = select_events(harness, messages.ServerConditionRejected)
+    assert len(rejected) == 1
+    assert select_events(harness, messages.ServerSpeedReported) == []
