Scale admission, backpressure and load reports with the server's speed

Cause: expected run times were a quantile or moving mean of past runs, which lag behind a server that is 2.5 times slower for 600 ms. Run times are recorded at the usual speed; the deadline check, urgency, the adaptive limit and the backpressure capacity multiply by the factor. The number of jobs that run at once is unchanged, as a slow server runs as many; its queue bound shrinks instead. Load reports carry the mean run time and the factor relative to the usual one, so a receiver may let it decay to 1.0.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -64,6 +64,7 @@
         self._queue = waiting.JobQueue()
         self._start_rate = rate.StartRateLimiter()
         self._run_time_estimate = estimate.RunTimeEstimate()
+        self._work_factor = 1.0
         self._limit = limits.AdaptiveLimit(
             slots=slots,
             cold_start_s=service_policy.cold_start_ms / _MS_PER_S,
@@ -121,7 +122,8 @@
         self._accrue_busy_time(now)
         self._remove_run(run)
         if completed:
-            run_s = now - run.started_at
+            # Run times count at the usual speed of the server.
+            run_s = (now - run.started_at) / self._work_factor
             self._thresholds.record_completion()
             self._limit.record_run(run_s)
             self._run_time_estimate.add_sample(run_s)
@@ -184,6 +186,20 @@
         self._start_rate.set_rate(rate_limit, now)
         return self.advance(now) + self._trim_queue(now)
 
+    def set_work_factor(
+        self, work_factor: float, now: float
+    ) -> list[core.Decision]:
+        """Sets how long work takes now as a multiple of the usual time.
+
+        The number of jobs that run at once stays the same. Expected run times
+        scale with the factor, and the queue shrinks with it, so that queued
+        jobs wait no longer on a slow server.
+        """
+        if work_factor == self._work_factor:
+            return []
+        self._work_factor = work_factor
+        return self.advance(now) + self._trim_queue(now)
+
     def set_policy(
         self,
         *,
@@ -264,7 +280,7 @@
     def _usable_limit(self, now: float) -> int:
         """Returns how many slots can be in use under all limits."""
         return self._start_rate.bound_slots(
-            self._current_limit(now), self._run_time_estimate.value()
+            self._current_limit(now), self._expected_run_s()
         )
 
     def _has_slot(self, rank: int, now: float) -> bool:
@@ -303,7 +319,8 @@
         )
 
     def _queue_bound(self, limit: int) -> int:
-        jobs = math.ceil(self._policy.queue_slots_ratio * limit)
+        ratio = self._policy.queue_slots_ratio / max(1.0, self._work_factor)
+        jobs = math.ceil(ratio * limit)
         return self._start_rate.bound_queue(jobs)
 
     def _rank(self, job: core.Job) -> int:
@@ -425,12 +442,13 @@
         return decisions
 
     def _latest_start(self, deadline: float) -> float:
-        return deadline - self._run_time_estimate.value()
+        return deadline - self._expected_run_s()
 
     def _urgent_from(self, deadline: float) -> float:
-        return (
-            deadline - _URGENT_RUN_TIME_FACTOR * self._run_time_estimate.value()
-        )
+        return deadline - _URGENT_RUN_TIME_FACTOR * self._expected_run_s()
+
+    def _expected_run_s(self) -> float:
+        return self._run_time_estimate.value() * self._work_factor
 
     def _preempt(self, now: float) -> core.Preempt:
         self._accrue_busy_time(now)
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -242,17 +242,31 @@
                 apply_decisions(self._server.handle_stop())
             case messages.ServerUnresponsive() | messages.ServerLeaving():
                 apply_decisions(self._server.suspend())
-            case messages.ServerRateLimited():
-                apply_decisions(self._server.handle_rate_limit(event))
-            case messages.ServerConditionRejected(reason=reason):
-                self._state.record_event(
-                    catalogue.EventCode.SERVER_CONDITION_REJECTED, reason=reason
-                )
             case messages.DrainStarted():
                 self._state.draining = True
                 self._state.is_entry_closed = not event.entry_open
             case messages.PeerCrashesReported():
                 self._server.apply_crash_reports(event.reports)
+            case _:
+                self._handle_server_condition(event)
+
+    def _handle_server_condition(self, event: messages.Event) -> None:
+        """Handles what the backend server reports about its condition."""
+        match event:
+            case messages.ServerRateLimited():
+                decisions = self._server.handle_rate_limit(event)
+            case messages.ServerSpeedReported():
+                decisions = self._server.handle_speed(event)
+            case messages.ServerCold():
+                decisions = self._server.handle_cold_start(event)
+            case messages.ServerConditionRejected(reason=reason):
+                self._state.record_event(
+                    catalogue.EventCode.SERVER_CONDITION_REJECTED, reason=reason
+                )
+                return
+            case _:
+                return
+        self._executor.apply_decisions(decisions)
 
     def _handle_preset(self, event: messages.PresetInForce) -> None:
         state = self._state
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -2,6 +2,7 @@
 
 from bergamotdeal.admission import controller
 from bergamotdeal.admission import core as admission
+from bergamotdeal.admission import speed
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.membership import core as membership
@@ -34,6 +35,7 @@
         )
         self._service = ""
         self._rate_limit: float | None = None
+        self._speed = speed.ServerSpeed()
         self._is_stopped = False
         self._is_absent = False
         self._ended_while_absent: list[tuple[int, bool]] = []
@@ -60,6 +62,8 @@
         else:
             return self._resume_admission(slots)
         self._service = service
+        if self._is_stopped:
+            self._speed = speed.ServerSpeed()
         self._is_stopped = False
         self._is_absent = False
         self._pressure = pressure.BackpressureController(now=state.now)
@@ -113,6 +117,29 @@
             return []
         return self._controller.set_rate_limit(rate_limit, self._state.now)
 
+    def handle_speed(
+        self, event: messages.ServerSpeedReported
+    ) -> list[admission.Decision]:
+        """Applies a report of the server on its speed."""
+        self._speed.record(event.work_factor, self._state.now)
+        if not self._is_present():
+            return []
+        return self._apply_speed()
+
+    def handle_cold_start(
+        self, event: messages.ServerCold
+    ) -> list[admission.Decision]:
+        """Applies the statement of the server that it has just started."""
+        remaining_s = event.remaining_ms / _MS_PER_S
+        self._speed.set_cold(remaining_s, self._state.now)
+        if not self._is_present():
+            return []
+        return self._apply_speed()
+
+    def _apply_speed(self) -> list[admission.Decision]:
+        now = self._state.now
+        return self._controller.set_work_factor(self._speed.smoothed(now), now)
+
     def apply_preset(self) -> list[admission.Decision]:
         """Applies the active preset."""
         preset = self._state.preset
@@ -130,7 +157,8 @@
           job: The job.
           was_refused_elsewhere: Whether another server has refused the call.
         """
-        decisions = self._controller.submit(job, self._state.now)
+        decisions = self._apply_speed()
+        decisions += self._controller.submit(job, self._state.now)
         is_refused = _is_refused(job, decisions)
         # What a limited server refuses is no shortage of the service as long as
         # another server takes it.
@@ -148,7 +176,8 @@
     def observe_run_time(self, run_s: float) -> None:
         """Records the time in seconds for which a run held its slot."""
         if self._pressure is not None:
-            self._pressure.record_run_time(run_s)
+            work_factor = self._speed.smoothed(self._state.now)
+            self._pressure.record_run_time(run_s / work_factor)
 
     def _update_pressure(self) -> None:
         if not self._pressure.is_due(self._state.now):
@@ -160,6 +189,7 @@
             queued=load.queued,
             limit=load.limit,
             rate_limit=self._controller.rate_limit,
+            work_factor=self._speed.smoothed(self._state.now),
         )
 
     def withdraw(self, job_id: int) -> list[admission.Decision]:
@@ -183,7 +213,7 @@
         """Advances admission to the current time."""
         if not self._is_present():
             return []
-        return self._controller.advance(self._state.now)
+        return self._apply_speed() + self._controller.advance(self._state.now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``advance`` is next needed, in monotonic seconds."""
@@ -209,7 +239,9 @@
         if self._controller is None:
             return None
         load = self._controller.load()
-        load.run_ms = self._pressure.run_s * _MS_PER_S
+        # Routing forgets the current speed with time, but not the usual one.
+        load.run_ms = self._pressure.run_s * self._speed.usual * _MS_PER_S
+        load.work_factor = self._speed.relative(self._state.now)
         return load
 
     def has_quarantined(self, fingerprint: str) -> bool:
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -195,6 +195,17 @@
     work_factor: float
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ServerCold:
+    """Statement of the local backend server that it has just started.
+
+    Attributes:
+      remaining_ms: Time in milliseconds for which its work takes longer.
+    """
+
+    remaining_ms: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServerConditionRejected:
     """Malformed report of the local backend server about its condition.
@@ -269,6 +280,7 @@
     | ServerLeaving
     | ServerRateLimited
     | ServerSpeedReported
+    | ServerCold
     | ServerConditionRejected
     | DrainStarted
     | MembersChanged
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -49,6 +49,8 @@
       connections: Number of connections that the server accepts.
       instance: Id that changes when the server restarts, or empty.
       server_id: Id by which requests name the server, or empty.
+      cold_remaining_ms: Time in milliseconds for which a server that has just
+        started takes longer; counts down in repeated announcements.
     """
 
     service: str
@@ -58,6 +60,7 @@
     connections: int
     instance: str = ""
     server_id: str = ""
+    cold_remaining_ms: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -183,6 +186,10 @@
                     connections=announcement.connections,
                 )
             )
+        if announcement.cold_remaining_ms > 0:
+            self._post(
+                messages.ServerCold(remaining_ms=announcement.cold_remaining_ms)
+            )
 
     def handle_server_leaving(self, instance: str) -> None:
         """Reports a leaving instance; its runs in progress may finish.
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -441,3 +441,18 @@
     rejected = select_events(harness, messages.ServerConditionRejected)
     assert len(rejected) == 1
     assert select_events(harness, messages.ServerSpeedReported) == []
+
+
+# Guards against an engine that resumes admission with each heartbeat of a cold
+# server, as its remaining time counts down.
+def test_cold_server_is_announced_once():
+    harness = Harness()
+    for cold_remaining_ms in (2000, 1000, 0):
+        harness.pool.handle_announcement(
+            announcement(instance="b", cold_remaining_ms=cold_remaining_ms)
+        )
+    assert len(select_events(harness, messages.ServerAnnounced)) == 1
+    assert select_events(harness, messages.ServerCold) == [
+        messages.ServerCold(remaining_ms=2000),
+        messages.ServerCold(remaining_ms=1000),
+    ]
--- a/bergamotdeal/pricing/pressure.py
+++ b/bergamotdeal/pricing/pressure.py
@@ -84,7 +84,7 @@
 
     @property
     def run_s(self) -> float:
-        """Moving mean of the run time in seconds; zero when unknown."""
+        """Moving mean of the recorded run times; zero when unknown."""
         return self._run_s
 
     def count_arrival(self, *, is_surplus: bool = False) -> None:
@@ -118,6 +118,7 @@
         queued: int,
         limit: int,
         rate_limit: float | None = None,
+        work_factor: float = 1.0,
     ) -> None:
         """Adjusts the share from the current window and starts the next one.
 
@@ -128,10 +129,12 @@
           limit: Concurrency limit.
           rate_limit: Requests per second that the server accepts, or None for
             no limit.
+          work_factor: How long runs take now as a multiple of the recorded run
+            times.
         """
         age_s = now - self._window_started_at
         if self._run_s > 0.0 and limit >= 1:
-            capacity = _TARGET_UTILIZATION * limit / self._run_s
+            capacity = _TARGET_UTILIZATION * limit / (self._run_s * work_factor)
             target_depth = _TARGET_DEPTH_SHARE * limit
             is_busy = (
                 running >= _BUSY_UTILIZATION * limit or queued > target_depth
