Share a class's capacity fairly among organisations at the entries

Cause: within a class an entry admitted each organisation in proportion to what it sent, so one that surges took capacity from all others.

Change: EntryGate serves the requests in the fair part of their organisation first. The parts are weighted max-min allocations of what the class gets, by the organisations' caps; token buckets bound a surge before the estimates have grown.

--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -181,12 +181,17 @@
         if not (exchange.is_priced and state.preset.admission.pricing):
             return None
         request = exchange.request
+        organisation = (
+            exchange.organisation if state.preset.admission.fair_share else ""
+        )
         admitted = state.cost_model.admits(
             exchange.route.prefix,
             request.service,
             rank=state.preset.get_class_rank(exchange.class_name),
             fingerprint=hash((request.method, request.path)),
             now=state.now,
+            organisation=organisation,
+            weight=state.get_weight(organisation),
         )
         return None if admitted else _KINDS.SHED
 
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -6,6 +6,7 @@
 
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
+from bergamotdeal.fairness import weights
 from bergamotdeal.membership import core as membership
 from bergamotdeal.organisations import keys
 from bergamotdeal.presets import hosts
@@ -74,6 +75,9 @@
         self._splits_by_route: dict[str, split.WeightedSplit] = {}
         self._routes_by_destination: dict[tuple[str, str], model.Route] = {}
         self._call_routes_by_key: dict[tuple, model.Route] = {}
+        self._weights_by_organisation = weights.compute_weights(
+            preset.organisations
+        )
 
     def select_host_route(self, request: rpc.Request) -> model.Route | None:
         """Selects the route and destination of a request to a host name.
@@ -217,6 +221,10 @@
         )
         return call.class_name
 
+    def get_weight(self, organisation: str) -> float:
+        """Returns the weight of an organisation in fair sharing."""
+        return self._weights_by_organisation.get(organisation, 1.0)
+
     def needs_ticket(self, route: model.Route) -> bool:
         """Returns whether requests of a route require a ticket."""
         return self.preset.tickets.required and not route.repeatable
--- /dev/null
+++ b/bergamotdeal/fairness/__init__.py
@@ -0,0 +1,7 @@
+"""Fair sharing of scarce capacity among organisations."""
+
+from bergamotdeal.fairness import gate
+from bergamotdeal.fairness import maxmin
+from bergamotdeal.fairness import weights
+
+__all__ = ["gate", "maxmin", "weights"]
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -224,6 +224,8 @@
       thresholds: Set thresholds at the target from the rates of its windows.
       pricing: Refuse whole user requests at the entry by their cost at the
         overloaded services; for host routes only.
+      fair_share: Share what a priority class gets fairly among the callers'
+        organisations, at the entries and in the queue of a server.
       preempt: Cancel running work in favour of more important work if the
         backend server accepts cancellation.
       slow_start: Raise the limit of a new server step by step.
@@ -248,6 +250,7 @@
     feedback: bool = True
     thresholds: bool = True
     pricing: bool = False
+    fair_share: bool = True
     preempt: bool = True
     slow_start: bool = True
     check_deadlines: bool = True
--- a/bergamotdeal/pricing/book.py
+++ b/bergamotdeal/pricing/book.py
@@ -172,6 +172,8 @@
         rank: int,
         fingerprint: int,
         now: float,
+        organisation: str = "",
+        weight: float = 1.0,
     ) -> bool:
         """Returns whether a user request is admitted.
 
@@ -181,10 +183,18 @@
           rank: Rank of its priority class; 0 is the most important.
           fingerprint: Hash that identifies a request sent again.
           now: Monotonic seconds.
+          organisation: Organisation of the caller, with which a class is
+            shared fairly; empty for none.
+          weight: Weight of the organisation.
         """
         slot_s_by_service = self._costs.request_costs(route_name, service)
-        self._entry_gate.record_request(
-            route_name, rank, slot_s_by_service, now
+        is_excess = self._entry_gate.record_request(
+            route_name,
+            rank,
+            slot_s_by_service,
+            now,
+            organisation=organisation,
+            weight=weight,
         )
         if self._reported_shares.is_empty():
             return True
@@ -193,6 +203,7 @@
             fingerprint,
             self._reported_shares.shares_by_service(now),
             now,
+            is_excess=is_excess,
         )
 
     def shares_by_service(self, now: float) -> dict[str, float]:
--- a/bergamotdeal/pricing/gate.py
+++ b/bergamotdeal/pricing/gate.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+from bergamotdeal.fairness import gate as fairness
+
 _RATE_WINDOW_S = 0.25
 """Window over which the request rate is measured."""
 
@@ -36,6 +38,8 @@
 
     Attributes:
       rank: Rank of its priority class; 0 is the most important.
+      is_excess: Whether these are the requests beyond the fair parts of their
+        organisations.
       slot_s_by_service: Slot time of one request by service, seconds.
       credit: Requests that may be admitted, usually a fraction.
       count: Requests offered in the current window.
@@ -44,6 +48,7 @@
     """
 
     rank: int
+    is_excess: bool
     slot_s_by_service: dict[str, float]
     credit: float
     count: int = 0
@@ -56,7 +61,8 @@
 
     The capacity of an overloaded service is allocated to priority classes in
     order, based on the request rates offered at this entry. A credit counter
-    per route then admits the resulting fraction of its requests.
+    per route then admits the resulting fraction of its requests. Within a
+    class, requests in the fair parts of their organisations come first.
 
     Args:
       rng: Random source.
@@ -64,7 +70,9 @@
 
     def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
-        self._routes_by_name: dict[str, _RouteState] = {}
+        self._routes_by_key: dict[tuple[str, bool], _RouteState] = {}
+        self._fair_shares = fairness.FairShares()
+        self._has_organisations = False
         self._window_started_at = 0.0
         self._recomputed_at = 0.0
         self._refused_fingerprints: collections.OrderedDict[int, None] = (
@@ -77,7 +85,10 @@
         rank: int,
         slot_s_by_service: dict[str, float],
         now: float,
-    ) -> None:
+        *,
+        organisation: str = "",
+        weight: float = 1.0,
+    ) -> bool:
         """Records an offered request.
 
         Args:
@@ -85,20 +96,36 @@
           rank: Rank of its priority class; 0 is the most important.
           slot_s_by_service: Slot time of one request by service, seconds.
           now: Monotonic seconds.
+          organisation: Organisation of the caller; empty for none.
+          weight: Weight of the organisation.
+
+        Returns:
+          Whether it goes beyond the fair part of its organisation.
         """
-        route = self._routes_by_name.get(route_name)
+        is_excess = False
+        if organisation or self._has_organisations:
+            self._has_organisations = True
+            self._fair_shares.record_request(
+                organisation, weight, rank, slot_s_by_service, now
+            )
+            is_excess = not self._fair_shares.try_use_fair_part(
+                organisation, rank, slot_s_by_service, now
+            )
+        route = self._routes_by_key.get((route_name, is_excess))
         if route is None:
             route = _RouteState(
                 rank=rank,
+                is_excess=is_excess,
                 slot_s_by_service=slot_s_by_service,
                 credit=self._rng.random(),
             )
-            self._routes_by_name[route_name] = route
+            self._routes_by_key[route_name, is_excess] = route
         route.rank = rank
         route.slot_s_by_service = slot_s_by_service
         route.count += 1
         if now - self._window_started_at >= _RATE_WINDOW_S:
             self._close_window(now)
+        return is_excess
 
     def admits(
         self,
@@ -106,6 +133,8 @@
         fingerprint: int,
         shares_by_service: dict[str, float],
         now: float,
+        *,
+        is_excess: bool = False,
     ) -> bool:
         """Returns whether a recorded request is admitted.
 
@@ -114,11 +143,12 @@
           fingerprint: Hash that identifies a request sent again.
           shares_by_service: Load shares of overloaded services.
           now: Monotonic seconds.
+          is_excess: Whether it goes beyond the fair part of its organisation.
         """
         if now - self._recomputed_at >= _RECOMPUTE_INTERVAL_S:
             self._recomputed_at = now
-            self._recompute_fractions(shares_by_service)
-        route = self._routes_by_name[route_name]
+            self._recompute_fractions(shares_by_service, now)
+        route = self._routes_by_key[route_name, is_excess]
         if route.admitted_share >= 1.0:
             route.credit = min(1.0, route.credit + 0.1)
             return True
@@ -138,37 +168,53 @@
 
     def admitted_fraction(self, route_name: str) -> float:
         """Returns the fraction of a route's requests that is admitted."""
-        route = self._routes_by_name.get(route_name)
-        return 1.0 if route is None else route.admitted_share
+        offered = admitted = 0.0
+        for is_excess in (False, True):
+            route = self._routes_by_key.get((route_name, is_excess))
+            if route is not None:
+                offered += route.rate
+                admitted += route.rate * route.admitted_share
+        return admitted / offered if offered > 0.0 else 1.0
 
     def _close_window(self, now: float) -> None:
         window_s = max(_RATE_WINDOW_S, now - self._window_started_at)
         self._window_started_at = now
-        for route in self._routes_by_name.values():
+        for route in self._routes_by_key.values():
             rate = route.count / window_s
             route.rate += _RATE_SMOOTHING * (rate - route.rate)
             route.count = 0
 
-    def _recompute_fractions(self, shares_by_service: dict[str, float]) -> None:
+    def _recompute_fractions(
+        self, shares_by_service: dict[str, float], now: float
+    ) -> None:
         """Recomputes the admitted fraction of every route."""
-        for route in self._routes_by_name.values():
+        for route in self._routes_by_key.values():
             route.admitted_share = 1.0
         for service, share in shares_by_service.items():
-            self._allocate_capacity(service, share)
+            self._allocate_capacity(service, share, now)
 
-    def _allocate_capacity(self, service: str, share: float) -> None:
-        demands_by_rank: dict[int, list[_Demand]] = {}
+    def _allocate_capacity(
+        self, service: str, share: float, now: float
+    ) -> None:
+        demands_by_rank: dict[tuple[int, bool], list[_Demand]] = {}
         offered = 0.0
-        for route in self._routes_by_name.values():
+        for route in self._routes_by_key.values():
             slot_s = route.slot_s_by_service.get(service, 0.0)
             load = route.rate * slot_s
             if load > 0.0:
                 demand = _Demand(route=route, slot_s=slot_s, load=load)
-                demands_by_rank.setdefault(route.rank, []).append(demand)
+                key = (route.rank, route.is_excess)
+                demands_by_rank.setdefault(key, []).append(demand)
                 offered += load
         remaining = share * offered
-        for rank in sorted(demands_by_rank):
-            remaining = _allocate_to_class(demands_by_rank[rank], remaining)
+        shared_ranks: set[int] = set()
+        for rank, is_excess in sorted(demands_by_rank):
+            if self._has_organisations and rank not in shared_ranks:
+                shared_ranks.add(rank)
+                self._fair_shares.set_capacity(service, rank, remaining, now)
+            remaining = _allocate_to_class(
+                demands_by_rank[rank, is_excess], remaining
+            )
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
