Let organisations take turns in the queue beside a server

Cause: the queue served each class in order of arrival, so an organisation that surges got slots in proportion to what it sends.

Change: start-time fair queueing by rounds within a class; the full queue evicts from the organisation that has most queued. Jobs without an organisation keep their order.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -61,7 +61,7 @@
         self._runs_by_id: dict[int, _Run] = {}
         self._running_by_rank = [0] * class_count
         self._top_class_peak = 0.0
-        self._queue = waiting.JobQueue()
+        self._queue = waiting.JobQueue(is_fair=policy.fair_share)
         self._start_rate = rate.StartRateLimiter()
         self._run_time_estimate = estimate.RunTimeEstimate()
         self._work_factor = 1.0
@@ -101,6 +101,7 @@
         if self._misses_deadline(job, now):
             return [*decisions, self._refuse_late_job(job, now)]
         if not len(self._queue) and self._has_slot(rank, now):
+            self._queue.record_direct_start(job, rank=rank)
             return [*decisions, self._start(job, now)]
         self._enqueue(job)
         return decisions + self._start_queued_jobs(now) + self._trim_queue(now)
@@ -224,6 +225,7 @@
             run.rank = self._rank(run.job)
             self._running_by_rank[run.rank] += 1
         jobs = self._queue.remove_all()
+        self._queue.set_fair(policy.fair_share)
         if not policy.limits:
             return [self._start_unlimited(job, now) for job in jobs]
         for job in jobs:
@@ -403,7 +405,7 @@
         while (job := self._queue.first()) is not None:
             if not self._has_slot(self._rank(job), now):
                 break
-            self._queue.remove(job.job_id)
+            self._queue.start(job.job_id)
             decisions.append(self._start(job, now))
         return decisions
 
@@ -418,11 +420,12 @@
         bound = self._queue_bound(self._usable_limit(now))
         while len(self._queue) > bound:
             job = self._queue.last()
-            self._queue.remove(job.job_id)
             if self._can_preempt(self._rank(job), now):
+                self._queue.start(job.job_id)
                 decisions.append(self._preempt(now))
                 decisions.append(self._start(job, now))
             else:
+                self._queue.remove(job.job_id)
                 decisions.append(_refuse(job, errors.ErrorKind.SHED))
         return decisions
 
@@ -436,7 +439,7 @@
             if not self._can_preempt(self._rank(job), now):
                 break
             if now >= self._urgent_from(job.deadline):
-                self._queue.remove(job.job_id)
+                self._queue.start(job.job_id)
                 decisions.append(self._preempt(now))
                 decisions.append(self._start(job, now))
         return decisions
--- a/bergamotdeal/admission/core.py
+++ b/bergamotdeal/admission/core.py
@@ -16,6 +16,7 @@
       deadline: Time by which the run must end, monotonic seconds.
       arrived: Time of arrival, monotonic seconds.
       organisation: Organisation of the user request, or empty.
+      weight: Weight of the organisation in fair sharing.
     """
 
     job_id: int
@@ -24,6 +25,7 @@
     deadline: float
     arrived: float
     organisation: str = ""
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bergamotdeal/admission/waiting.py
+++ b/bergamotdeal/admission/waiting.py
@@ -1,24 +1,36 @@
 """Priority queue of jobs that wait for a slot."""
 
 import bisect
+import collections
 
 from bergamotdeal.admission import core
+from bergamotdeal.fairness import rounds
 
-_Key = tuple[int, float, float, int]
+_ROUNDING_TOLERANCE = 1e-6
+"""Tolerance for rounding errors in sums of jobs over weights."""
+
+_Key = tuple[int, int, float, float, int]
 
 
 class JobQueue:
-    """Queue of jobs ordered by class rank, hash share and arrival.
+    """Queue of jobs ordered by class rank, fair round, hash share and arrival.
+
+    Jobs are served from the front. The one to evict is the last one of the
+    organisation that has most queued, for its weight, in the least important
+    class. Jobs without
+    an organisation belong to the current round. The caller bounds the length.
 
-    Jobs are served from the front and evicted from the back. The caller
-    bounds the length.
+    Args:
+      is_fair: Whether organisations take turns.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_fair: bool = True) -> None:
+        self._is_fair = is_fair
         self._keys: list[_Key] = []
         self._jobs_by_id: dict[int, core.Job] = {}
         self._keys_by_id: dict[int, _Key] = {}
         self._earliest_deadline: float | None = None
+        self._reset_rounds()
 
     def __len__(self) -> int:
         return len(self._keys)
@@ -26,22 +38,43 @@
     def __contains__(self, job_id: int) -> bool:
         return job_id in self._jobs_by_id
 
+    def set_fair(self, is_fair: bool) -> None:
+        """Sets whether organisations take turns; the queue must be empty."""
+        self._is_fair = is_fair
+        self._reset_rounds()
+
     def push(self, job: core.Job, *, rank: int, hash_share: float) -> None:
         """Adds a job.
 
         Args:
           job: The job.
           rank: Class rank, the primary sort key; low is served first.
-          hash_share: Position in the shedding order, the secondary sort key;
-            low is served first.
+          hash_share: Position in the shedding order, the sort key within a
+            round; low is served first.
         """
-        key = (rank, hash_share, job.arrived, job.job_id)
+        key = (
+            rank,
+            self._assign_round(job, rank),
+            hash_share,
+            job.arrived,
+            job.job_id,
+        )
         bisect.insort(self._keys, key)
         if self._earliest_deadline is not None or not self._jobs_by_id:
             candidate = self._earliest_deadline or job.deadline
             self._earliest_deadline = min(candidate, job.deadline)
         self._jobs_by_id[job.job_id] = job
         self._keys_by_id[job.job_id] = key
+        if self._takes_turns(job):
+            queued = self._queued_by_rank[rank]
+            weighted = queued.get(job.organisation, 0.0) + 1.0 / job.weight
+            queued[job.organisation] = weighted
+
+    def record_direct_start(self, job: core.Job, *, rank: int) -> None:
+        """Records a job that starts without being queued."""
+        if self._takes_turns(job):
+            started_round = self._assign_round(job, rank)
+            self._rounds_by_rank[rank].record_start(started_round)
 
     def first(self) -> core.Job | None:
         """Returns the next job to serve without removing it."""
@@ -53,17 +86,44 @@
         """Returns the next job to evict without removing it."""
         if not self._keys:
             return None
-        return self._jobs_by_id[self._keys[-1][-1]]
+        last = self._jobs_by_id[self._keys[-1][-1]]
+        queued = self._queued_by_rank.get(self._keys[-1][0])
+        if not queued:
+            return last
+        most = max(queued.values())
+        for key in reversed(self._keys):
+            job = self._jobs_by_id[key[-1]]
+            if queued.get(job.organisation, 0.0) >= most:
+                return job
+        return last
+
+    def start(self, job_id: int) -> None:
+        """Removes a queued job that starts."""
+        rank, started_round = self._keys_by_id[job_id][:2]
+        if self._takes_turns(self._remove(job_id)):
+            self._rounds_by_rank[rank].record_start(started_round)
 
     def remove(self, job_id: int) -> core.Job | None:
-        """Removes a job and returns it, or None if it is not queued."""
-        key = self._keys_by_id.pop(job_id, None)
+        """Removes a job that doesn't start; returns None if not queued."""
+        key = self._keys_by_id.get(job_id)
         if key is None:
             return None
+        job = self._remove(job_id)
+        if self._takes_turns(job):
+            self._rounds_by_rank[key[0]].withdraw(job.organisation, job.weight)
+        return job
+
+    def _remove(self, job_id: int) -> core.Job:
+        key = self._keys_by_id.pop(job_id)
         del self._keys[bisect.bisect_left(self._keys, key)]
         job = self._jobs_by_id.pop(job_id)
         if job.deadline == self._earliest_deadline:
             self._earliest_deadline = None
+        if self._takes_turns(job):
+            queued = self._queued_by_rank[key[0]]
+            queued[job.organisation] -= 1.0 / job.weight
+            if queued[job.organisation] < _ROUNDING_TOLERANCE:
+                del queued[job.organisation]
         return job
 
     def depth_by_rank(self, class_count: int) -> list[int]:
@@ -88,6 +148,7 @@
         self._jobs_by_id.clear()
         self._keys_by_id.clear()
         self._earliest_deadline = None
+        self._reset_rounds()
         return jobs
 
     def earliest_deadline(self) -> float | None:
@@ -96,3 +157,22 @@
             jobs = self._jobs_by_id.values()
             self._earliest_deadline = min(job.deadline for job in jobs)
         return self._earliest_deadline
+
+    def _reset_rounds(self) -> None:
+        self._rounds_by_rank: dict[int, rounds.FairRounds] = (
+            collections.defaultdict(rounds.FairRounds)
+        )
+        self._queued_by_rank: dict[int, dict[str, float]] = (
+            collections.defaultdict(dict)
+        )
+
+    def _takes_turns(self, job: core.Job) -> bool:
+        return self._is_fair and bool(job.organisation)
+
+    def _assign_round(self, job: core.Job, rank: int) -> int:
+        if self._takes_turns(job):
+            return self._rounds_by_rank[rank].assign(
+                job.organisation, job.weight
+            )
+        known = self._rounds_by_rank.get(rank)
+        return known.current if known is not None else 0
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -246,6 +246,7 @@
             deadline=run.deadline,
             arrived=state.now,
             organisation=run.call.organisation,
+            weight=state.get_weight(run.call.organisation),
         )
         self.apply_decisions(
             self._server.submit(job, was_refused_elsewhere=run.call.attempt > 0)
