Answer 503 for a known service without a known server

Cause: an entry answered 404, which is final for callers, whenever no member announced a server of the service. That happens while the heartbeats of all its servers are missing and before the first one is known. Change: services that the preset in force names, or that a member or an earlier preset named in the last 10 minutes, get 503 no-server, not run, with Retry-After. `status` lists the members that calls are routed by. Conclusion: 404 means that nobody named the service.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -18,6 +18,7 @@
 from bergamotdeal.presets import model
 from bergamotdeal.retries import budget as retry_budget
 from bergamotdeal.retries import server_budget
+from bergamotdeal.routing import known_services
 from bergamotdeal.routing import router as routing
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
@@ -73,12 +74,14 @@
             region=identity.region,
             rng=rng,
         )
+        self._known_services = known_services.KnownServices()
+        self._note_preset_services()
         self._dispatcher = dispatch.Dispatcher(
             state=state,
             intake=call_intake.Intake(
                 state=state,
                 run_table=self._run_table,
-                router=self._router,
+                known_services=self._known_services,
                 thresholds=self._thresholds,
             ),
             router=self._router,
@@ -215,6 +218,9 @@
     def _handle_members_change(self, event: messages.MembersChanged) -> None:
         self._state.members_by_id = event.members_by_id
         self._router.update_members(event.members_by_id)
+        self._known_services.update(
+            "members", self._router.list_services(), self._state.now
+        )
         self._state.cost_model.update_members(event.members_by_id)
         self._update_server_count()
 
@@ -268,11 +274,16 @@
                 return
         self._executor.apply_decisions(decisions)
 
+    def _note_preset_services(self) -> None:
+        services = known_services.list_preset_services(self._state.preset)
+        self._known_services.update("preset", services, self._state.now)
+
     def _handle_preset(self, event: messages.PresetInForce) -> None:
         state = self._state
         if event.epoch <= state.epoch:
             return
         state.activate_preset(event.preset, event.epoch)
+        self._note_preset_services()
         self._router.set_policy(event.preset.routing)
         self._thresholds.set_policy(event.preset.admission)
         self._budget.set_policy(event.preset.retries)
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -12,7 +12,7 @@
 from bergamotdeal.presets import model
 from bergamotdeal.pricing import origins
 from bergamotdeal.retries import allowance
-from bergamotdeal.routing import router as routing
+from bergamotdeal.routing import known_services
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import hashing
 
@@ -33,7 +33,7 @@
     Args:
       state: State of the engine.
       run_table: Runs of the local backend server, the parents of its calls.
-      router: Router, which knows the services.
+      known_services: Services that exist, with or without servers.
       thresholds: Admission thresholds reported by the services' nodes.
     """
 
@@ -42,12 +42,12 @@
         *,
         state: engine_state.EngineState,
         run_table: runs.RunTable,
-        router: routing.Router,
+        known_services: known_services.KnownServices,
         thresholds: feedback.ThresholdTable,
     ):
         self._state = state
         self._run_table = run_table
-        self._router = router
+        self._known_services = known_services
         self._thresholds = thresholds
         self._last_call = 0
         self._authenticator = authentication.Authenticator(
@@ -151,7 +151,8 @@
             return _KINDS.NOT_READY
         if exchange.key_refusal is not None:
             return exchange.key_refusal
-        if not self._router.has_service(exchange.request.service):
+        service = exchange.request.service
+        if not self._known_services.is_known(service, state.now):
             return _KINDS.UNKNOWN_SERVICE
         if exchange.face is messages.Face.ENTRY:
             return self._entry_refusal(exchange)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -241,7 +241,7 @@
           with_members: Whether to include the members of the fleet.
         """
         node = self._settings.node
-        members_by_id = self._membership.members_by_id() if with_members else {}
+        members_by_id = self._membership.routed_by_id() if with_members else {}
         preset = self._presets.preset
         return node_status.NodeStatus(
             host_id=node.host_id,
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -99,6 +99,7 @@
         self._port = None
         self._wakeup_timer = None
         self._publish_timer = None
+        self._published_by_id: dict[str, core.Member] = {}
 
     def start(self, *, peer_port: int, admin_port: int = 0) -> int:
         """Binds the socket and contacts the seeds.
@@ -202,6 +203,14 @@
             return {}
         return self._gossip.members_by_id()
 
+    def routed_by_id(self) -> dict[str, core.Member]:
+        """Returns the members by which the call engine routes.
+
+        They are the ones that were published to it last, and lag behind
+        ``members_by_id`` by the publication delay.
+        """
+        return self._published_by_id
+
     def joined(self) -> bool:
         """Returns whether this node knows another live member."""
         return self._gossip is not None and self._gossip.joined()
@@ -304,6 +313,7 @@
     def _publish(self) -> None:
         self._publish_timer = None
         members_by_id = self._gossip.members_by_id()
+        self._published_by_id = members_by_id
         self._post(calls.MembersChanged(members_by_id=members_by_id))
 
     def _send_datagram(self, effect: messages.SendDatagram) -> None:
--- a/bergamotdeal/routing/__init__.py
+++ b/bergamotdeal/routing/__init__.py
@@ -1,3 +1,3 @@
 """Choice of a server for each call."""
 
-__all__ = ["core", "outliers", "rendezvous", "router"]
+__all__ = ["core", "known_services", "outliers", "rendezvous", "router"]
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -140,9 +140,9 @@
         self._services_by_name = services
         self._index_targets()
 
-    def has_service(self, service: str) -> bool:
-        """Returns whether any member announces a server of the service."""
-        return service in self._services_by_name
+    def list_services(self) -> list[str]:
+        """Returns the services of which a member announces a server."""
+        return list(self._services_by_name)
 
     def select_server(
         self, service: str, *, exclude: frozenset[str], now: float
