--- a/standins/checked_fleet.py
+++ b/standins/checked_fleet.py
@@ -285,6 +285,7 @@
                 at=self.now,
                 label=decode_label(call.request),
                 has_ticket=bool(call.ticket),
+                host_id=frame.target,
             )
         )
         key = call.user_request_id
@@ -372,9 +373,10 @@
         self, host_id: str, start: messages.StartRun, label: ledger.Label
     ) -> str:
         node = self.fleet.nodes_by_id[host_id]
-        incarnation = node.member.incarnation[:4]
+        # A shortened incarnation can be that of another life of the node.
         run_id = (
-            f"{host_id}.{incarnation}.{node.server_generation}.{start.run_id}"
+            f"{host_id}.{node.member.incarnation}.{node.server_generation}."
+            f"{start.run_id}"
         )
         body_key = ledger.parse_body_key(start.request.body)
         self.entries.append(
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -142,7 +142,14 @@
 def check_class_order(
     entries: list[ledger.Entry], *, limits: Limits
 ) -> Iterator[Violation]:
-    """Yields windows in which a class was shed more than a lower one."""
+    """Yields windows in which a class was shed more than a lower one.
+
+    A refusal of a request whose ticket binds it to one host does not count as
+    shed if no less important request waited at that host: a less important one
+    may be served at another host, and runs that can't be cancelled keep their
+    slots.
+    """
+    bound_refusals = _find_bound_refusals(entries, limits.classes)
     tallies: dict[int, dict[str, list[int]]] = {}
     for answer in _select(entries, ledger.Answered):
         if answer.label.key != answer.label.effect:
@@ -150,7 +157,8 @@
         window = tallies.setdefault(int(answer.at / limits.shed_window_s), {})
         tally = window.setdefault(answer.label.class_name, [0, 0])
         tally[0] += 1
-        tally[1] += answer.error == _SHED
+        sending = (answer.label.key, answer.label.sending)
+        tally[1] += answer.error == _SHED and sending not in bound_refusals
     for number, window in sorted(tallies.items()):
         shares = [
             (name, window[name][1] / window[name][0])
@@ -167,6 +175,38 @@
                 )
 
 
+def _find_bound_refusals(
+    entries: list[ledger.Entry], classes: tuple[str, ...]
+) -> set[tuple[str, int]]:
+    """Returns sendings that the host of their ticket had to refuse."""
+    dispatches: dict[tuple[str, int], ledger.Dispatched] = {}
+    waits_by_host = collections.defaultdict(list)
+    refusals: list[tuple[ledger.Answered, ledger.Dispatched]] = []
+    for entry in entries:
+        match entry:
+            case ledger.Dispatched(label=label):
+                dispatches[label.key, label.sending] = entry
+            case ledger.RunStarted(label=label, host_id=host_id):
+                sent = dispatches.get((label.key, label.sending))
+                if sent is not None and sent.host_id == host_id:
+                    rank = classes.index(label.class_name)
+                    waits_by_host[host_id].append((rank, sent.at, entry.at))
+            case ledger.Answered(label=label, error=error) if error == _SHED:
+                sent = dispatches.get((label.key, label.sending))
+                if sent is not None and sent.has_ticket:
+                    refusals.append((entry, sent))
+    return {
+        (answer.label.key, answer.label.sending)
+        for answer, sent in refusals
+        if not any(
+            rank > classes.index(answer.label.class_name)
+            and waited_from <= sent.at
+            and started_at > answer.at
+            for rank, waited_from, started_at in waits_by_host[sent.host_id]
+        )
+    }
+
+
 def check_answers(entries: list[ledger.Entry]) -> Iterator[Violation]:
     """Yields answers that are truncated or belong to another request."""
     sent = set()
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -195,11 +195,13 @@
       label: Label of the request.
       has_ticket: Whether the frame carries a ticket. A frame that fetches a
         ticket and the one that carries it are not re-sends of each other.
+      host_id: Host to which the frame was sent.
     """
 
     at: float
     label: Label
     has_ticket: bool
+    host_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -73,6 +73,27 @@
     return entries
 
 
+def make_bound_refusals(waiting_class):
+    """Makes 20 refusals by the host of a ticket while a request waits there."""
+    waiting = make_label("waiting", class_name=waiting_class)
+    entries = [
+        ledger.Dispatched(
+            at=1.1, label=waiting, has_ticket=False, host_id="h1"
+        ),
+        *make_run(1.9, "waited", waiting),
+    ]
+    for i in range(20):
+        request = make_label(f"bound{i}", class_name="critical")
+        entries += [
+            make_sent(1.0, request),
+            ledger.Dispatched(
+                at=1.2, label=request, has_ticket=True, host_id="h1"
+            ),
+            make_answer(1.5, request, "not-run", error="shed"),
+        ]
+    return entries + make_requests(30, "browse", 10)
+
+
 VALID_LEDGERS = {
     "completed at once": [
         make_sent(0, BROWSE_REQUEST),
@@ -104,6 +125,9 @@
     ],
     "browse shed first": make_requests(30, "critical", 0)
     + make_requests(30, "browse", 10),
+    "refused by the host of the ticket, where no browse request waits": (
+        make_bound_refusals("critical")
+    ),
     "drain": [
         make_sent(0, BROWSE_REQUEST),
         *make_run(0.1, "a", BROWSE_REQUEST),
@@ -200,6 +224,10 @@
         Guarantee.BROWSE_SHED_FIRST,
         make_requests(30, "critical", 5) + make_requests(30, "browse", 1),
     ),
+    "critical refused by the host of the ticket, where browse waits": (
+        Guarantee.BROWSE_SHED_FIRST,
+        make_bound_refusals("browse"),
+    ),
     "truncated body": (
         Guarantee.OWN_ANSWER,
         [
