--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -439,7 +439,8 @@
         was_ready = self._has_preset
         self._has_preset = True
         self._dispatcher.post(event)
-        self._entry.apply_request_limits(event.preset.limits)
+        self._entry.apply_preset(event.preset)
+        self._egress.apply_preset(event.preset)
         if was_ready:
             return
         self._emit(catalogue.EventCode.NODE_READY)
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -18,7 +18,15 @@
 
 
 class CallerDialect(typing.Protocol):
-    """Translation of callers' requests and of the answers to them."""
+    """Translation of callers' requests and of the answers to them.
+
+    Attributes:
+      reads_keys: Whether the ``Authorization`` header holds the key of an
+        organisation; it is then removed. The node sets this whenever the
+        preset changes. Otherwise the header belongs to the backend server.
+    """
+
+    reads_keys: bool
 
     def read_call(
         self,
--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -15,6 +15,7 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import http_server
+from bergamotdeal.organisations import keys
 from bergamotdeal.presets import model
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import headers as header_names
@@ -63,6 +64,7 @@
         | None = None,
         dialect: dialects.CallerDialect | None = None,
     ) -> None:
+        self._face = face
         self._dialect = dialect or NativeDialect(face=face)
         self._post = post
         self._is_ready = is_ready
@@ -106,12 +108,17 @@
         self._idle_checks.clock = reactor
         self._idle_checks.start(http_server.IDLE_CHECK_INTERVAL_S, now=False)
 
-    def apply_request_limits(self, limits: model.RequestLimits) -> None:
-        """Applies the limits on callers' requests.
+    def apply_preset(self, preset: model.Preset) -> None:
+        """Applies what the preset in force says about reading requests.
 
         Args:
-          limits: Limits of the preset in force.
+          preset: Preset in force.
         """
+        self._dialect.reads_keys = bool(preset.organisations)
+        if self._face is messages.Face.ENTRY:
+            self._apply_request_limits(preset.limits)
+
+    def _apply_request_limits(self, limits: model.RequestLimits) -> None:
         self._factory.max_body_bytes = min(
             limits.body_bytes, rpc.MAX_REQUEST_BODY_BYTES
         )
@@ -207,6 +214,7 @@
 
     def __init__(self, *, face: messages.Face) -> None:
         self._face = face
+        self.reads_keys = False
 
     def read_call(
         self,
@@ -216,9 +224,13 @@
         rng: random.Random,
     ) -> result.Result[messages.CallArrived, errors.ErrorKind]:
         """Parses a call from an HTTP request."""
-        return parse_call(
+        parsed = parse_call(
             request, face=self._face, origin_id=origin_id, rng=rng
         )
+        if self.reads_keys and isinstance(parsed, result.Ok):
+            call = parsed.ok_value
+            call.key_digest = keys.extract_digest(call.request.headers)
+        return parsed
 
     def is_retry(self, request: http_server.HttpRequest) -> bool:
         """Returns whether an earlier attempt of the request may have run."""
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -336,14 +336,15 @@
     def render_request(self, run: messages.StartRun, server_id: str) -> bytes:
         """Renders the HTTP request of a run as bytes."""
         del server_id
+        system_headers: list[tuple[str, str | int]] = [
+            (header_names.REQUEST_ID, run.user_request_id),
+            (header_names.CONTEXT, run.context),
+            (header_names.DEADLINE_MS, run.deadline_ms),
+        ]
+        if run.organisation:
+            system_headers.append((header_names.ORGANISATION, run.organisation))
         return render_request(
-            run,
-            host=run.request.service,
-            system_headers=[
-                (header_names.REQUEST_ID, run.user_request_id),
-                (header_names.CONTEXT, run.context),
-                (header_names.DEADLINE_MS, run.deadline_ms),
-            ],
+            run, host=run.request.service, system_headers=system_headers
         )
 
     def classify_answer(
--- a/bergamotdeal/organisations/keys.py
+++ b/bergamotdeal/organisations/keys.py
@@ -8,6 +8,7 @@
 MAX_KEY_CHARS = 1024
 """Maximum length of a key; a longer one is malformed."""
 
+_AUTHORIZATION = "authorization"
 _SCHEME = "bearer"
 _DIGEST_BYTES = 16
 _KEY_PATTERN = re.compile(r"[!-~]+")
@@ -57,6 +58,21 @@
     return digest_key(key)
 
 
+def extract_digest(headers: list[tuple[str, str]]) -> str | None:
+    """Removes the ``Authorization`` headers of a request.
+
+    Args:
+      headers: Pairs of lower-case name and value; changed in place.
+
+    Returns:
+      The digest of the key, see ``read_digest``.
+    """
+    values = [value for name, value in headers if name == _AUTHORIZATION]
+    if values:
+        headers[:] = [pair for pair in headers if pair[0] != _AUTHORIZATION]
+    return read_digest(values)
+
+
 class KeyTable:
     """The keys of a preset's organisations, indexed by digest.
 
--- a/bergamotdeal/utils/headers.py
+++ b/bergamotdeal/utils/headers.py
@@ -9,6 +9,7 @@
 TICKET = "bergamot-ticket"
 OUTCOME = "bergamot-outcome"
 ERROR = "bergamot-error"
+ORGANISATION = "bergamot-organisation"
 IDEMPOTENCY_KEY = "idempotency-key"
 RETRY_AFTER = "retry-after"
 
