Refuse keys that may have been revoked unnoticed

Change: with [revocation] strict, a node that has heard of the preset in force from neither the store nor another node for max_silence_ms refuses requests that need a key with 503, outcome not-run (new error kind keys-outdated). News are an answer of the store, or a gossip datagram of a node whose epoch is the same.

--- a/bergamotdeal/calls/authentication.py
+++ b/bergamotdeal/calls/authentication.py
@@ -93,14 +93,16 @@
 
     def _apply_key(self, exchange: exchanges.Exchange, digest: str) -> None:
         organisation = self._state.key_table.find(digest)
-        if organisation is None:
+        if self._state.is_preset_outdated() and not exchange.route.public:
+            exchange.key_refusal = _KINDS.KEYS_OUTDATED
+        elif organisation is None:
             if not exchange.route.public:
                 self._refuse(exchange, digest)
-            return
-        exchange.organisation = organisation.name
-        exchange.key_digest = digest
-        exchange.key_epoch = self._state.epoch
-        exchange.class_name = organisation.class_name or exchange.class_name
+        else:
+            exchange.organisation = organisation.name
+            exchange.key_digest = digest
+            exchange.key_epoch = self._state.epoch
+            exchange.class_name = organisation.class_name or exchange.class_name
 
     def _find_parent(self, event: messages.CallArrived) -> runs.Run | None:
         if event.context:
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -1,6 +1,7 @@
 """Call engine: translates events into effects."""
 
 import collections
+import math
 import random
 
 from bergamotdeal.admission import feedback
@@ -37,6 +38,8 @@
       rng: Random number generator.
       caller_service: Service of this host, if known before the backend server
         announces itself.
+      max_silence_s: Time without news of the active preset after which keys
+        may have been revoked, in seconds.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         epoch: int,
         rng: random.Random,
         caller_service: str = "",
+        max_silence_s: float = math.inf,
     ):
         state = engine_state.EngineState(
             identity=identity,
@@ -54,6 +58,7 @@
             epoch=epoch,
             rng=rng,
             caller_service=caller_service,
+            max_silence_s=max_silence_s,
         )
         self._state = state
         self._local_events: collections.deque[messages.Event] = (
@@ -251,6 +256,8 @@
             case messages.DrainStarted():
                 self._state.draining = True
                 self._state.is_entry_closed = not event.entry_open
+            case messages.PresetConfirmed():
+                self._state.confirmed_at = self._state.now
             case messages.PeerCrashesReported():
                 self._server.apply_crash_reports(event.reports)
             case _:
@@ -284,6 +291,8 @@
             return
         state.activate_preset(event.preset, event.epoch)
         self._note_preset_services()
+
+        state.confirmed_at = state.now
         self._router.set_policy(event.preset.routing)
         self._thresholds.set_policy(event.preset.admission)
         self._budget.set_policy(event.preset.retries)
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -252,6 +252,11 @@
     preset: model.Preset
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PresetConfirmed:
+    """News that the active preset is the newest one that others know."""
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PeerCrashesReported:
     """Crash reports received from other nodes."""
@@ -285,6 +290,7 @@
     | DrainStarted
     | MembersChanged
     | PresetInForce
+    | PresetConfirmed
     | PeerCrashesReported
     | TimePassed
 )
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -1,6 +1,7 @@
 """Shared state of the parts of the call engine."""
 
 import dataclasses
+import math
 import random
 import traceback
 
@@ -33,6 +34,8 @@
       members_by_id: Members by host id.
       service: Service that the local backend server announces, or empty.
       caller_service: Service of this host, for calls that originate here.
+      confirmed_at: Time of the last news of the active preset, in monotonic
+        seconds.
       cost_model: Costs of requests and capacity of the fleet.
       draining: Whether the node refuses calls of other nodes.
       is_entry_closed: Whether the node also refuses new requests of callers.
@@ -49,9 +52,12 @@
         epoch: int,
         rng: random.Random,
         caller_service: str = "",
+        max_silence_s: float = math.inf,
     ):
         self.identity = identity
         self.rng = rng
+        self._max_silence_s = max_silence_s
+        self.confirmed_at = -math.inf
         self.activate_preset(preset, epoch)
         self.caller_service = caller_service
         self.cost_model = book.CostModel(
@@ -203,6 +209,10 @@
         call.organisation = found.name
         return True
 
+    def is_preset_outdated(self) -> bool:
+        """Returns whether a newer preset may have revoked keys unnoticed."""
+        return self.now - self.confirmed_at > self._max_silence_s
+
     def classify_call(self, call: rpc.Call, route: model.Route) -> str:
         """Returns the class of a call; on a host route that of its origin.
 
--- a/bergamotdeal/calls/tests/test_keys.py
+++ b/bergamotdeal/calls/tests/test_keys.py
@@ -41,7 +41,7 @@
 class Node:
     """Engine of a node whose server has the given slots."""
 
-    def __init__(self, *, preset=PRESET, slots=4):
+    def __init__(self, *, preset=PRESET, slots=4, **options):
         self.now = 1.0
         self.engine = engine.Engine(
             identity=host_routes.OWN,
@@ -49,6 +49,7 @@
             epoch=5,
             rng=random.Random(1),
             caller_service="kitview",
+            **options,
         )
         self.handle(
             messages.MembersChanged(
@@ -230,3 +231,16 @@
         )
     )
     assert get_error(effects) is _KINDS.NO_SERVER
+
+
+def test_strict_revocation_refuses_keys_without_news_of_the_preset():
+    node = Node(max_silence_s=2.0)
+    node.handle(messages.PresetConfirmed())
+    node.now += 1.9
+    assert get_sent(node.request(KEY))[0] == "kilo"
+    node.now += 0.2
+    assert get_error(node.request(KEY)) is _KINDS.KEYS_OUTDATED
+    assert get_error(node.request(None)) is _KINDS.UNAUTHORIZED
+    assert get_sent(node.request(None, path="/open/7"))[0] == ""
+    node.handle(messages.PresetConfirmed())
+    assert get_sent(node.request(KEY))[0] == "kilo"
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -23,6 +23,7 @@
     UNKNOWN_SERVICE = "unknown-service"
     NO_ROUTE = "no-route"
     UNAUTHORIZED = "unauthorized"
+    KEYS_OUTDATED = "keys-outdated"
     QUOTA_EXCEEDED = "quota-exceeded"
 
     # Tickets.
@@ -121,6 +122,9 @@
     ErrorKind.UNAUTHORIZED: _build_not_run(
         401, "The credentials are not valid."
     ),
+    ErrorKind.KEYS_OUTDATED: _build_not_run(
+        503, "The node can't learn whether the key was revoked.", 1
+    ),
     ErrorKind.QUOTA_EXCEEDED: _build_not_run(
         429, "The organisation's cap is reached.", 1
     ),
--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -418,7 +418,7 @@
             )
 
     def _report_epoch(self, epoch: int, host_id: str) -> None:
-        if epoch > self._epoch:
+        if epoch >= max(1, self._epoch):
             self._effects.append(
                 messages.EpochAdvertised(epoch=epoch, host_id=host_id)
             )
--- a/bergamotdeal/membership/messages.py
+++ b/bergamotdeal/membership/messages.py
@@ -400,7 +400,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EpochAdvertised:
-    """A notice that another node has a preset of a higher epoch in force.
+    """A notice that another node has a preset in force, not an older one.
 
     Attributes:
       epoch: Epoch at the other node.
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -320,6 +320,7 @@
                 self._settings.preset.file
             ).unwrap_or_raise(InvalidPresetError),
             record=self._record,
+            post_news=self._dispatcher.post,
         )
 
     def _build_registry(self) -> registry_task.RegistryTask | None:
--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -14,6 +14,7 @@
 from bergamotdeal.calls import messages as calls
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.node import membership as membership_task
+from bergamotdeal.node import preset_news
 from bergamotdeal.node import store_watch
 from bergamotdeal.presets import follower
 from bergamotdeal.presets import in_force
@@ -42,6 +43,7 @@
       store: The platform's object store, or None to run without.
       initial_preset: Preset of the settings, active until the first switch.
       record: Called with each event for the event log.
+      post_news: Called with each event that confirms the active preset.
       clock: Returns monotonic seconds.
     """
 
@@ -57,6 +59,7 @@
         store: store_core.Store | None = None,
         initial_preset: model.Preset | None = None,
         record: Callable[[records.EventRecord], None] | None = None,
+        post_news: Callable[[calls.Event], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._reactor = reactor
@@ -79,6 +82,12 @@
             rng=rng,
             now=clock(),
         )
+        self._news = preset_news.PresetNews(
+            policy=settings.revocation,
+            reactor=reactor,
+            post=post_news or _ignore,
+            read_store=None if store is None else self._read_store,
+        )
         self._watch = None
         if store is not None:
             self._watch = store_watch.StoreWatch(
@@ -88,6 +97,7 @@
                 rng=rng,
                 on_change=self._handle_stored,
                 on_availability_change=self._record_store_availability,
+                on_answer=self._news.record,
                 max_backoff_s=settings.store.longest_wait_ms / _MS_PER_S,
             )
 
@@ -113,11 +123,13 @@
     def start(self) -> None:
         """Starts to look for the active preset."""
         self._running = True
+        self._news.start()
         self._handle(follower.TimePassed())
 
     def stop(self) -> None:
         """Stops the watch and the timer."""
         self._running = False
+        self._news.stop()
         if self._watch is not None:
             self._watch.stop()
         if self._wakeup_timer is not None and self._wakeup_timer.active():
@@ -138,6 +150,9 @@
         """
         match message:
             case gossip.EpochAdvertised(epoch=epoch, host_id=host_id):
+                if epoch == self.epoch:
+                    self._news.record()
+                    return
                 self._handle(
                     follower.EpochAdvertised(epoch=epoch, host_id=host_id)
                 )
@@ -209,9 +224,7 @@
             case follower.Pull():
                 self._send_pull(effect)
             case follower.ReadStore():
-                self._store.get(in_force.IN_FORCE_KEY).addCallback(
-                    self._handle_store_read
-                )
+                self._read_store()
             case follower.WatchStore(watch=True):
                 self._watch.start()
             case follower.WatchStore():
@@ -257,6 +270,11 @@
 
     # The store.
 
+    def _read_store(self) -> None:
+        self._store.get(in_force.IN_FORCE_KEY).addCallback(
+            self._handle_store_read
+        )
+
     def _handle_store_read(
         self,
         outcome: result.Result[store_core.StoredObject, store_core.Failure],
@@ -271,6 +289,8 @@
             case result.Err(failure):
                 event = follower.StoreFailed(reason=failure.detail)
         self._handle(event)
+        if not isinstance(event, follower.StoreFailed):
+            self._news.record()
 
     def _handle_stored(self, stored: store_core.StoredObject) -> None:
         self._handle(follower.StoreRead(document=stored.value))
--- a/bergamotdeal/node/store_watch.py
+++ b/bergamotdeal/node/store_watch.py
@@ -23,6 +23,7 @@
       reactor: The reactor.
       rng: Random number generator.
       on_change: Called with each new version of the object.
+      on_answer: Called after each answer of the store, new version or not.
       on_availability_change: Called with the reason when the store becomes
         unavailable, and with None when it is available again.
       max_backoff_s: Longest wait between retries in seconds, before jitter.
@@ -37,12 +38,14 @@
         rng: random.Random,
         on_change: Callable[[core.StoredObject], None],
         on_availability_change: Callable[[str | None], None],
+        on_answer: Callable[[], None] = lambda: None,
         max_backoff_s: float = backoff.MAX_DELAY_S,
     ) -> None:
         self._store = store
         self._key = key
         self._reactor = reactor
         self._on_change = on_change
+        self._on_answer = on_answer
         self._on_availability_change = on_availability_change
         self._rng = rng
         self._backoff = backoff.ExponentialBackoff(rng=rng, max_s=max_backoff_s)
@@ -113,6 +116,7 @@
             if stored.version != self._last_version:
                 self._last_version = stored.version
                 self._on_change(stored)
+        self._on_answer()
         if self._running:
             # Yields to the reactor, in case the store answers every watch at
             # once.
--- a/bergamotdeal/node/timed_engine.py
+++ b/bergamotdeal/node/timed_engine.py
@@ -1,5 +1,6 @@
 """Call engine wrapper that measures the duration of calls and runs."""
 
+import math
 import random
 
 from bergamotdeal.calls import engine as call_engine
@@ -103,4 +104,9 @@
         # Routing needs a fast generator, not a cryptographic one.
         rng=random.Random(rng.getrandbits(64)),
         caller_service=settings.node.service,
+        max_silence_s=(
+            settings.revocation.max_silence_ms / MS_PER_S
+            if settings.revocation.strict
+            else math.inf
+        ),
     )
