--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -27,6 +27,11 @@
 
 PresetPushed = follower.PresetPushed
 
+OTHERS_EPOCH_WAIT_S = 1.5
+"""Time from the start in which a preset of the store that has organisations
+waits for the epoch of another node: a store that was restored from an older
+copy may hold a preset in which a revoked key is still valid."""
+
 _MS_PER_S = 1000
 
 
@@ -70,6 +75,8 @@
         self._record = record or _ignore
         self._clock = clock
         self._wakeup_timer = None
+        self._others_wait_ends_at = 0.0
+        self._held_event: follower.StoreRead | None = None
         self._running = False
         self._follower = follower.Follower(
             host_id=settings.node.host_id,
@@ -123,6 +130,7 @@
     def start(self) -> None:
         """Starts to look for the active preset."""
         self._running = True
+        self._others_wait_ends_at = self._clock() + OTHERS_EPOCH_WAIT_S
         self._news.start()
         self._handle(follower.TimePassed())
 
@@ -156,6 +164,7 @@
                 self._handle(
                     follower.EpochAdvertised(epoch=epoch, host_id=host_id)
                 )
+                self._release_held_event()
             case calls.MembersChanged(members_by_id=members_by_id):
                 self._handle(
                     follower.MembershipUpdated(members_by_id=members_by_id)
@@ -288,10 +297,22 @@
                 event = follower.StoreRead(document=None)
             case result.Err(failure):
                 event = follower.StoreFailed(reason=failure.detail)
+        wait_s = self._others_wait_ends_at - self._clock()
+        if wait_s > 0.0 and _has_organisations(event):
+            self._held_event = event
+            self._reactor.callLater(wait_s, self._release_held_event)
+            return
         self._handle(event)
         if not isinstance(event, follower.StoreFailed):
             self._news.record()
 
+    def _release_held_event(self) -> None:
+        """Handles the preset of the store that waited for others' epochs."""
+        self._others_wait_ends_at = 0.0
+        event, self._held_event = self._held_event, None
+        if event is not None:
+            self._handle(event)
+
     def _handle_stored(self, stored: store_core.StoredObject) -> None:
         self._handle(follower.StoreRead(document=stored.value))
 
@@ -304,5 +325,15 @@
         self._record(records.EventRecord(code=code, fields=fields))
 
 
+def _has_organisations(event: follower.Event) -> bool:
+    match event:
+        case follower.StoreRead(document=bytes() as document):
+            decoded = in_force.decode(document)
+            return decoded.is_ok() and bool(
+                decoded.ok_value.preset.organisations
+            )
+    return False
+
+
 def _ignore(_) -> None:
     """Does nothing; default of the optional callback."""
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -342,9 +342,8 @@
         if now < self._next_pull_at:
             return
         recent_since = now - PULL_HEDGE_DELAY_S
-        if any(
-            sent > recent_since for sent in self._pull_times_by_host.values()
-        ):
+        pull_times = self._pull_times_by_host.values()
+        if max(pull_times, default=recent_since) > recent_since:
             return
         candidates = [
             host_id
@@ -385,6 +384,9 @@
             case result.Err(reason):
                 self._effects.append(Reject(epoch=self.epoch, reason=reason))
             case result.Ok(offered):
+                newest = max(self._epochs_by_source.values(), default=0)
+                if offered.epoch < newest:
+                    return  # A store restored from an older copy; pull instead.
                 if offered.epoch > self.epoch:
                     self._apply(
                         offered.epoch, offered.preset, offered.operation_id
@@ -405,7 +407,9 @@
             self._store_problem = ""
             self._on_document(document)
             if self.epoch == NO_EPOCH:
-                self._on_store_failed("holds a malformed preset", now)
+                self._on_store_failed(
+                    "holds no valid preset of the newest epoch", now
+                )
             return
         self._on_store_failed("holds no preset yet", now)
         self._apply_initial()
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -336,3 +336,20 @@
     target = make_node()
     effects = target.handle(follower.PresetPushed(document=data), 0.0)
     assert not filter_effects(effects, follower.Apply)
+
+
+def test_older_preset_of_a_restored_store_waits_for_the_advertised_one():
+    # Guards against a revoked key that a restarted node accepts again.
+    target = make_node()
+    target.handle(
+        follower.MembershipUpdated(members_by_id=make_members("a", "b")), 0.0
+    )
+    heard = follower.EpochAdvertised(epoch=13, host_id="b")
+    assert filter_effects(target.handle(heard, 0.1), follower.Pull)
+    read = follower.StoreRead(document=make_document(12))
+    assert not filter_effects(target.handle(read, 0.2), follower.Apply)
+    assert target.epoch == follower.NO_EPOCH
+    # If the node that advertised it is gone, the store's preset is the newest.
+    target.handle(follower.PullFailed(host_id="b"), 0.3)
+    effects = target.handle(read, 5.0)
+    assert filter_effects(effects, follower.Apply)[0].epoch == 12
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -37,6 +37,7 @@
     catalogue.EventCode.CALL_SHED: INFO,
     catalogue.EventCode.CALL_RETRIED: INFO,
     catalogue.EventCode.CALL_REFUSED: INFO,
+    catalogue.EventCode.KEY_REFUSED: INFO,
     catalogue.EventCode.CALL_LOST: INFO,
     catalogue.EventCode.DISPATCH_FAILED: INFO,
     catalogue.EventCode.LATE_ANSWER_DROPPED: INFO,
