Add the core of organisation caps

Cause: a cap has to hold over all hosts, through partitions, restarts and hosts that stop for a while, without one place that decides.

A process introduces itself to all reachable hosts before it grants tokens: with a view of the members alone, hosts that join on one side of a partition granted the same parts as the other side.

--- /dev/null
+++ b/bergamotdeal/quotas/hosts.py
@@ -0,0 +1,377 @@
+"""The counted hosts: those among which the parts of caps are divided.
+
+Two hosts may grant tokens at the same time only if each counts the other;
+otherwise both could grant the same part. A process therefore introduces itself
+to all reachable hosts before it grants anything, in three stages. A host that
+committed is counted by the others at once, and is active only when all of them
+have confirmed. While a counted host can't be reached, a process becomes active
+only if all the others already knew its host as active, and with them the one
+that is missing; a new host waits until the missing one is no longer counted.
+
+A host that sees fewer than half of the counted hosts for ``LAPSE_S`` grants
+nothing and has to introduce itself again. Only a host that has seen more than
+half of them for the longer ``REMOVAL_S`` stops counting those that it has not
+seen in all that time.
+"""
+
+from collections.abc import Collection
+import dataclasses
+import random
+
+from bergamotdeal.quotas import messages
+from bergamotdeal.routing import rendezvous
+
+LAPSE_S = 480.0
+REMOVAL_S = 600.0
+SETTLE_S = 1.0
+"""Time for which all reachable hosts must have replied before the next stage,
+in which the membership learns of hosts that started at the same time."""
+
+RETRY_S = 0.3
+MAX_INTRODUCTIONS = 40
+"""Maximum introductions per call of ``advance``, which limits the traffic of a
+start in a large fleet."""
+
+_Stage = messages.Stage
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Host:
+    """A counted host.
+
+    Attributes:
+      is_active: Whether the host has told that it grants tokens.
+      absent_since: Time since when it is not seen by a majority, or None.
+    """
+
+    is_active: bool = False
+    absent_since: float | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Reply:
+    """Reply of another host in the current attempt to become active.
+
+    Attributes:
+      stage: Highest stage that it has confirmed.
+      was_active: Whether it knew this host as active before the attempt.
+      active_count: Number of other active hosts that it counts.
+    """
+
+    stage: messages.Stage
+    was_active: bool
+    active_count: int
+
+
+class CountedHosts:
+    """The counted hosts as this host knows them, and its right to grant.
+
+    Args:
+      host_id: Name of this host.
+      rng: Random number generator.
+      now: Time in seconds on the clock that counts suspended time.
+      may_be_alone: Whether this host may be the whole fleet.
+
+    Attributes:
+      digests_by_host: Digests of the counted hosts by name.
+      version: Number that changes with the counted hosts and with the right to
+        grant.
+      stage: Stage of this process.
+      term: Number of the attempt to become active.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        rng: random.Random,
+        now: float,
+        may_be_alone: bool = False,
+    ):
+        self._host_id = host_id
+        self._rng = rng
+        self._may_be_alone = may_be_alone
+        self._hosts: dict[str, _Host] = {}
+        self._names_by_digest: dict[int, str] = {}
+        self._present: dict[str, None] = {}
+        self.digests_by_host: dict[str, int] = {}
+        self.version = 0
+        self.term = 0
+        self._half_seen_at = now
+        self._restart_introductions()
+
+    def may_grant(self, now: float) -> bool:
+        """Returns whether this host may grant tokens.
+
+        Args:
+          now: Time in seconds on the clock that counts suspended time.
+        """
+        return (
+            self.stage is _Stage.ACTIVE and now - self._half_seen_at < LAPSE_S
+        )
+
+    def is_present(self, host_id: str) -> bool:
+        """Returns whether the membership regards a host as reachable."""
+        return host_id == self._host_id or host_id in self._present
+
+    def update_members(
+        self,
+        *,
+        present: Collection[str],
+        left: Collection[str],
+        now: float,
+    ) -> None:
+        """Applies the membership's view.
+
+        Args:
+          present: Names of the hosts that are reachable.
+          left: Names of the hosts that announced that they stop.
+          now: Time in seconds on the clock that counts suspended time.
+        """
+        # Replies that were given before a host became unreachable still hold,
+        # but a host that is new to the view has to be asked first.
+        if set(present) - self._present.keys() - {self._host_id}:
+            self._settled_since = None
+        self._present = dict.fromkeys(sorted(present))
+        self._present.pop(self._host_id, None)
+        for host_id in left:
+            if host_id != self._host_id:
+                self._remove(host_id)
+        for host_id in self._present:
+            self._name(host_id)
+        self._progress(now)
+
+    def advance(self, now: float) -> list[tuple[str, messages.Introduction]]:
+        """Applies the passage of time.
+
+        Args:
+          now: Time in seconds on the clock that counts suspended time.
+
+        Returns:
+          Introductions to send, with the names of the hosts.
+        """
+        self._progress(now)
+        return self._list_introductions(now)
+
+    def handle_introduction(
+        self, message: messages.Introduction
+    ) -> messages.IntroductionReply:
+        """Handles the introduction of another host.
+
+        Args:
+          message: The introduction.
+
+        Returns:
+          The reply to send.
+        """
+        sender = message.host_id
+        known = self._hosts.get(sender)
+        was_active = known is not None and known.is_active
+        if message.stage is not _Stage.ANNOUNCED:
+            self._count(sender, is_active=message.stage is _Stage.ACTIVE)
+        absent = [
+            self.digests_by_host[host_id]
+            for host_id, host in self._hosts.items()
+            if host.is_active and not self.is_present(host_id)
+        ]
+        if len(absent) > messages.MAX_ABSENT:
+            absent = self._rng.sample(absent, messages.MAX_ABSENT)
+        return messages.IntroductionReply(
+            host_id=self._host_id,
+            nonce=message.nonce,
+            stage=message.stage,
+            was_active=was_active,
+            is_counted=sender in self._hosts,
+            own_stage=self.stage,
+            active_count=self._count_active(except_id=sender),
+            absent=tuple(absent),
+        )
+
+    def handle_reply(
+        self, message: messages.IntroductionReply, now: float
+    ) -> None:
+        """Handles the reply to an introduction of this host.
+
+        Args:
+          message: The reply.
+          now: Time in seconds on the clock that counts suspended time.
+        """
+        if message.nonce != self._nonce or message.stage > self.stage:
+            return
+        replier = message.host_id
+        if message.own_stage is not _Stage.ANNOUNCED:
+            is_active = message.own_stage is _Stage.ACTIVE
+            self._count(replier, is_active=is_active)
+        if message.is_counted and self.stage is _Stage.ANNOUNCED:
+            self._count(self._host_id)
+        if self.stage is not _Stage.ACTIVE:
+            for digest in message.absent:
+                self._count_absent(digest)
+        self._record_reply(message)
+        self._try_next_stage(now)
+
+    def _record_reply(self, message: messages.IntroductionReply) -> None:
+        reply = self._replies_by_host.get(message.host_id)
+        if reply is None:
+            self._replies_by_host[message.host_id] = _Reply(
+                stage=message.stage,
+                was_active=message.was_active,
+                active_count=message.active_count,
+            )
+        else:
+            reply.stage = max(reply.stage, message.stage)
+            reply.active_count = message.active_count
+
+    # Counting.
+
+    def _name(self, host_id: str) -> None:
+        """Replaces the placeholder of a host whose name was not known."""
+        digest = rendezvous.digest(host_id)
+        placeholder = self._names_by_digest.get(digest)
+        if placeholder is None or placeholder == host_id:
+            return
+        host = self._hosts.pop(placeholder)
+        del self.digests_by_host[placeholder]
+        self._insert(host_id, host, digest)
+
+    def _insert(self, host_id: str, host: _Host, digest: int) -> None:
+        self._hosts[host_id] = host
+        self.digests_by_host[host_id] = digest
+        self._names_by_digest[digest] = host_id
+        self.version += 1
+
+    def _count(self, host_id: str, *, is_active: bool = False) -> None:
+        self._name(host_id)
+        host = self._hosts.get(host_id)
+        if host is None:
+            host = _Host()
+            self._insert(host_id, host, rendezvous.digest(host_id))
+        host.is_active = host.is_active or is_active
+
+    def _count_absent(self, digest: int) -> None:
+        """Counts a host that only another host has seen."""
+        host_id = self._names_by_digest.get(digest)
+        if host_id is None:
+            self._insert(f"#{digest:x}", _Host(is_active=True), digest)
+        else:
+            self._hosts[host_id].is_active = True
+
+    def _remove(self, host_id: str) -> None:
+        self._replies_by_host.pop(host_id, None)
+        if self._hosts.pop(host_id, None) is None:
+            return
+        del self._names_by_digest[self.digests_by_host.pop(host_id)]
+        self.version += 1
+
+    def _count_active(self, *, except_id: str) -> int:
+        return sum(
+            host.is_active and host_id != except_id
+            for host_id, host in self._hosts.items()
+        )
+
+    # Presence.
+
+    def _progress(self, now: float) -> None:
+        has_lapsed = now - self._half_seen_at >= LAPSE_S
+        if has_lapsed and self.stage is not _Stage.ANNOUNCED:
+            self._restart_introductions()
+        self._update_presence(now)
+        self._try_next_stage(now)
+
+    def _update_presence(self, now: float) -> None:
+        """Updates which counted hosts are seen, and removes dead ones."""
+        present_count = sum(map(self.is_present, self._hosts))
+        if 2 * present_count >= len(self._hosts):
+            self._half_seen_at = now
+        for host_id, host in list(self._hosts.items()):
+            if self.is_present(host_id):
+                host.absent_since = None
+            elif 2 * present_count <= len(self._hosts):
+                # Only a majority that lasts for the whole time removes hosts.
+                host.absent_since = None
+            elif host.absent_since is None:
+                host.absent_since = now
+            elif now - host.absent_since >= REMOVAL_S:
+                self._remove(host_id)
+
+    # Stages.
+
+    def _restart_introductions(self) -> None:
+        self.stage = _Stage.ANNOUNCED
+        self.term += 1
+        self._nonce = self._rng.getrandbits(31)
+        self._replies_by_host: dict[str, _Reply] = {}
+        self._sent_at_by_host: dict[str, float] = {}
+        self._settled_since: float | None = None
+        self.version += 1
+
+    def _is_confirmed(self) -> bool:
+        """Returns whether all reachable hosts have confirmed the stage."""
+        active_count = self._count_active(except_id=self._host_id)
+        for host_id in self._present:
+            reply = self._replies_by_host.get(host_id)
+            if reply is None or reply.stage < self.stage:
+                return False
+            # Until the replier has noticed that a host is absent, it does not
+            # name it.
+            if reply.active_count > active_count:
+                return False
+        return bool(self._present) or self._may_be_alone
+
+    def _try_next_stage(self, now: float) -> None:
+        if self.stage is _Stage.ACTIVE or not self._is_confirmed():
+            return
+        if self.stage is _Stage.ANNOUNCED:
+            if self._settled_since is None:
+                self._settled_since = now
+            if now - self._settled_since < SETTLE_S:
+                return
+        if not self._may_advance():
+            return
+        self._count(self._host_id)
+        self.stage = _Stage(self.stage + 1)
+        if self.stage is _Stage.ACTIVE:
+            self._hosts[self._host_id].is_active = True
+            self._half_seen_at = now
+        self.version += 1
+        self._try_next_stage(now)
+
+    def _may_advance(self) -> bool:
+        """Returns whether no host that is missing could be in the way."""
+        others = [name for name in self._hosts if name != self._host_id]
+        present_count = 1 + sum(map(self.is_present, others))
+        if 2 * present_count < 1 + len(others):
+            return False
+        absent = any(
+            self._hosts[name].is_active and not self.is_present(name)
+            for name in others
+        )
+        return not absent or all(
+            self._replies_by_host[host_id].was_active
+            for host_id in self._present
+        )
+
+    def _list_introductions(
+        self, now: float
+    ) -> list[tuple[str, messages.Introduction]]:
+        introduction = messages.Introduction(
+            host_id=self._host_id, nonce=self._nonce, stage=self.stage
+        )
+        due: list[tuple[str, messages.Introduction]] = []
+        is_active = self.stage is _Stage.ACTIVE
+        active_count = self._count_active(except_id=self._host_id)
+        for host_id in self._present:
+            reply = self._replies_by_host.get(host_id)
+            if (
+                reply is not None
+                and reply.stage >= self.stage
+                and (is_active or reply.active_count <= active_count)
+            ):
+                continue
+            if now - self._sent_at_by_host.get(host_id, -RETRY_S) < RETRY_S:
+                continue
+            self._sent_at_by_host[host_id] = now
+            due.append((host_id, introduction))
+            if len(due) >= MAX_INTRODUCTIONS:
+                break
+        return due
--- a/bergamotdeal/routing/rendezvous.py
+++ b/bergamotdeal/routing/rendezvous.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import hashlib
+import heapq
 
 from bergamotdeal.utils import hashing
 
@@ -43,11 +44,47 @@
       digests_by_name: Digests of the candidates by name.
       count: Maximum number of names to return.
     """
-    key_digest = digest(key)
+    return rank_names_by_digest(digest(key), digests_by_name, count)
+
+
+def rank_names_by_digest(
+    key_digest: int, digests_by_name: Mapping[str, int], count: int
+) -> list[str]:
+    """Returns the candidates with the highest weights in descending order.
+
+    Args:
+      key_digest: Digest of the key for which the candidates are ranked.
+      digests_by_name: Digests of the candidates by name.
+      count: Maximum number of names to return.
+    """
     mix = hashing.split_mix_64
-    names_by_weight = sorted(
+    return heapq.nlargest(
+        count,
         digests_by_name,
         key=lambda name: (mix(key_digest ^ digests_by_name[name]), name),
-        reverse=True,
     )
-    return names_by_weight[:count]
+
+
+def is_among_first(
+    key_digest: int, name: str, digests_by_name: Mapping[str, int], count: int
+) -> bool:
+    """Returns whether a candidate has one of the highest weights for a key.
+
+    Args:
+      key_digest: Digest of the key.
+      name: Name of the candidate.
+      digests_by_name: Digests of the candidates by name.
+      count: Number of candidates that are among the first.
+    """
+    own_digest = digests_by_name.get(name)
+    if own_digest is None:
+        return False
+    mix = hashing.split_mix_64
+    own_weight = (mix(key_digest ^ own_digest), name)
+    higher_count = 0
+    for other, other_digest in digests_by_name.items():
+        if (mix(key_digest ^ other_digest), other) > own_weight:
+            higher_count += 1
+            if higher_count >= count:
+                return False
+    return True
