Order queued jobs by progress and target latency

Cause: within a class the queue beside a server kept the order of arrival, so new requests displaced calls of trees that had begun, and late requests those that could still be in time.

--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -61,7 +61,9 @@
         self._runs_by_id: dict[int, _Run] = {}
         self._running_by_rank = [0] * class_count
         self._top_class_peak = 0.0
-        self._queue = waiting.JobQueue(is_fair=policy.fair_share)
+        self._queue = waiting.JobQueue(
+            is_fair=policy.fair_share, by_deadline=policy.deadline_order
+        )
         self._start_rate = rate.StartRateLimiter()
         self._run_time_estimate = estimate.RunTimeEstimate()
         self._work_factor = 1.0
@@ -225,7 +227,9 @@
             run.rank = self._rank(run.job)
             self._running_by_rank[run.rank] += 1
         jobs = self._queue.remove_all()
-        self._queue.set_fair(policy.fair_share)
+        self._queue.set_order(
+            is_fair=policy.fair_share, by_deadline=policy.deadline_order
+        )
         if not policy.limits:
             return [self._start_unlimited(job, now) for job in jobs]
         for job in jobs:
@@ -402,6 +406,8 @@
 
     def _start_queued_jobs(self, now: float) -> list[core.Decision]:
         decisions: list[core.Decision] = []
+        run_s = self._run_time_estimate.value()
+        self._queue.update_urgency(now, run_s=run_s)
         while (job := self._queue.first()) is not None:
             if not self._has_slot(self._rank(job), now):
                 break
--- a/bergamotdeal/admission/core.py
+++ b/bergamotdeal/admission/core.py
@@ -1,6 +1,7 @@
 """Data types of admission control: jobs and the decisions on them."""
 
 import dataclasses
+import math
 
 from bergamotdeal.errors import core as errors
 
@@ -17,6 +18,10 @@
       arrived: Time of arrival, monotonic seconds.
       organisation: Organisation of the user request, or empty.
       weight: Weight of the organisation in fair sharing.
+      target: Time by which the answer keeps its full value, monotonic seconds;
+        infinite if the request has no target latency.
+      calls_made: Number of calls that its call tree is known to have made,
+        this one included if a run made it; zero for a new tree.
     """
 
     job_id: int
@@ -26,6 +31,8 @@
     arrived: float
     organisation: str = ""
     weight: float = 1.0
+    target: float = math.inf
+    calls_made: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bergamotdeal/admission/tests/simulation.py
+++ b/bergamotdeal/admission/tests/simulation.py
@@ -30,15 +30,15 @@
     fields: dict = dataclasses.field(default_factory=dict)
 
 
-def run_server(arrivals, *, slots, policy, on_refused=None):
+def run_server(arrivals, *, slots, policy, on_end=None):
     """Serves arrivals in order of time and fills in their times.
 
     Args:
       arrivals: The arrivals.
       slots: Slots of the server.
       policy: Admission policy.
-      on_refused: Called with a refused arrival and the time; returns further
-        arrivals.
+      on_end: Called with an arrival that is refused or has run and the time;
+        returns further arrivals.
     """
     admission = controller.AdmissionController(
         policy=policy,
@@ -52,6 +52,12 @@
     number = len(events)
     arrivals_by_id = {}
 
+    def end(arrival, now):
+        nonlocal number
+        for further in on_end(arrival, now) if on_end else ():
+            number += 1
+            heapq.heappush(events, (further.at, number, further))
+
     def apply(decisions, now):
         nonlocal number
         for decision in decisions:
@@ -62,10 +68,8 @@
                     number += 1
                     entry = (now + arrival.run_s, number, decision.job_id)
                     heapq.heappush(events, entry)
-                case core.Refuse() if on_refused is not None:
-                    for again in on_refused(arrival, now):
-                        number += 1
-                        heapq.heappush(events, (again.at, number, again))
+                case core.Refuse():
+                    end(arrival, now)
 
     while events:
         now, key, event = heapq.heappop(events)
@@ -83,3 +87,4 @@
         else:
             arrivals_by_id[event].ended_at = now
             apply(admission.release_slot(event, now, completed=True), now)
+            end(arrivals_by_id[event], now)
--- a/bergamotdeal/admission/waiting.py
+++ b/bergamotdeal/admission/waiting.py
@@ -2,34 +2,52 @@
 
 import bisect
 import collections
+import math
+from typing import NamedTuple
 
 from bergamotdeal.admission import core
+from bergamotdeal.admission import order
 from bergamotdeal.fairness import rounds
 
 _ROUNDING_TOLERANCE = 1e-6
 """Tolerance for rounding errors in sums of jobs over weights."""
 
-_Key = tuple[int, int, float, float, int]
+
+class _Key(NamedTuple):
+    rank: int
+    is_new_tree: bool
+    fair_round: int
+    urgency: order.Urgency
+    hash_share: float
+    arrived: float
+    job_id: int
 
 
 class JobQueue:
     """Queue of jobs ordered by class rank, fair round, hash share and arrival.
 
-    Jobs are served from the front. The one to evict is the last one of the
+    With the order by deadlines, the calls of trees that have begun come before
+    the rounds, and within a round urgency counts before the hash share. Jobs
+    are served from the front. The one to evict is the last one of the
     organisation that has most queued, for its weight, in the least important
-    class. Jobs without
-    an organisation belong to the current round. The caller bounds the length.
+    class. Jobs without an organisation belong to the current round. The caller
+    bounds the length.
 
     Args:
       is_fair: Whether organisations take turns.
+      by_deadline: Whether progress and urgency count.
     """
 
-    def __init__(self, *, is_fair: bool = True) -> None:
+    def __init__(
+        self, *, is_fair: bool = True, by_deadline: bool = False
+    ) -> None:
         self._is_fair = is_fair
+        self._by_deadline = by_deadline
         self._keys: list[_Key] = []
         self._jobs_by_id: dict[int, core.Job] = {}
         self._keys_by_id: dict[int, _Key] = {}
         self._earliest_deadline: float | None = None
+        self._earliest_target = math.inf
         self._reset_rounds()
 
     def __len__(self) -> int:
@@ -38,9 +56,15 @@
     def __contains__(self, job_id: int) -> bool:
         return job_id in self._jobs_by_id
 
-    def set_fair(self, is_fair: bool) -> None:
-        """Sets whether organisations take turns; the queue must be empty."""
+    def set_order(self, *, is_fair: bool, by_deadline: bool) -> None:
+        """Sets the order; the queue must be empty.
+
+        Args:
+          is_fair: Whether organisations take turns.
+          by_deadline: Whether progress and urgency count.
+        """
         self._is_fair = is_fair
+        self._by_deadline = by_deadline
         self._reset_rounds()
 
     def push(self, job: core.Job, *, rank: int, hash_share: float) -> None:
@@ -52,12 +76,18 @@
           hash_share: Position in the shedding order, the sort key within a
             round; low is served first.
         """
-        key = (
-            rank,
-            self._assign_round(job, rank),
-            hash_share,
-            job.arrived,
-            job.job_id,
+        urgency = order.Urgency()
+        if self._by_deadline:
+            urgency = order.Urgency(due=job.target)
+            self._earliest_target = min(self._earliest_target, job.target)
+        key = _Key(
+            rank=rank,
+            is_new_tree=self._by_deadline and not order.is_begun(job),
+            fair_round=self._assign_round(job, rank),
+            urgency=urgency,
+            hash_share=hash_share,
+            arrived=job.arrived,
+            job_id=job.job_id,
         )
         bisect.insort(self._keys, key)
         if self._earliest_deadline is not None or not self._jobs_by_id:
@@ -70,6 +100,30 @@
             weighted = queued.get(job.organisation, 0.0) + 1.0 / job.weight
             queued[job.organisation] = weighted
 
+    def update_urgency(self, now: float, *, run_s: float) -> None:
+        """Moves the jobs that can't meet their target any more to the back.
+
+        Args:
+          now: Monotonic seconds.
+          run_s: Expected run time of a job in seconds.
+        """
+        if now + run_s <= self._earliest_target:
+            return
+        earliest = math.inf
+        for key in list(self._keys):
+            if key.urgency.is_late:
+                continue
+            job = self._jobs_by_id[key.job_id]
+            urgency = order.compute_urgency(job, now=now, run_s=run_s)
+            if not urgency.is_late:
+                earliest = min(earliest, job.target)
+                continue
+            del self._keys[bisect.bisect_left(self._keys, key)]
+            late_key = key._replace(urgency=urgency)
+            bisect.insort(self._keys, late_key)
+            self._keys_by_id[key.job_id] = late_key
+        self._earliest_target = earliest
+
     def record_direct_start(self, job: core.Job, *, rank: int) -> None:
         """Records a job that starts without being queued."""
         if self._takes_turns(job):
@@ -80,28 +134,29 @@
         """Returns the next job to serve without removing it."""
         if not self._keys:
             return None
-        return self._jobs_by_id[self._keys[0][-1]]
+        return self._jobs_by_id[self._keys[0].job_id]
 
     def last(self) -> core.Job | None:
         """Returns the next job to evict without removing it."""
         if not self._keys:
             return None
-        last = self._jobs_by_id[self._keys[-1][-1]]
-        queued = self._queued_by_rank.get(self._keys[-1][0])
+        last_key = self._keys[-1]
+        last = self._jobs_by_id[last_key.job_id]
+        queued = self._queued_by_rank.get(last_key.rank)
         if not queued:
             return last
         most = max(queued.values())
         for key in reversed(self._keys):
-            job = self._jobs_by_id[key[-1]]
+            job = self._jobs_by_id[key.job_id]
             if queued.get(job.organisation, 0.0) >= most:
                 return job
         return last
 
     def start(self, job_id: int) -> None:
         """Removes a queued job that starts."""
-        rank, started_round = self._keys_by_id[job_id][:2]
+        key = self._keys_by_id[job_id]
         if self._takes_turns(self._remove(job_id)):
-            self._rounds_by_rank[rank].record_start(started_round)
+            self._rounds_by_rank[key.rank].record_start(key.fair_round)
 
     def remove(self, job_id: int) -> core.Job | None:
         """Removes a job that doesn't start; returns None if not queued."""
@@ -110,7 +165,9 @@
             return None
         job = self._remove(job_id)
         if self._takes_turns(job):
-            self._rounds_by_rank[key[0]].withdraw(job.organisation, job.weight)
+            self._rounds_by_rank[key.rank].withdraw(
+                job.organisation, job.weight
+            )
         return job
 
     def _remove(self, job_id: int) -> core.Job:
@@ -120,7 +177,7 @@
         if job.deadline == self._earliest_deadline:
             self._earliest_deadline = None
         if self._takes_turns(job):
-            queued = self._queued_by_rank[key[0]]
+            queued = self._queued_by_rank[key.rank]
             queued[job.organisation] -= 1.0 / job.weight
             if queued[job.organisation] < _ROUNDING_TOLERANCE:
                 del queued[job.organisation]
@@ -134,12 +191,12 @@
         """
         depths = [0] * class_count
         for key in self._keys:
-            depths[min(key[0], class_count - 1)] += 1
+            depths[min(key.rank, class_count - 1)] += 1
         return depths
 
     def jobs(self) -> list[core.Job]:
         """Returns the queued jobs in service order."""
-        return [self._jobs_by_id[key[-1]] for key in self._keys]
+        return [self._jobs_by_id[key.job_id] for key in self._keys]
 
     def remove_all(self) -> list[core.Job]:
         """Removes all jobs and returns them in service order."""
@@ -148,6 +205,7 @@
         self._jobs_by_id.clear()
         self._keys_by_id.clear()
         self._earliest_deadline = None
+        self._earliest_target = math.inf
         self._reset_rounds()
         return jobs
 
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -270,6 +270,10 @@
             prior_calls=min(rpc.MAX_PRIOR_CALLS, exchange.prior_calls),
             organisation=exchange.organisation,
             key_digest="" if route.public else exchange.key_digest,
+            target_ms=engine_state.compute_target_ms(
+                exchange.target, state.now
+            ),
+            is_internal=exchange.is_internal or parent is not None,
         )
         self._send(host_id, call)
 
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -1,6 +1,7 @@
 """State of a request whose caller waits for the answer at this node."""
 
 import dataclasses
+import math
 
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
@@ -25,6 +26,8 @@
       class_name: Class of the user request as known to this node.
       arrived_at: Arrival time in monotonic seconds.
       deadline: Latest time of the answer to the caller, in monotonic seconds.
+      target: Time by which the answer to the user request keeps its full value,
+        in monotonic seconds; infinite without a target latency.
       depth: Number of calls above this one in the call tree.
       attempt: Number of retries according to the caller.
       allowance: Retry allowance of the call.
@@ -94,6 +97,7 @@
     key_digest: str = ""
     key_epoch: int = 0
     key_refusal: errors.ErrorKind | None = None
+    target: float = math.inf
     tried_host_ids: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
 
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -215,6 +215,7 @@
             route=route,
             class_name=state.classify_call(call, route),
             deadline=state.now + (call.deadline_ms - margin_ms) / 1000,
+            target=engine_state.compute_target(call.target_ms, state.now),
             allowance=allowance.Allowance(tokens=call.tokens),
         )
 
@@ -247,6 +248,8 @@
             arrived=state.now,
             organisation=run.call.organisation,
             weight=state.get_weight(run.call.organisation),
+            target=run.target,
+            calls_made=run.call.prior_calls + run.call.is_internal,
         )
         self.apply_decisions(
             self._server.submit(job, was_refused_elsewhere=run.call.attempt > 0)
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -78,6 +78,8 @@
         )
         self._authenticator.authenticate(exchange, event)
         is_refused = route is _NO_ROUTE or exchange.key_refusal is not None
+        if route.target_latency_ms:
+            exchange.target = state.now + route.target_latency_ms / 1000
         if request.authority and not is_refused:
             self._classify_origin(exchange)
         match event.face:
@@ -99,6 +101,7 @@
             # All calls of a tree have the class of the user request.
             exchange.is_internal = True
             exchange.class_name = parent.class_name
+            exchange.target = parent.target
             exchange.prior_calls = parent.calls_made
             exchange.is_repeat = parent.call.is_repeat
             parent.calls_made += 1
@@ -251,6 +254,7 @@
             organisation=call.organisation,
         )
         exchange.deadline = min(exchange.deadline, parent.deadline)
+        exchange.target = parent.target
         exchange.depth = call.depth + 1
         exchange.allowance = parent.allowance
         exchange.is_repeat = call.is_repeat
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from bergamotdeal.calls import deadlines
 from bergamotdeal.presets import model
@@ -34,6 +35,8 @@
       class_name: Class of the user request or of the route, whichever is more
         important.
       deadline: Latest time to send the answer, in monotonic seconds.
+      target: Time by which the answer to the user request keeps its full value,
+        in monotonic seconds; infinite without a target latency.
       allowance: Retry allowance of the calls below this run.
       phase: Current phase.
       is_answered: Whether the call is answered or cancelled.
@@ -64,6 +67,7 @@
     class_name: str
     deadline: float
     allowance: allowance.Allowance
+    target: float = math.inf
     phase: Phase = Phase.QUEUED
     is_answered: bool = False
     is_abandoned: bool = False
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -18,6 +18,7 @@
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
 
+_MAX_TARGET_MS = (1 << 31) - 1
 _MAX_CACHED_SERVICES = 256
 _MAX_CACHED_CALL_ROUTES = 4096
 
@@ -265,3 +266,26 @@
 def remaining_ms(deadline: float, now: float) -> int:
     """Returns the time to a deadline in whole milliseconds, at least zero."""
     return max(0, int((deadline - now) * 1000))
+
+
+def compute_target_ms(target: float, now: float) -> int | None:
+    """Returns the time to a target in milliseconds, negative once passed.
+
+    Args:
+      target: Time of the target, monotonic seconds; infinite for none.
+      now: Monotonic seconds.
+    """
+    if math.isinf(target):
+        return None
+    milliseconds = round((target - now) * 1000)
+    return max(-_MAX_TARGET_MS, min(_MAX_TARGET_MS, milliseconds))
+
+
+def compute_target(target_ms: int | None, now: float) -> float:
+    """Returns the target in monotonic seconds, infinite for none.
+
+    Args:
+      target_ms: Time to the target in milliseconds, or None.
+      now: Monotonic seconds.
+    """
+    return math.inf if target_ms is None else now + target_ms / 1000
--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+import pytest
+
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
@@ -164,6 +166,22 @@
     assert select_effects(sent, messages.SendCall)
 
 
+# A call that starts its own target would be ordered behind new requests while
+# its tree is nearly late.
+
+
+def test_target_is_that_of_the_user_request_at_the_root():
+    node = Node()
+    node.send_request(request_id="r1")
+    node.now += 0.3
+    node.send_request(request_id="r1.1")
+    root, child = node.engine._run_table.runs_by_id.values()
+    assert root.target == pytest.approx(2.0, abs=0.002)
+    assert child.target == pytest.approx(2.0, abs=0.002)
+    assert not root.call.is_internal
+    assert child.call.is_internal
+
+
 def test_unreadable_cost_report_is_recorded():
     node = Node()
     effects = node.send_request()
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -226,6 +226,8 @@
         overloaded services; for host routes only.
       fair_share: Share what a priority class gets fairly among the callers'
         organisations, at the entries and in the queue of a server.
+      deadline_order: Order the queue of a server within a class by progress of
+        the call trees and by target latency, instead of by the hash.
       preempt: Cancel running work in favour of more important work if the
         backend server accepts cancellation.
       slow_start: Raise the limit of a new server step by step.
@@ -251,6 +253,7 @@
     thresholds: bool = True
     pricing: bool = False
     fair_share: bool = True
+    deadline_order: bool = False
     preempt: bool = True
     slow_start: bool = True
     check_deadlines: bool = True
--- a/bergamotdeal/rpc/core.py
+++ b/bergamotdeal/rpc/core.py
@@ -100,6 +100,11 @@
       organisation: Organisation of the user request, or empty.
       key_digest: Digest of the key that must still be valid when the call
         runs; empty if the call needs no key or inherits its organisation.
+      target_ms: Time to the target latency of the user request when the frame
+        was sent, in milliseconds; negative once it has passed, None without a
+        target latency.
+      is_internal: Whether a run of a backend server made the call, as far as
+        the origin can tell.
     """
 
     number: int
@@ -124,6 +129,8 @@
     prior_calls: int = 0
     organisation: str = ""
     key_digest: str = ""
+    target_ms: int | None = None
+    is_internal: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/wire/heads.py
+++ b/bergamotdeal/wire/heads.py
@@ -18,6 +18,7 @@
 _UInt32 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
 # MessagePack has no wider integers, so no upper bound is needed.
 _UInt64 = Annotated[int, msgspec.Meta(ge=0)]
+_Int32 = Annotated[int, msgspec.Meta(ge=-(1 << 31), le=(1 << 31) - 1)]
 _Fraction = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 _Duration = Annotated[float, msgspec.Meta(ge=0.0)]
 
@@ -50,6 +51,8 @@
     prior_calls: _UInt16 = 0
     organisation: str = ""
     key_digest: str = ""
+    target_ms: _Int32 | None = None
+    is_internal: bool = False
 
 
 class _LoadHead(msgspec.Struct, array_like=True, gc=False):
@@ -127,6 +130,8 @@
             call.prior_calls,
             call.organisation,
             call.key_digest,
+            call.target_ms,
+            call.is_internal,
         )
     )
 
@@ -177,6 +182,8 @@
             prior_calls=head.prior_calls,
             organisation=head.organisation,
             key_digest=head.key_digest,
+            target_ms=head.target_ms,
+            is_internal=head.is_internal,
         )
     )
 
--- a/bergamotdeal/wire/tests/test_codec.py
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -33,6 +33,8 @@
         depth=3,
         epoch=9,
         stamp=1 << 58,
+        target_ms=-30,
+        is_internal=True,
     )
 )
 ANSWER = messages.AnswerFrame(
@@ -130,6 +132,12 @@
     assert decoded.unwrap().call.call_id == "r-1.2"
 
 
+def test_call_of_an_older_node_has_no_target():
+    decoded = codec.decode(_call_frame_with_head(_call_head_values()[:-2]))
+    assert decoded.unwrap().call.target_ms is None
+    assert not decoded.unwrap().call.is_internal
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [(4, 17), (7, -1), (7, 1 << 32), (9, "yes"), (11, "text"), (14, -1)],
