Choose servers by their reported speed at this moment

Cause: the expected completion time used the mean run time of a server, which doesn't show a slow phase of 600 ms. Change: the reported work factor multiplies the expected completion time, exact up to 200 ms and 1.0 from 800 ms. Where servers report uneven speeds, more than two are sampled (at most 8) while all sampled ones are slow, a recent report is preferred to an old one, and queueing costs three times as much. Without such reports the choice is as before.

--- a/bergamotdeal/routing/core.py
+++ b/bergamotdeal/routing/core.py
@@ -8,6 +8,27 @@
 REPORT_TTL_S = 2.0
 REPORT_MAX_AGE_S = 5.0
 RESULT_MAX_AGE_S = 8.0
+
+_QUEUE_PENALTY = 2.0
+_UNEVEN_QUEUE_PENALTY = 6.0
+"""Growth of the expected completion time per full turn of the slots. Where
+speeds are uneven, a lower penalty makes all nodes queue calls at the fast
+servers while slow ones are idle."""
+
+SPEED_EXACT_S = 0.2
+"""Age up to which a reported work factor counts as it is."""
+
+SPEED_UNKNOWN_S = 0.8
+"""Age from which a reported work factor counts as unknown. Servers are slowed
+down for 0.6 s at a time."""
+
+_AGE_PENALTY_PER_S = 4.0
+"""Growth of the expected completion time with the age of the report, where
+speeds are uneven. A server may have slowed down since its report, and the
+calls of one node keep the reports of few servers more recent than of many."""
+
+_MAX_PENALISED_AGE_S = 0.3
+
 EWMA_WEIGHT = 0.1
 
 
@@ -82,8 +103,26 @@
         """Returns the reported mean run time in ms; zero when unknown."""
         return self.load_report.run_ms if self.load_report is not None else 0.0
 
+    def work_factor(self, now: float) -> float:
+        """Returns how long work takes as a multiple of the server's usual time.
+
+        The reported factor decays to 1.0 with the age of the report.
+        """
+        if self.load_report is None:
+            return 1.0
+        age_s = now - self.reported_at
+        if age_s >= SPEED_UNKNOWN_S:
+            return 1.0
+        weight = (SPEED_UNKNOWN_S - age_s) / (SPEED_UNKNOWN_S - SPEED_EXACT_S)
+        return 1.0 + min(1.0, weight) * (self.load_report.work_factor - 1.0)
+
     def expected_completion(
-        self, utilization: float, mean_run_ms: float
+        self,
+        utilization: float,
+        mean_run_ms: float,
+        *,
+        now: float,
+        has_uneven_speeds: bool = False,
     ) -> float:
         """Returns the expected completion time of one more call.
 
@@ -97,6 +136,9 @@
             ``projected_utilization``.
           mean_run_ms: Mean run time of the service's servers, milliseconds;
             zero if unknown.
+          now: Monotonic seconds.
+          has_uneven_speeds: Whether servers of the service report that their
+            speed differs from the usual one.
         """
         server_run_ms = self.run_ms()
         relative_run_time = (
@@ -104,9 +146,17 @@
             if server_run_ms > 0 and mean_run_ms > 0
             else 1.0
         )
+        if has_uneven_speeds:
+            relative_run_time *= self.work_factor(now)
+            if self.load_report is not None:
+                age_s = min(_MAX_PENALISED_AGE_S, now - self.reported_at)
+                relative_run_time *= 1.0 + _AGE_PENALTY_PER_S * age_s
         queued_turns = max(0.0, utilization - 1.0)
+        queue_penalty = (
+            _UNEVEN_QUEUE_PENALTY if has_uneven_speeds else _QUEUE_PENALTY
+        )
         return relative_run_time * (
-            1.0 + min(1.0, utilization) ** 3 + 2.0 * queued_turns
+            1.0 + min(1.0, utilization) ** 3 + queue_penalty * queued_turns
         )
 
     def projected_utilization(self, now: float) -> float:
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -24,6 +24,15 @@
 
 _MIN_SLOW_START_WEIGHT = 0.1
 _SAMPLES_PER_TIER = 2
+
+_MAX_UNEVEN_SAMPLES = 8
+"""Maximum samples per tier where speeds are uneven. Two samples are both slow
+too often when one server in seven is slow at any moment."""
+
+_GOOD_COMPLETION_FACTOR = 0.8
+"""Expected completion time, in mean run times, up to which no further server
+is sampled where speeds are uneven."""
+
 _MAX_RESAMPLES = 4
 
 
@@ -42,6 +51,8 @@
         seconds.
       mean_run_ms: Mean run time of the servers, milliseconds; zero when
         unknown.
+      has_uneven_speeds: Whether servers report that their speed differs from
+        the usual one.
     """
 
     def __init__(self, *, members_by_id: dict[str, membership.Member]):
@@ -54,9 +65,14 @@
         ]
         self.next_outlier_check = 0.0
         self.mean_run_ms = 0.0
+        self.has_uneven_speeds = False
 
-    def update_mean_run_time(self) -> None:
-        """Recomputes the mean of the run times that the servers report."""
+    def update_speeds(self) -> None:
+        """Summarizes the run times and speeds that the servers report."""
+        self.has_uneven_speeds = any(
+            each.load_report is not None and each.load_report.work_factor != 1.0
+            for each in self.targets
+        )
         reported_ms = [
             ms for ms in (each.run_ms() for each in self.targets) if ms > 0
         ]
@@ -168,9 +184,7 @@
                 for tier in targets_by_tier
             ]
         if self._policy.weigh_speed:
-            target = self._select_by_completion(
-                targets_by_tier, servers.mean_run_ms, now
-            )
+            target = self._select_by_completion(servers, targets_by_tier, now)
         else:
             target = self._select_by_utilization(targets_by_tier, now)
         if target is not None:
@@ -346,14 +360,17 @@
 
     def _select_by_completion(
         self,
+        service: _ServiceServers,
         targets_by_tier: list[list[core.Target]],
-        mean_run_ms: float,
         now: float,
     ) -> core.Target | None:
         """Returns the sampled server with the earliest expected completion.
 
-        A farther tier is sampled only if the best server so far exceeds the
-        utilization that the policy allows or is much slower than the mean.
+        Two servers of a tier are sampled, and more where speeds are uneven and
+        all of them are slow. Not all servers are compared, because nodes with
+        reports of the same age would all choose the same one. A farther tier
+        is sampled only if the best server so far exceeds the utilization that
+        the policy allows or is much slower than the mean.
         """
         best: core.Target | None = None
         best_completion = best_utilization = 0.0
@@ -361,11 +378,23 @@
             if not targets:
                 continue
             tier_penalty = 1.0 + _TIER_PENALTY * tier
-            for _ in range(min(_SAMPLES_PER_TIER, len(targets))):
+            samples = min(_SAMPLES_PER_TIER, len(targets))
+            max_samples = (
+                min(_MAX_UNEVEN_SAMPLES, len(targets))
+                if service.has_uneven_speeds
+                else samples
+            )
+            good_completion = _GOOD_COMPLETION_FACTOR * tier_penalty
+            for sample in range(max_samples):
+                if sample >= samples and best_completion <= good_completion:
+                    break
                 target = self._sample(targets, now)
                 utilization = target.projected_utilization(now)
                 completion = tier_penalty * target.expected_completion(
-                    utilization, mean_run_ms
+                    utilization,
+                    service.mean_run_ms,
+                    now=now,
+                    has_uneven_speeds=service.has_uneven_speeds,
                 )
                 if best is None or completion < best_completion:
                     best, best_completion, best_utilization = (
@@ -411,7 +440,7 @@
         service.next_outlier_check = now + _OUTLIER_CHECK_INTERVAL_S
         for target in service.targets:
             target.expire_report(now)
-        service.update_mean_run_time()
+        service.update_speeds()
         self._new_outliers += outliers.update_outliers(
             service.targets, self._policy, now
         )
