Drop connections on which the server hangs, and expect fewer connections

Cause: a request that the server neither runs nor answers held its slot until its deadline (1.5 to 8 s). A refused connection counted as a crash of the server even beside open connections, and ended all of its runs' admission. A reset right after the connect came after the request had been sent, so that its outcome was unknown. Change: a run is overdue after 10 times the route's mean run time times the work factor, at least 1 s and before the deadline. If it has made no calls and has no ticket, its connection and the idle ones of the same age are closed and the call ends as lost (unknown). A refused connection beside open ones only fails the runs that wait for it, as not run. For 5 s after a connection that the server closed within 250 ms, new connections are tried out for 10 ms before their first request; a reset meanwhile is unreachable (not run).

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -11,6 +11,7 @@
 from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
+from bergamotdeal.calls import overdue
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.calls import ticketing as call_ticketing
@@ -211,6 +212,8 @@
                 self._handle_time()
             case messages.DispatchFailed():
                 self._dispatcher.failed(event)
+            case messages.RunOverdue():
+                self._handle_overdue_run(event)
             case messages.RunFailed():
                 self._executor.handle_run_failure(event)
             case messages.MembersChanged():
@@ -220,6 +223,23 @@
             case _:
                 self._handle_rare_event(event)
 
+    def _handle_overdue_run(self, event: messages.RunOverdue) -> None:
+        run = self._run_table.runs_by_id.get(event.run_id)
+        if run is None or not overdue.is_hung(run):
+            return
+        self._state.record_event(
+            catalogue.EventCode.RUN_HUNG,
+            run.call.user_request_id,
+            run=run.run_id,
+            ran_ms=int(1000 * (self._state.now - run.started_at)),
+        )
+        self._state.emit(messages.CancelRun(run_id=run.run_id, is_hung=True))
+        self._executor.handle_run_failure(
+            messages.RunFailed(
+                run_id=run.run_id, failure=messages.RunFailure.HUNG
+            )
+        )
+
     def _handle_members_change(self, event: messages.MembersChanged) -> None:
         self._state.members_by_id = event.members_by_id
         self._router.update_members(event.members_by_id)
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -9,6 +9,7 @@
 from bergamotdeal.calls import failures
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
+from bergamotdeal.calls import overdue
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.calls import ticketing as call_ticketing
@@ -308,8 +309,15 @@
         run.started_at = state.now
         if run.call.route_name:
             state.cost_model.record_run_start(run.call.route_name, state.now)
+        answer_due_ms = 0
         if not self._is_cancellable(run):
             remaining_ms += _grace_ms(run)
+        elif run.call.route_name:
+            answer_due_ms = overdue.compute_answer_due_ms(
+                state.cost_model.run_time_s(run.call.route_name),
+                self._server.work_factor(),
+                remaining_ms,
+            )
         state.emit(
             messages.StartRun(
                 run_id=run.run_id,
@@ -319,6 +327,7 @@
                 deadline_ms=remaining_ms,
                 caller_service=run.call.caller_service,
                 organisation=run.call.organisation,
+                answer_due_ms=answer_due_ms,
             )
         )
 
--- a/bergamotdeal/calls/failures.py
+++ b/bergamotdeal/calls/failures.py
@@ -20,6 +20,7 @@
     messages.RunFailure.SHED: _KINDS.SERVER_SHED,
     messages.RunFailure.MISDIRECTED: _KINDS.SERVER_UNREACHABLE,
     messages.RunFailure.TIMED_OUT: _KINDS.DEADLINE_EXCEEDED,
+    messages.RunFailure.HUNG: _KINDS.SERVER_LOST,
     messages.RunFailure.INVALID: _KINDS.SERVER_ANSWER_INVALID,
     messages.RunFailure.TOO_LARGE: _KINDS.ANSWER_TOO_LARGE,
 }
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -221,6 +221,10 @@
             return None
         return self._controller.next_wakeup()
 
+    def work_factor(self) -> float:
+        """Returns how long work takes now as a multiple of the usual time."""
+        return self._speed.relative(self._state.now)
+
     @property
     def rate_limit(self) -> float | None:
         """Requests per second that the server accepts, or None."""
@@ -241,7 +245,7 @@
         load = self._controller.load()
         # Routing forgets the current speed with time, but not the usual one.
         load.run_ms = self._pressure.run_s * self._speed.usual * _MS_PER_S
-        load.work_factor = self._speed.relative(self._state.now)
+        load.work_factor = self.work_factor()
         return load
 
     def has_quarantined(self, fingerprint: str) -> bool:
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -127,6 +127,7 @@
     SHED = "shed"  # The server reported that it did not run the request.
     MISDIRECTED = "misdirected"  # Another server uses the address; not run.
     TIMED_OUT = "timed-out"
+    HUNG = "hung"  # No answer by the time when it was due, before the deadline.
     INVALID = "invalid"  # The answer was malformed or truncated.
     TOO_LARGE = "too-large"
 
@@ -139,6 +140,13 @@
     failure: RunFailure
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RunOverdue:
+    """Run without an answer at the time when it was due."""
+
+    run_id: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServerAnnounced:
     """Announcement of the local backend server."""
@@ -279,6 +287,7 @@
     | DispatchFailed
     | RunAnswered
     | RunFailed
+    | RunOverdue
     | ServerAnnounced
     | ServerStopped
     | ServerUnresponsive
@@ -349,6 +358,8 @@
       caller_service: Service of the host where the request originated; empty
         if unknown.
       organisation: Organisation of the user request, or empty.
+      answer_due_ms: Time in milliseconds after which a run without an answer
+        is reported as overdue; zero for never.
     """
 
     run_id: int
@@ -358,13 +369,20 @@
     deadline_ms: int
     caller_service: str = ""
     organisation: str = ""
+    answer_due_ms: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CancelRun:
-    """Abort of a run on the local backend server; no event follows."""
+    """Abort of a run on the local backend server; no event follows.
+
+    Attributes:
+      run_id: Number of the run.
+      is_hung: Whether the connection of the run is taken to hang.
+    """
 
     run_id: int
+    is_hung: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -37,6 +37,8 @@
     Attributes:
       run: Run in progress, or None when the connection is idle.
       completed_runs: Number of runs that ended with a complete answer.
+      is_lost: Whether the server or the network closed the connection.
+      connected_at: Time when it was established, in monotonic seconds.
       idle_since: Time of the last change to idle, in monotonic seconds.
       keep_alive_timeout_s: Idle time in seconds after which the server may
         close the connection.
@@ -62,6 +64,8 @@
     ) -> None:
         self.run: messages.StartRun | None = None
         self.completed_runs = 0
+        self.connected_at = 0.0
+        self.is_lost = False
         self.idle_since = 0.0
         self.keep_alive_timeout_s = math.inf
         self._dialect = dialect or NativeDialect()
@@ -177,6 +181,7 @@
             self._answer_class = self._classify_answer()
             self._finish_run()
             return
+        self.is_lost = True
         has_head = self._is_head_complete
         lost = messages.RunFailure.LOST
         self.fail_run(messages.RunFailure.INVALID if has_head else lost)
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -13,6 +13,8 @@
 from twisted.internet import task
 
 from bergamotdeal.calls import messages
+from bergamotdeal.node import active_runs
+from bergamotdeal.node import connect_guard
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import server_condition
 from bergamotdeal.node import server_connection
@@ -79,23 +81,6 @@
     announcement: Announcement | None
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _ActiveRun:
-    """Run in progress.
-
-    Attributes:
-      connection: Connection that carries the run.
-      instance: Instance of the server that the run was sent to.
-      sent_at: Time when the run was sent, in monotonic seconds.
-      deadline: Time at which the run times out, in monotonic seconds.
-    """
-
-    connection: server_connection.ServerConnection
-    instance: str
-    sent_at: float
-    deadline: float
-
-
 class ServerConnectionPool:
     """Pool of connections that run requests on the backend server.
 
@@ -127,6 +112,7 @@
             is_known=dialect is None or not dialect.reports_condition
         )
         self._posted_rate_limit: float | None = None
+        self._connect_guard = connect_guard.ConnectGuard()
         self._speed = server_speed.SpeedReporter()
         self._defect_posted_at = -math.inf
         self._last_announced_at = 0.0
@@ -137,7 +123,7 @@
         self._queued_runs: collections.deque[messages.StartRun] = (
             collections.deque()
         )
-        self._active_runs_by_id: dict[int, _ActiveRun] = {}
+        self._active_runs_by_id: dict[int, active_runs.ActiveRun] = {}
         self._timeout_checks = task.LoopingCall(self._check_timeouts)
         self._timeout_checks.clock = reactor
 
@@ -258,7 +244,7 @@
             )
             return
         has_timed_out = self._reactor.seconds() >= active_run.deadline
-        if has_timed_out:
+        if has_timed_out or effect.is_hung:
             self._close_idle_after_timeout(active_run.connection)
         active_run.connection.abort()
 
@@ -267,12 +253,11 @@
         connection: server_connection.ServerConnection,
         run: messages.StartRun,
     ) -> None:
-        now = self._reactor.seconds()
-        self._active_runs_by_id[run.run_id] = _ActiveRun(
+        self._active_runs_by_id[run.run_id] = active_runs.build_active_run(
+            run,
             connection=connection,
             instance=self._announcement.instance,
-            sent_at=now,
-            deadline=now + run.deadline_ms / 1000,
+            now=self._reactor.seconds(),
         )
         connection.send_request(run, self._announcement.server_id)
 
@@ -309,13 +294,26 @@
     ) -> None:
         self._pending_connects -= 1
         self._open_connections.add(connection)
-        self._handle_connection_idle(connection)
+        now = connection.connected_at = self._reactor.seconds()
+        trial_s = self._connect_guard.compute_trial_s(now)
+        if trial_s:
+            self._reactor.callLater(trial_s, self._finish_trial, connection)
+        else:
+            self._handle_connection_idle(connection)
+
+    def _finish_trial(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        if connection in self._open_connections:
+            self._handle_connection_idle(connection)
 
     def _handle_connect_failure(self) -> None:
         self._pending_connects -= 1
         unstarted_runs = list(self._queued_runs)
         self._queued_runs.clear()
-        self._report_server_stopped()
+        # A server that has connections open is only short of them.
+        if not self._open_connections:
+            self._report_server_stopped()
         for run in unstarted_runs:
             self._post_run_failed(run, messages.RunFailure.UNREACHABLE)
 
@@ -334,6 +332,18 @@
         self._open_connections.discard(connection)
         if connection in self._idle_connections:
             self._idle_connections.remove(connection)
+        is_rejected = connection.is_lost and (
+            self._connect_guard.record_loss(
+                connected_at=connection.connected_at,
+                completed_runs=connection.completed_runs,
+                now=self._reactor.seconds(),
+            )
+        )
+        if is_rejected and self._queued_runs:
+            # Another server may have a connection for it.
+            self._post_run_failed(
+                self._queued_runs.popleft(), messages.RunFailure.UNREACHABLE
+            )
         if self._queued_runs:
             self._connect_if_needed()
 
@@ -431,15 +441,24 @@
         for idle_connection in list(self._idle_connections):
             idle_connection.abort()
 
+    def _report_overdue_runs(self, now: float) -> None:
+        for run_id, active_run in list(self._active_runs_by_id.items()):
+            if now < active_run.answer_due_at:
+                continue
+            active_run.answer_due_at = math.inf
+            if not active_run.connection.has_received_head:
+                self._post(messages.RunOverdue(run_id=run_id))
+
     def _check_timeouts(self) -> None:
         now = self._reactor.seconds()
         self._post_speed(now)
-        overdue_runs = [
+        self._report_overdue_runs(now)
+        timed_out_runs = [
             active_run
             for active_run in self._active_runs_by_id.values()
             if now >= active_run.deadline + TIMEOUT_GRACE_S
         ]
-        for active_run in overdue_runs:
+        for active_run in timed_out_runs:
             self._close_idle_after_timeout(active_run.connection)
             active_run.connection.fail_run(messages.RunFailure.TIMED_OUT)
         for connection in list(self._idle_connections):
--- a/bergamotdeal/pricing/book.py
+++ b/bergamotdeal/pricing/book.py
@@ -90,6 +90,10 @@
         """
         self._costs.record_run_end(route_name, slot_s, now, completed=completed)
 
+    def run_time_s(self, route_name: str) -> float:
+        """Returns the mean run time of a route here; zero while unknown."""
+        return self._costs.run_time_s(route_name)
+
     def report(self, link_id: int, route_name: str, now: float) -> bytes:
         """Returns the encoded report for an answer; empty if none is due.
 
--- a/bergamotdeal/pricing/costs.py
+++ b/bergamotdeal/pricing/costs.py
@@ -123,6 +123,13 @@
         """
         return self._slot_s_by_target.get((route_name, service), {})
 
+    def run_time_s(self, route_name: str) -> float:
+        """Returns the mean run time of a route in seconds; zero if unknown."""
+        runs = self._runs_by_route.get(route_name)
+        if runs is None or runs.ended < _MIN_RUNS:
+            return 0.0
+        return runs.slot_s
+
     def run_costs(self, route_name: str, service: str) -> dict[str, float]:
         """Returns the slot seconds of a run and its downstream calls.
 
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -27,6 +27,7 @@
     DISPATCH_FAILED = 110
     CALL_REFUSED = 111
     CALL_LOST = 112
+    RUN_HUNG = 113
 
     # 200 tickets
     TICKET_ISSUED = 200
@@ -111,6 +112,9 @@
         "{path} to {service}, sent {sendings} times, last to {host}, "
         "{waited_ms} ms after its arrival"
     ),
+    EventCode.RUN_HUNG: (
+        "run {run} gave no sign for {ran_ms} ms, its connection is dropped"
+    ),
     EventCode.TICKET_ISSUED: "ticket {serial} issued",
     EventCode.TICKET_USED: "ticket {serial} used",
     EventCode.TICKET_REFUSED: "ticket refused: {error}",
