Assign refused callers the time at which they are admitted

Cause: refused callers drew a random delay from the target latency, whatever the capacity, and immediate repeats went before callers that waited.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -442,8 +442,8 @@
         truth.correct_outcome(answer, may_have_run=exchange.may_have_run)
         may_return = answer.retry_after_s is not None
         if may_return and exchange.route.target_latency_ms:
-            answer.retry_after_s = returns.draw_retry_delay(
-                exchange.route.target_latency_ms, state.rng
+            answer.retry_after_s = returns.choose_retry_delay(
+                state=state, exchange=exchange, kind=answer.error
             )
         state.emit(
             messages.ReplyToCaller(
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -26,6 +26,7 @@
       class_name: Class of the user request as known to this node.
       arrived_at: Arrival time in monotonic seconds.
       deadline: Latest time of the answer to the caller, in monotonic seconds.
+      fingerprint: Hash that identifies the request when its caller returns.
       target: Time by which the answer to the user request keeps its full value,
         in monotonic seconds; infinite without a target latency.
       depth: Number of calls above this one in the call tree.
@@ -97,6 +98,7 @@
     key_digest: str = ""
     key_epoch: int = 0
     key_refusal: errors.ErrorKind | None = None
+    fingerprint: int = 0
     target: float = math.inf
     tried_host_ids: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -185,17 +185,24 @@
         if not (exchange.is_priced and state.preset.admission.pricing):
             return None
         request = exchange.request
-        organisation = (
-            exchange.organisation if state.preset.admission.fair_share else ""
+        policy = state.preset.admission
+        organisation = exchange.organisation if policy.fair_share else ""
+        rank = state.preset.get_class_rank(exchange.class_name)
+        exchange.fingerprint = hash(
+            (request.method, request.path, exchange.organisation)
+        )
+        is_reserved = policy.return_times and state.return_schedule.claim(
+            exchange.fingerprint, state.now
         )
         admitted = state.cost_model.admits(
             exchange.route.prefix,
             request.service,
-            rank=state.preset.get_class_rank(exchange.class_name),
-            fingerprint=hash((request.method, request.path)),
+            rank=rank,
+            fingerprint=None if policy.return_times else exchange.fingerprint,
             now=state.now,
             organisation=organisation,
             weight=state.get_weight(organisation),
+            is_reserved=is_reserved,
         )
         return None if admitted else _KINDS.SHED
 
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -5,6 +5,7 @@
 import random
 import traceback
 
+from bergamotdeal.admission import returns
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
 from bergamotdeal.fairness import weights
@@ -37,6 +38,7 @@
       caller_service: Service of this host, for calls that originate here.
       confirmed_at: Time of the last news of the active preset, in monotonic
         seconds.
+      return_schedule: Return times of the callers that were refused here.
       cost_model: Costs of requests and capacity of the fleet.
       draining: Whether the node refuses calls of other nodes.
       is_entry_closed: Whether the node also refuses new requests of callers.
@@ -61,6 +63,7 @@
         self.confirmed_at = -math.inf
         self.activate_preset(preset, epoch)
         self.caller_service = caller_service
+        self.return_schedule = returns.ReturnSchedule(rng=rng)
         self.cost_model = book.CostModel(
             rng=rng, data_centre=identity.data_centre
         )
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -228,6 +228,9 @@
         organisations, at the entries and in the queue of a server.
       deadline_order: Order the queue of a server within a class by progress of
         the call trees and by target latency, instead of by the hash.
+      return_times: Assign refused callers the time at which capacity is
+        expected and admit them then, instead of drawing a delay; where
+        ``pricing`` refuses them.
       preempt: Cancel running work in favour of more important work if the
         backend server accepts cancellation.
       slow_start: Raise the limit of a new server step by step.
@@ -254,6 +257,7 @@
     pricing: bool = False
     fair_share: bool = True
     deadline_order: bool = False
+    return_times: bool = False
     preempt: bool = True
     slow_start: bool = True
     check_deadlines: bool = True
--- a/bergamotdeal/pricing/book.py
+++ b/bergamotdeal/pricing/book.py
@@ -174,10 +174,11 @@
         service: str,
         *,
         rank: int,
-        fingerprint: int,
+        fingerprint: int | None,
         now: float,
         organisation: str = "",
         weight: float = 1.0,
+        is_reserved: bool = False,
     ) -> bool:
         """Returns whether a user request is admitted.
 
@@ -185,11 +186,13 @@
           route_name: Route of the request.
           service: Destination service.
           rank: Rank of its priority class; 0 is the most important.
-          fingerprint: Hash that identifies a request sent again.
+          fingerprint: Hash that identifies a request sent again, or None if
+            requests sent again are treated like others.
           now: Monotonic seconds.
           organisation: Organisation of the caller, with which a class is
             shared fairly; empty for none.
           weight: Weight of the organisation.
+          is_reserved: Whether it returns at the time that it was assigned.
         """
         slot_s_by_service = self._costs.request_costs(route_name, service)
         is_excess = self._entry_gate.record_request(
@@ -208,12 +211,37 @@
             self._reported_shares.shares_by_service(now),
             now,
             is_excess=is_excess,
+            is_reserved=is_reserved,
         )
 
     def shares_by_service(self, now: float) -> dict[str, float]:
         """Returns the load shares of overloaded services by service name."""
         return self._reported_shares.shares_by_service(now)
 
+    def find_bottleneck(self, route_name: str, service: str, now: float) -> str:
+        """Returns the scarcest service of a request, empty if none is scarce.
+
+        Args:
+          route_name: Route of the request.
+          service: Destination service.
+          now: Monotonic seconds.
+        """
+        if self._reported_shares.is_empty():
+            return ""
+        slot_s_by_service = self._costs.request_costs(route_name, service)
+        shares = {
+            name: share
+            for name, share in self._reported_shares.shares_by_service(
+                now
+            ).items()
+            if slot_s_by_service.get(name, 0.0) > 0.0
+        }
+        return min(shares, key=shares.__getitem__, default="")
+
+    def admitted_rate(self, service: str, rank: int) -> float:
+        """Returns the admitted requests per second of a class for a service."""
+        return self._entry_gate.admitted_rate(service, rank)
+
     def admitted_fraction(self, route_name: str) -> float:
         """Returns the fraction of a route's requests that is admitted."""
         return self._entry_gate.admitted_fraction(route_name)
--- a/bergamotdeal/pricing/gate.py
+++ b/bergamotdeal/pricing/gate.py
@@ -28,6 +28,9 @@
 _MAX_OVERDRAFT = 2.0
 """Maximum overdraft in requests that repeated requests may draw."""
 
+_MAX_RESERVED_DEBT = 5.0
+"""Maximum debt in requests that returning callers may leave a route."""
+
 _MAX_REFUSED = 2048
 """Maximum number of refused requests kept to recognise repeats."""
 
@@ -130,20 +133,23 @@
     def admits(
         self,
         route_name: str,
-        fingerprint: int,
+        fingerprint: int | None,
         shares_by_service: dict[str, float],
         now: float,
         *,
         is_excess: bool = False,
+        is_reserved: bool = False,
     ) -> bool:
         """Returns whether a recorded request is admitted.
 
         Args:
           route_name: Route of the request.
-          fingerprint: Hash that identifies a request sent again.
+          fingerprint: Hash that identifies a request sent again, or None if
+            requests sent again are treated like others.
           shares_by_service: Load shares of overloaded services.
           now: Monotonic seconds.
           is_excess: Whether it goes beyond the fair part of its organisation.
+          is_reserved: Whether it returns at the time that it was assigned.
         """
         if now - self._recomputed_at >= _RECOMPUTE_INTERVAL_S:
             self._recomputed_at = now
@@ -154,6 +160,9 @@
             return True
         # A cap of 1.0 would discard the fraction left over after a request.
         route.credit = min(_MAX_CREDIT, route.credit + route.admitted_share)
+        if is_reserved:
+            route.credit = max(-_MAX_RESERVED_DEBT, route.credit - 1.0)
+            return True
         required_credit = 1.0
         if fingerprint in self._refused_fingerprints:
             required_credit = 1.0 - _MAX_OVERDRAFT
@@ -161,6 +170,8 @@
         if route.credit >= required_credit:
             route.credit -= 1.0
             return True
+        if fingerprint is None:
+            return False
         self._refused_fingerprints[fingerprint] = None
         if len(self._refused_fingerprints) > _MAX_REFUSED:
             self._refused_fingerprints.popitem(last=False)
@@ -176,6 +187,20 @@
                 admitted += route.rate * route.admitted_share
         return admitted / offered if offered > 0.0 else 1.0
 
+    def admitted_rate(self, service: str, rank: int) -> float:
+        """Returns the admitted requests per second that need a service.
+
+        Args:
+          service: The service.
+          rank: Rank of the priority class.
+        """
+        return sum(
+            route.rate * route.admitted_share
+            for route in self._routes_by_key.values()
+            if route.rank == rank
+            and route.slot_s_by_service.get(service, 0.0) > 0.0
+        )
+
     def _close_window(self, now: float) -> None:
         window_s = max(_RATE_WINDOW_S, now - self._window_started_at)
         self._window_started_at = now
