Take a token of the organisation's cap at the entry

Cause: a cap has to be charged once per user request, after all other checks of the entry.

Change: the call engine requests a token and holds the request, the node's quota task exchanges datagrams on the gossip socket. Refusals are 429 or, if a bucket owner can't be reached, 503 quota-unavailable; both keep their own Retry-After. A token of a request that no server received is returned. Counters, gauges, events and the node's status describe the caps.

Tests: those of calls, node, wire, telemetry and the conventions pass.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -9,6 +9,7 @@
 from bergamotdeal.calls import explanations
 from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import messages
+from bergamotdeal.calls import quotas
 from bergamotdeal.calls import returns
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
@@ -22,6 +23,7 @@
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
+_QUOTA_KINDS = frozenset((_KINDS.QUOTA_EXCEEDED, _KINDS.QUOTA_UNAVAILABLE))
 
 
 class Dispatcher:
@@ -56,6 +58,7 @@
         self._send = send
         self._cancel = cancel
         self._targets = targets.TargetChooser(state=state, router=router)
+        self._quota_gate = quotas.QuotaGate(state=state)
         self._last_number = 0
         self._exchanges_by_origin_id: dict[int, exchanges.Exchange] = {}
         self._exchanges_by_number: dict[int, exchanges.Exchange] = {}
@@ -70,7 +73,12 @@
         For events whose handling failed; searches all exchanges.
         """
         match event:
-            case messages.CallArrived() | messages.CallerDisconnected():
+            case (
+                messages.CallArrived()
+                | messages.CallerDisconnected()
+                | messages.QuotaGranted()
+                | messages.QuotaRefused()
+            ):
                 return self._exchanges_by_origin_id.get(event.origin_id)
             case messages.PeerAnswered() | messages.DispatchFailed():
                 for exchange in self._exchanges_by_origin_id.values():
@@ -97,7 +105,27 @@
             self._refuse_arrival(exchange, refusal)
             return
         exchange.timer = state.timers.add(exchange.deadline, exchange)
-        self._budget.record_first_attempt(request.service)
+        if not self._quota_gate.request_token(exchange):
+            self._start(exchange)
+
+    def handle_quota(
+        self, event: messages.QuotaGranted | messages.QuotaRefused
+    ) -> None:
+        """Dispatches or refuses a request that waited for a token."""
+        exchange = self._exchanges_by_origin_id.get(event.origin_id)
+        if exchange is None or not exchange.is_waiting_for_quota:
+            return
+        match event:
+            case messages.QuotaGranted():
+                self._quota_gate.accept_token(exchange, event)
+                self._start(exchange)
+            case messages.QuotaRefused():
+                answer = self._quota_gate.build_refusal(exchange, event)
+                self._reply(exchange, answer)
+
+    def _start(self, exchange: exchanges.Exchange) -> None:
+        """Makes the first dispatch of a request."""
+        self._budget.record_first_attempt(exchange.request.service)
         self._dispatch(exchange)
 
     def handle_caller_disconnect(self, origin_id: int) -> None:
@@ -319,6 +347,7 @@
         self, exchange: exchanges.Exchange, answer: rpc.Answer
     ) -> None:
         """Retries the call or replies to the caller."""
+        self._quota_gate.record_answer(exchange, answer)
         if (
             answer.error in truth.LOST_ANSWER_KINDS
             and not exchange.is_requesting_ticket
@@ -440,7 +469,10 @@
         state = self._state
         del self._exchanges_by_origin_id[exchange.origin_id]
         truth.correct_outcome(answer, may_have_run=exchange.may_have_run)
+        self._quota_gate.close(exchange, answer)
         may_return = answer.retry_after_s is not None
+        if answer.error in _QUOTA_KINDS:
+            may_return = False  # Its time is that of the next token.
         if may_return and exchange.route.target_latency_ms:
             answer.retry_after_s = returns.choose_retry_delay(
                 state=state, exchange=exchange, kind=answer.error
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -216,6 +216,8 @@
                 self._handle_overdue_run(event)
             case messages.RunFailed():
                 self._executor.handle_run_failure(event)
+            case messages.QuotaGranted() | messages.QuotaRefused():
+                self._dispatcher.handle_quota(event)
             case messages.MembersChanged():
                 self._handle_members_change(event)
             case messages.PresetInForce():
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -60,6 +60,9 @@
       key_epoch: Epoch of the preset in which the key was last found.
       key_refusal: Reason to refuse the request for want of a valid key, or
         None.
+      is_waiting_for_quota: Whether the request waits for a token of the
+        organisation's cap.
+      quota_expires_at: Expiry of the token while it can be returned, or None.
       tried_host_ids: Hosts that refused or lost a dispatch.
       timer: Timer of the deadline.
     """
@@ -100,6 +103,8 @@
     key_refusal: errors.ErrorKind | None = None
     fingerprint: int = 0
     target: float = math.inf
+    is_waiting_for_quota: bool = False
+    quota_expires_at: float | None = None
     tried_host_ids: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
 
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -277,8 +277,41 @@
     """Expiry of the wake-up time that the engine requested."""
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class QuotaGranted:
+    """Token of the organisation's cap for a request that waits for one.
+
+    Attributes:
+      origin_id: Exchange number of the request.
+      expires_at: Expiry of the token on the clock that counts suspended time.
+    """
+
+    origin_id: int
+    expires_at: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class QuotaRefused:
+    """Refusal of a token for a request that waits for one.
+
+    Attributes:
+      origin_id: Exchange number of the request.
+      is_exceeded: Whether the cap is reached; otherwise a host that holds a
+        part of the cap can't be reached.
+      retry_after_s: Seconds after which a token is expected.
+      reason: Description for the time line.
+    """
+
+    origin_id: int
+    is_exceeded: bool
+    retry_after_s: float
+    reason: str
+
+
 Event = (
     CallArrived
+    | QuotaGranted
+    | QuotaRefused
     | CallerDisconnected
     | PeerCalled
     | PeerCancelled
@@ -392,8 +425,43 @@
     reports: list[membership.CrashReport]
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RequestQuota:
+    """Request for a token of an organisation's cap.
+
+    ``QuotaGranted`` or ``QuotaRefused`` follows unless ``CancelQuota`` is
+    emitted before.
+    """
+
+    origin_id: int
+    organisation: str
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class CancelQuota:
+    """End of the wait for a token."""
+
+    origin_id: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ReturnQuota:
+    """Return of the token of a request that no server received.
+
+    Attributes:
+      organisation: Name of the organisation.
+      expires_at: Expiry of the token as it was granted.
+    """
+
+    organisation: str
+    expires_at: float
+
+
 Effect = (
     ReplyToCaller
+    | RequestQuota
+    | CancelQuota
+    | ReturnQuota
     | SendCall
     | SendCancel
     | SendAnswer
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -32,6 +32,7 @@
       preset: Active preset.
       epoch: Epoch of the active preset.
       key_table: Keys of the active preset.
+      capped_organisations: Names of the organisations that have a cap.
       rng: Random number generator.
       members_by_id: Members by host id.
       service: Service that the local backend server announces, or empty.
@@ -80,6 +81,11 @@
         self.preset = preset
         self.epoch = epoch
         self.key_table = keys.KeyTable(organisations=preset.organisations)
+        self.capped_organisations = frozenset(
+            organisation.name
+            for organisation in preset.organisations
+            if organisation.name and organisation.rate_per_s > 0
+        )
         self._presets_by_service: dict[str, model.Preset] = {}
         self._hosts = hosts.HostRouteTable(host_routes=preset.host_routes)
         self._splits_by_route: dict[str, split.WeightedSplit] = {}
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -25,6 +25,7 @@
     UNAUTHORIZED = "unauthorized"
     KEYS_OUTDATED = "keys-outdated"
     QUOTA_EXCEEDED = "quota-exceeded"
+    QUOTA_UNAVAILABLE = "quota-unavailable"
 
     # Tickets.
     TICKET_REQUIRED = "ticket-required"
@@ -128,6 +129,9 @@
     ErrorKind.QUOTA_EXCEEDED: _build_not_run(
         429, "The organisation's cap is reached.", 1
     ),
+    ErrorKind.QUOTA_UNAVAILABLE: _build_not_run(
+        503, "The organisation's cap can't be checked.", 1
+    ),
     ErrorKind.TICKET_REQUIRED: _build_not_run(
         428, "Send the request again with the ticket.", 0
     ),
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -21,12 +21,14 @@
 from bergamotdeal.node import observation
 from bergamotdeal.node import peer
 from bergamotdeal.node import presets as presets_task
+from bergamotdeal.node import quotas as quota_task
 from bergamotdeal.node import registry as registry_task
 from bergamotdeal.node import server_inquiry
 from bergamotdeal.node import server_life
 from bergamotdeal.node import server_link
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
+from bergamotdeal.node import store_setup
 from bergamotdeal.node import timed_engine
 from bergamotdeal.presets import files as preset_files
 from bergamotdeal.presets import follower
@@ -37,10 +39,6 @@
 from bergamotdeal.telemetry import records
 
 INCARNATION_BYTES = 16
-FLUSH_POLL_S = 0.01
-IDLE_CLOSE_FRACTION = 0.25
-"""Fraction of the flush timeout after which idle connections are closed."""
-
 SETTINGS_CHECK_INTERVAL_S = 2.0
 """Interval at which the settings file is checked for changes."""
 
@@ -111,6 +109,7 @@
         self._peer = self._build_peer()
         self._membership = self._build_membership()
         self._store = self._build_store()
+        self._quotas = self._build_quotas()
         self._presets = self._build_presets()
         self._registry = self._build_registry()
         self._bulk_handler = bulk_server.BulkRequestHandler(
@@ -144,6 +143,7 @@
             face_tasks=[self._entry, self._egress],
             peer_task=self._peer,
             server_task=self._server,
+            quota_task=self._quotas,
         )
 
     @property
@@ -258,6 +258,7 @@
             server=status_report.build_server_status(
                 self._engine, server=self._announcement, preset=preset
             ),
+            quotas=self._quotas.build_status(),
             members=[
                 status_report.build_member_status(member)
                 for member in members_by_id.values()
@@ -305,6 +306,20 @@
             on_store_era_heard=self._handle_store_era,
             record=self._record,
             count=self._recorder.metrics.increment,
+            handle_other_datagram=lambda *datagram: (
+                self._quotas.handle_datagram(*datagram)
+            ),
+        )
+
+    def _build_quotas(self) -> quota_task.QuotaTask:
+        return quota_task.build_task(
+            settings=self._settings,
+            reactor=self._reactor,
+            post=self._dispatcher.post,
+            rng=random.Random(self._rng.getrandbits(64)),
+            send_datagram=self._membership.send_other_datagram,
+            recorder=self._recorder,
+            has_store=self._store is not None,
         )
 
     def _build_presets(self) -> presets_task.PresetTask:
@@ -334,26 +349,18 @@
             store=self._store,
             membership=self._membership,
             record=self._record,
+            on_listed=self._quotas.allow_alone,
         )
 
     def _build_store(self) -> store_core.Store | None:
-        if self._platform_hooks.open_store is not None:
-            return self._platform_hooks.open_store(
-                self._reactor,
-                self._count_store_call,
-                lambda reason: self._emit(
-                    catalogue.EventCode.STORE_OBJECT_REJECTED, reason=reason
-                ),
-            )
-        if not self._settings.store.address:
-            return None
-        # Imported here to save the memory of an HTTP client without a store.
-        from bergamotdeal.store import http as store_http
-
-        return store_http.HttpStore(
-            settings=self._settings.store,
+        return store_setup.open_store(
+            settings=self._settings,
+            platform_hooks=self._platform_hooks,
             reactor=self._reactor,
             on_call=self._count_store_call,
+            on_object_rejected=lambda reason: self._emit(
+                catalogue.EventCode.STORE_OBJECT_REJECTED, reason=reason
+            ),
         )
 
     def _count_store_call(self) -> None:
@@ -388,6 +395,7 @@
         if isinstance(event, messages.MembersChanged):
             self._peer.outgoing.update_members(event.members_by_id)
             self._presets.deliver(event)
+            self._quotas.update_members(event.members_by_id)
         self._dispatcher.post(event)
 
     def _handle_peer_epoch(self, epoch: int, host_id: str) -> None:
@@ -439,6 +447,7 @@
     def _post_preset(self, event: messages.PresetInForce) -> None:
         was_ready = self._has_preset
         self._has_preset = True
+        self._quotas.apply_preset(event.preset)
         self._dispatcher.post(event)
         self._entry.apply_preset(event.preset)
         self._egress.apply_preset(event.preset)
@@ -464,6 +473,7 @@
         self._dispatcher.post(started)
         self._membership.deliver(started)
         self._entry.start_draining()
+        self._quotas.start_drain()
 
     def _handle_entry_closed(self) -> None:
         self._dispatcher.post(messages.DrainStarted(entry_open=False))
@@ -479,22 +489,14 @@
         for listener in self._platform_listeners:
             listener.stop()
         self._presets.stop()
+        self._quotas.stop()
         self._membership.stop()
         self._peer.stop()
         if self._settings_poll.running:
             self._settings_poll.stop()
-        deadline = self._reactor.seconds() + self._flush_s
-        self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
-
-    def _stop_when_flushed(self, deadline: float) -> None:
-        flushed = not self._entry.open_connections
-        close_idle_at = deadline - (1.0 - IDLE_CLOSE_FRACTION) * self._flush_s
-        if self._reactor.seconds() >= close_idle_at:
-            self._entry.close_idle_connections()
-        if flushed or self._reactor.seconds() >= deadline:
-            self._reactor.stop()
-            return
-        self._reactor.callLater(FLUSH_POLL_S, self._stop_when_flushed, deadline)
+        drain.stop_when_flushed(
+            reactor=self._reactor, entry=self._entry, flush_s=self._flush_s
+        )
 
     def _emit(self, code: catalogue.EventCode, **fields) -> None:
         self._record(records.EventRecord(code=code, fields=fields))
--- a/bergamotdeal/node/drain.py
+++ b/bergamotdeal/node/drain.py
@@ -3,6 +3,10 @@
 from collections.abc import Callable
 
 CHECK_INTERVAL_S = 0.02
+FLUSH_POLL_S = 0.01
+IDLE_CLOSE_FRACTION = 0.25
+"""Fraction of the flush timeout after which idle connections are closed."""
+
 SETTLE_S = 1.0
 """Minimum time before the exit, in which other nodes learn of the drain."""
 
@@ -76,3 +80,27 @@
             self._on_finished()
             return
         self._reactor.callLater(CHECK_INTERVAL_S, self._check_progress)
+
+
+def stop_when_flushed(*, reactor, entry, flush_s: float) -> None:
+    """Stops the reactor once the entry's answers are sent, or after a time.
+
+    Args:
+      reactor: The reactor.
+      entry: The entry listener, which accepts no more connections.
+      flush_s: Longest time to wait in seconds.
+    """
+    deadline = reactor.seconds() + flush_s
+    close_idle_at = deadline - (1.0 - IDLE_CLOSE_FRACTION) * flush_s
+
+    def check() -> None:
+        now = reactor.seconds()
+        flushed = not entry.open_connections
+        if now >= close_idle_at:
+            entry.close_idle_connections()
+        if flushed or now >= deadline:
+            reactor.stop()
+            return
+        reactor.callLater(FLUSH_POLL_S, check)
+
+    reactor.callLater(FLUSH_POLL_S, check)
--- a/bergamotdeal/node/hub.py
+++ b/bergamotdeal/node/hub.py
@@ -10,6 +10,7 @@
 from bergamotdeal.calls import messages
 from bergamotdeal.node import faces
 from bergamotdeal.node import peer
+from bergamotdeal.node import quotas
 from bergamotdeal.node import server_link
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
@@ -49,6 +50,7 @@
         self._face_tasks: list[faces.CallListener] = []
         self._peer_task: peer.PeerTask | None = None
         self._server_task: server_link.ServerConnectionPool | None = None
+        self._quota_task: quotas.QuotaTask | None = None
 
     def attach_tasks(
         self,
@@ -56,6 +58,7 @@
         face_tasks: list[faces.CallListener],
         peer_task: peer.PeerTask,
         server_task: server_link.ServerConnectionPool,
+        quota_task: quotas.QuotaTask,
     ) -> None:
         """Sets the tasks that execute the effects.
 
@@ -63,10 +66,12 @@
           face_tasks: The HTTP listeners for callers.
           peer_task: The links to other nodes.
           server_task: The link to the backend server.
+          quota_task: The caps of organisations.
         """
         self._face_tasks = face_tasks
         self._peer_task = peer_task
         self._server_task = server_task
+        self._quota_task = quota_task
 
     def post(self, event: messages.Event) -> None:
         """Queues an event for the call engine and handles all queued events.
@@ -116,6 +121,12 @@
                 any(face.send_reply(effect) for face in self._face_tasks)
             case messages.CancelRun():
                 self._server_task.cancel_run(effect)
+            case (
+                messages.RequestQuota()
+                | messages.CancelQuota()
+                | messages.ReturnQuota()
+            ):
+                self._quota_task.deliver(effect)
             case messages.SendCancel():
                 self._peer_task.outgoing.send_cancel(effect)
             case messages.ShareCrashReports():
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -58,6 +58,8 @@
         told.
       record: Called with each event for the event log.
       count: Called with a counter and its increment.
+      handle_other_datagram: Called with each datagram and its source before
+        it is decoded; returns whether the datagram was not one of gossip.
       timing: Intervals and timeouts of the protocol.
       clock: Returns monotonic seconds.
       wall_clock: Returns Unix seconds.
@@ -77,6 +79,8 @@
         on_store_era_heard: Callable[[int], None] | None = None,
         record: Callable[[records.EventRecord], None] | None = None,
         count: Callable[[metrics.Counter, int], None] | None = None,
+        handle_other_datagram: Callable[[bytes, tuple[str, int]], bool]
+        | None = None,
         timing: timings.Timing = timings.DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
@@ -91,6 +95,7 @@
         self._on_store_era_heard = on_store_era_heard or _ignore
         self._record = record or _ignore
         self._count = count or _ignore
+        self._handle_other_datagram = handle_other_datagram or _ignore
         self._timing = timing
         self._clock = clock
         self._wall_clock = wall_clock
@@ -237,7 +242,7 @@
     # Sockets and timers.
 
     def _handle_datagram(self, data: bytes, source: tuple[str, int]) -> None:
-        if self._port is None:
+        if self._port is None or self._handle_other_datagram(data, source):
             return
         match codec.decode_datagram(data, self._key):
             case result.Err(_):
@@ -316,6 +321,21 @@
         self._published_by_id = members_by_id
         self._post(calls.MembersChanged(members_by_id=members_by_id))
 
+    def send_other_datagram(self, data: bytes, address: str, port: int) -> None:
+        """Sends a datagram of another task on the socket of gossip.
+
+        Args:
+          data: The datagram.
+          address: IP address of the receiver.
+          port: UDP port of the receiver.
+        """
+        if self._port is None:
+            return
+        try:
+            self._port.write(data, (address, port))
+        except (OSError, ValueError):
+            return  # As if the datagram was lost.
+
     def _send_datagram(self, effect: messages.SendDatagram) -> None:
         data = codec.encode_datagram(effect.datagram, self._key)
         endpoint = effect.endpoint
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -50,6 +50,8 @@
       store: The platform's object store.
       membership: The membership task.
       record: Takes events for the event log.
+      on_listed: Called after each listing with whether it contains no other
+        node.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         store: store_core.Store,
         membership: membership_task.MembershipTask,
         record: Callable[[records.EventRecord], None],
+        on_listed: Callable[[bool], None] | None = None,
     ) -> None:
         self._host_id = settings.node.host_id
         self._data_centre = settings.node.data_centre
@@ -70,6 +73,7 @@
         self._store = store
         self._membership = membership
         self._record = record
+        self._on_listed = on_listed
         self._introductions = registry.ContactTracker()
         self._backoff = backoff.ExponentialBackoff(
             rng=rng,
@@ -119,6 +123,8 @@
             registry.parse_host_id(listed.key): listed
             for listed in outcome.ok_value
         }
+        if self._on_listed is not None:
+            self._on_listed(not listed_by_host_id.keys() - {self._host_id})
         has_entry = yield self._write_own_entry(
             listed_by_host_id.get(self._host_id)
         )
--- a/bergamotdeal/node/status.py
+++ b/bergamotdeal/node/status.py
@@ -62,6 +62,27 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaStatus:
+    """Status of the caps of organisations at a node.
+
+    Attributes:
+      organisations: Number of organisations that have a cap.
+      is_granting: Whether this host grants tokens of its parts.
+      counted_hosts: Number of hosts among which the caps are divided.
+      reachable_hosts: Number of those that this host sees.
+      buckets: Number of caps of which this host owns a part.
+      tokens_held: Number of tokens that the entry holds.
+    """
+
+    organisations: int
+    is_granting: bool
+    counted_hosts: int
+    reachable_hosts: int
+    buckets: int
+    tokens_held: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeStatus:
     """Data that ``bergamotdeal status`` shows about one node.
@@ -79,6 +100,7 @@
       uptime_s: Seconds since the process started.
       resident_bytes: Resident memory in bytes.
       server: Backend server, or None before its first announcement.
+      quotas: Caps of organisations, or None without caps.
       members: Members of the fleet as this node sees them.
       counters_by_name: Counters since the process started.
     """
@@ -95,6 +117,7 @@
     uptime_s: float = 0.0
     resident_bytes: int = 0
     server: ServerStatus | None = None
+    quotas: QuotaStatus | None = None
     members: list[MemberStatus] = dataclasses.field(default_factory=list)
     counters_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
 
--- a/bergamotdeal/quotas/cache.py
+++ b/bergamotdeal/quotas/cache.py
@@ -65,12 +65,14 @@
       refusal: Reason of the refusal, or None.
       retry_after_s: Seconds after which a token is expected for a refused
         caller.
+      reason: Description of the refusal.
     """
 
     origin_id: int
     token: Token | None = None
     refusal: Refusal | None = None
     retry_after_s: float = 0.0
+    reason: str = ""
 
 
 SendRequest = Callable[[str, int, messages.Want], None]
@@ -406,9 +408,29 @@
                 origin_id=origin_id,
                 refusal=refusal,
                 retry_after_s=self._assign_retry(account, now),
+                reason=self._describe(account, now),
             )
         )
 
+    def _describe(self, account: account_state.Account, now: float) -> str:
+        """Describes why an organisation gets no token, by bucket owner."""
+        if not account.owners:
+            return "no host owns a part of the cap"
+        parts = []
+        for owner in account.owners:
+            view = account.views_by_owner.get(owner)
+            if not self._can_answer(owner, now):
+                state = "does not answer"
+            elif view is None or view.empty_until <= now:
+                state = "asked"
+            elif view.refused_to_grant:
+                state = "does not grant"
+            else:
+                wait_ms = (view.empty_until - now) * _MS_PER_S
+                state = f"empty for {wait_ms:.0f} ms"
+            parts.append(f"{owner} {state}")
+        return ", ".join(parts)
+
     def _assign_retry(
         self, account: account_state.Account, now: float
     ) -> float:
--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -91,6 +91,7 @@
         self._host_id = host_id
         self._rng = rng
         self._may_be_alone = may_be_alone
+        self._has_resigned = False
         self._hosts: dict[str, _Host] = {}
         self._names_by_digest: dict[int, str] = {}
         self._present: dict[str, None] = {}
@@ -110,6 +111,24 @@
             self.stage is _Stage.ACTIVE and now - self._half_seen_at < LAPSE_S
         )
 
+    @property
+    def present_count(self) -> int:
+        """Number of counted hosts that are reachable."""
+        return sum(map(self.is_present, self._hosts))
+
+    def allow_alone(self, may_be_alone: bool) -> None:
+        """Sets whether this host may be the whole fleet."""
+        self._may_be_alone = may_be_alone
+
+    def resign(self) -> None:
+        """Stops granting for the rest of the process.
+
+        Other hosts stop counting this one when they learn that it drains.
+        """
+        self._has_resigned = True
+        self._remove(self._host_id)
+        self._restart_introductions()
+
     def is_present(self, host_id: str) -> bool:
         """Returns whether the membership regards a host as reachable."""
         return host_id == self._host_id or host_id in self._present
@@ -202,7 +221,8 @@
         if message.own_stage is not _Stage.ANNOUNCED:
             is_active = message.own_stage is _Stage.ACTIVE
             self._count(replier, is_active=is_active)
-        if message.is_counted and self.stage is _Stage.ANNOUNCED:
+        is_counted = message.is_counted and not self._has_resigned
+        if is_counted and self.stage is _Stage.ANNOUNCED:
             self._count(self._host_id)
         if self.stage is not _Stage.ACTIVE:
             for digest in message.absent:
@@ -319,7 +339,9 @@
         return bool(self._present) or self._may_be_alone
 
     def _try_next_stage(self, now: float) -> None:
-        if self.stage is _Stage.ACTIVE or not self._is_confirmed():
+        if self._has_resigned or self.stage is _Stage.ACTIVE:
+            return
+        if not self._is_confirmed():
             return
         if self.stage is _Stage.ANNOUNCED:
             if self._settled_since is None:
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -86,6 +86,11 @@
     # 1100 organisations
     KEY_REFUSED = 1100
 
+    # 1200 quotas
+    QUOTA_REFUSED = 1200
+    QUOTA_OWNER_ACTIVE = 1201
+    QUOTA_OWNER_INACTIVE = 1202
+
 
 MESSAGES_BY_CODE: dict[EventCode, str] = {
     EventCode.CALL_ARRIVED: "{method} {service}{path} arrived at {face}",
@@ -166,6 +171,16 @@
     EventCode.KEY_REFUSED: (
         "key of {place} refused under epoch {epoch}: {reason}"
     ),
+    EventCode.QUOTA_REFUSED: (
+        "no token of {organisation} for the request, {error}: {reason}"
+    ),
+    EventCode.QUOTA_OWNER_ACTIVE: (
+        "this host may grant tokens of caps, {hosts} hosts counted"
+    ),
+    EventCode.QUOTA_OWNER_INACTIVE: (
+        "this host grants no tokens of caps, {hosts} hosts counted, "
+        "{present} of them reachable"
+    ),
 }
 
 
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -64,6 +64,15 @@
     GOSSIP_DATAGRAMS_DROPPED = "gossip.datagrams_dropped"
     SERVER_STOPS = "server.stops"
     ORGANISATIONS_KEYS_REFUSED = "organisations.keys_refused"
+    QUOTA_REQUESTS = "quotas.requests"
+    QUOTA_REFUSED_EXCEEDED = "quotas.refused_exceeded"
+    QUOTA_REFUSED_UNREACHABLE = "quotas.refused_unreachable"
+    QUOTA_TOKENS_RETURNED = "quotas.tokens_returned"
+    QUOTA_TOKENS_GRANTED = "quotas.tokens_granted"
+    QUOTA_TOKENS_EXPIRED = "quotas.tokens_expired"
+    QUOTA_DATAGRAMS_SENT = "quotas.datagrams_sent"
+    QUOTA_DATAGRAMS_DROPPED = "quotas.datagrams_dropped"
+    QUOTA_BYTES_SENT = "quotas.bytes_sent"
 
 
 for _slot, _counter in enumerate(Counter):
@@ -83,6 +92,10 @@
     MEMBERS_DRAINING = "membership.draining"
     MEMBERS_DEAD = "membership.dead"
     RESIDENT_BYTES = "process.resident_bytes"
+    QUOTA_COUNTED_HOSTS = "quotas.counted_hosts"
+    QUOTA_TOKENS_HELD = "quotas.tokens_held"
+    QUOTA_USE = "quotas.use"
+    QUOTA_REFUSED = "quotas.refused"
 
 
 class Timing(enum.Enum):
