Test caps with real nodes that fail

Cause: the model of the fleet has no sockets, clocks or processes.

Change: 12 nodes, one organisation at 20 times its cap through four entries while one node is killed, two are stopped for 4 s and two restarted. The organisation comes from a header, by a stand-in, until keys exist.

--- /dev/null
+++ b/tests/integration/test_organisation_caps.py
@@ -0,0 +1,135 @@
+"""A cap holds over real nodes while some are killed, stopped and restarted."""
+
+import bisect
+import http.client
+import signal
+import sys
+import threading
+import time
+
+import pytest
+
+from standins import capped_node
+from standins import cluster as clusters
+from standins import presets
+
+RATE = 12.0
+BURST = 12.0
+BOUND = (RATE * 5 + BURST) * 1.1 + 20
+SENDERS_PER_NODE = 2
+PAUSE_S = 0.025  # Together 20 times the cap.
+LOAD_S = 16.0
+
+
+class Sender(threading.Thread):
+    """A thread that sends requests of the organisation to one entry."""
+
+    def __init__(self, host, end):
+        super().__init__(daemon=True)
+        self.host = host
+        self.end = end
+        self.answers = []
+
+    def run(self):
+        while time.monotonic() < self.end:
+            time.sleep(PAUSE_S)
+            connection = http.client.HTTPConnection(
+                self.host.address, clusters.ENTRY_PORT, timeout=5
+            )
+            try:
+                connection.request(
+                    "GET",
+                    "/orderline/kits",
+                    headers={
+                        capped_node.ORGANISATION_HEADER: (
+                            capped_node.ORGANISATION
+                        )
+                    },
+                )
+                response = connection.getresponse()
+                response.read()
+                answer = (response.status, response.headers["Retry-After"])
+                self.answers.append(answer)
+            except (OSError, http.client.HTTPException):
+                continue  # The node is down or stopped.
+            finally:
+                connection.close()
+
+
+@pytest.fixture
+def cluster(tmp_path, monkeypatch):
+    monkeypatch.setenv(capped_node.RATE_VARIABLE, str(RATE))
+    monkeypatch.setenv(capped_node.BURST_VARIABLE, str(BURST))
+    started = clusters.Cluster(
+        folder=tmp_path,
+        preset=presets.build_controlled_preset(("orderline",)),
+        command=(sys.executable, "-m", "standins.capped_node"),
+    )
+    for number in range(10):
+        started.add_host(f"entry-{number}", "prai")
+    for number in range(2):
+        started.add_host(
+            f"orderline-{number}",
+            "prai",
+            service="orderline",
+            service_ms=2.0,
+            slots=50,
+        )
+    with started:
+        started.start()
+        started.wait_until_joined()
+        clusters.wait_for(
+            lambda: all(
+                (started.status(host).get("quotas") or {}).get("is_granting")
+                for host in started.hosts_by_id.values()
+            ),
+            "all nodes grant tokens",
+        )
+        yield started
+
+
+def _restart(cluster, host):
+    cluster.signal_process(host.node, signal.SIGKILL)
+    host.node.wait()
+    cluster.start_node(host)
+
+
+def _find_fullest_window(times):
+    return max(
+        bisect.bisect_left(times, start + 5.0) - index
+        for index, start in enumerate(times)
+    )
+
+
+def test_cap_holds_while_nodes_fail(cluster):
+    hosts = list(cluster.hosts_by_id.values())
+    end = time.monotonic() + LOAD_S
+    senders = [
+        Sender(host, end) for host in hosts[:4] for _ in range(SENDERS_PER_NODE)
+    ]
+    for sender in senders:
+        sender.start()
+    time.sleep(3)
+    cluster.signal_process(hosts[4].node, signal.SIGKILL)
+    cluster.signal_process(hosts[0].node, signal.SIGSTOP)
+    cluster.signal_process(hosts[5].node, signal.SIGSTOP)
+    _restart(cluster, hosts[1])
+    time.sleep(4)
+    cluster.signal_process(hosts[0].node, signal.SIGCONT)
+    cluster.signal_process(hosts[5].node, signal.SIGCONT)
+    _restart(cluster, hosts[6])
+    for sender in senders:
+        sender.join()
+    times = [
+        line["time"]
+        for line in cluster.read_ledgers()
+        if line["step"] == "started"
+    ]
+    assert _find_fullest_window(times) <= BOUND
+    # At least one of the two parts is used all the time.
+    assert len(times) >= 0.4 * RATE * LOAD_S
+    answers = [answer for sender in senders for answer in sender.answers]
+    refused = [wait for status, wait in answers if status == 429]
+    assert len(refused) > 5 * len(times)
+    assert all(float(wait) > 0 for wait in refused)
+    assert {status for status, _ in answers} <= {200, 429, 503}
