Say not-run for requests that expired before they were sent

Cause: a deadline or a cancellation was always answered as unknown, also while the request waited for a slot, for the link to its host (up to 1 s for a machine that is dark) or for a connection to a server that accepts few, and when it was refused on arrival. Callers can't repeat such requests if they may run once. Change: the tasks that own the connections report when a call or run waits (DispatchHeld, RunHeld) and, before the first byte is written, that it no longer does. The engine answers not-run with Retry-After for a request that waits, or that is refused or out of time before a dispatch. A request that was sent before, or presents a ticket that another call may use, stays unknown. The status of a deadline stays 504. The harnesses of test_outgoing and test_server_link keep the new events in a list of their own; what the tests assert of the others is unchanged. Conclusion: what is provable on this side is answered not-run. A call whose frame was written to a link that dies stays unknown.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -132,8 +132,8 @@
         """Cancels the exchange of a caller that has disconnected."""
         exchange = self._exchanges_by_origin_id.get(origin_id)
         if exchange is not None:
-            self._cancel_dispatch(exchange)
-            self._refuse(exchange, _KINDS.CANCELLED)
+            is_unsent = self._cancel_dispatch(exchange)
+            self._refuse(exchange, _KINDS.CANCELLED, is_unsent=is_unsent)
 
     def cancel_child_calls(self, run: runs.Run) -> None:
         """Cancels the open calls of a run."""
@@ -142,8 +142,14 @@
 
     def expire(self, exchange: exchanges.Exchange) -> None:
         """Answers a request whose deadline has passed."""
-        self._cancel_dispatch(exchange)
-        self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED)
+        is_unsent = self._cancel_dispatch(exchange)
+        self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED, is_unsent=is_unsent)
+
+    def record_hold(self, number: int, *, is_held: bool) -> None:
+        """Records whether a dispatch waits for its link to open."""
+        exchange = self._exchanges_by_number.get(number)
+        if exchange is not None:
+            exchange.is_held = is_held
 
     def fail(self, exchange: exchanges.Exchange) -> None:
         """Answers a request whose handling failed internally."""
@@ -249,11 +255,12 @@
         state = self._state
         remaining_ms = engine_state.remaining_ms(exchange.deadline, state.now)
         if remaining_ms <= 0:
-            self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED)
+            self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED, is_unsent=True)
             return
         self._last_number += 1
         number = self._last_number
         exchange.number = number
+        exchange.is_held = False
         exchange.last_number = number
         exchange.host_id = host_id
         exchange.delegated_tokens = exchange.allowance.split_for_call()
@@ -326,14 +333,23 @@
             now=now,
         )
 
-    def _cancel_dispatch(self, exchange: exchanges.Exchange) -> None:
-        """Cancels the dispatch in flight; a later answer is dropped."""
+    def _cancel_dispatch(self, exchange: exchanges.Exchange) -> bool:
+        """Cancels the dispatch in flight; a later answer is dropped.
+
+        Returns:
+          Whether no byte of a dispatch in flight can have been sent.
+        """
         if not exchange.number:
-            return
+            return True
         number = exchange.number
-        self._mark_outcome_unknown(exchange)
-        self._close_dispatch(exchange, succeeded=True, load=None)
+        is_unsent = exchange.is_held
+        if not is_unsent:
+            self._mark_outcome_unknown(exchange)
+        self._close_dispatch(
+            exchange, succeeded=True, load=None, has_run=not is_unsent
+        )
         self._cancel(exchange.host_id, number)
+        return is_unsent
 
     def _mark_outcome_unknown(self, exchange: exchanges.Exchange) -> None:
         """Records that the result of the dispatch in flight is unknown."""
@@ -456,11 +472,19 @@
                     exchange=exchange,
                 ),
             )
-        self._refuse(exchange, kind)
+        self._refuse(exchange, kind, is_unsent=True)
 
-    def _refuse(self, exchange: exchanges.Exchange, kind: _KINDS) -> None:
+    def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        kind: _KINDS,
+        *,
+        is_unsent: bool = False,
+    ) -> None:
         answer = rpc.build_error_answer(
-            kind, may_have_run=exchange.may_have_run_despite_refusal
+            kind,
+            may_have_run=exchange.may_have_run_despite_refusal,
+            is_unsent=is_unsent,
         )
         self._reply(exchange, answer)
 
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -275,6 +275,8 @@
                 apply_decisions(self._server.handle_stop())
             case messages.ServerUnresponsive() | messages.ServerLeaving():
                 apply_decisions(self._server.suspend())
+            case messages.DispatchHeld() | messages.RunHeld():
+                self._record_hold(event)
             case messages.DrainStarted():
                 self._state.draining = True
                 self._state.is_entry_closed = not event.entry_open
@@ -303,6 +305,15 @@
                 return
         self._executor.apply_decisions(decisions)
 
+    def _record_hold(
+        self, event: messages.DispatchHeld | messages.RunHeld
+    ) -> None:
+        match event:
+            case messages.DispatchHeld(number=number, is_held=is_held):
+                self._dispatcher.record_hold(number, is_held=is_held)
+            case messages.RunHeld(run_id=run_id, is_held=is_held):
+                self._run_table.record_hold(run_id, is_held=is_held)
+
     def _note_preset_services(self) -> None:
         services = known_services.list_preset_services(self._state.preset)
         self._known_services.update("preset", services, self._state.now)
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -45,6 +45,8 @@
         ticket.
       has_own_ticket: Whether this node obtained the ticket for the caller.
       number: Number of the dispatch in flight, zero if there is none.
+      is_held: Whether the dispatch in flight waits for its link to open; no
+        byte of it was sent then.
       last_number: Number of the last dispatch, zero before the first.
       host_id: Host of the last dispatch.
       delegated_tokens: Number of retries that the dispatch in flight carries
@@ -89,6 +91,7 @@
     is_requesting_ticket: bool = False
     has_own_ticket: bool = False
     number: int = 0
+    is_held: bool = False
     last_number: int = 0
     host_id: str = ""
     delegated_tokens: int = 0
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -176,11 +176,10 @@
         The first expiry answers the call, the second aborts a run that was not
         cancelled.
         """
-        if run.is_answered:
+        if run.is_answered or (run.is_held and run.is_unsent):
             self._abort_run(run)
             return
-        answer = rpc.build_error_answer(_KINDS.DEADLINE_EXCEEDED)
-        self._end_call(run, answer)
+        self._end_call(run, failures.build_deadline_answer(run))
 
     def fail(self, run: runs.Run) -> None:
         """Answers a call whose handling failed internally."""
@@ -288,8 +287,7 @@
             case admission.Start():
                 self._start_run(run)
             case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
-                answer = rpc.build_error_answer(_KINDS.DEADLINE_EXCEEDED)
-                self._end_queued(run, answer)
+                self._end_queued(run, failures.build_deadline_answer(run))
             case admission.Refuse(kind=kind):
                 self._refuse(run, kind)
             case admission.Preempt():
@@ -341,7 +339,8 @@
         """Cancels a running request in favour of a more important one."""
         self._state.emit(messages.CancelRun(run_id=run.run_id))
         self._server.untrack_run(run.run_id)
-        answer = rpc.build_error_answer(_KINDS.SHED, may_have_run=True)
+        may_have_run = not run.is_unsent
+        answer = rpc.build_error_answer(_KINDS.SHED, may_have_run=may_have_run)
         self._finish_run(run, answer)
 
     def _cancel_call(self, run: runs.Run) -> None:
@@ -391,10 +390,11 @@
 
     def _abort_run(self, run: runs.Run) -> None:
         """Aborts a run whose call is answered."""
+        answer = failures.build_deadline_answer(run)
         self._state.emit(messages.CancelRun(run_id=run.run_id))
         self._free_slot(run, completed=False)
         self._server.untrack_run(run.run_id)
-        self._finish_run(run, rpc.build_error_answer(_KINDS.DEADLINE_EXCEEDED))
+        self._finish_run(run, answer)
 
     def _free_slot(self, run: runs.Run, *, completed: bool) -> None:
         run.phase = runs.Phase.ENDED
@@ -425,7 +425,9 @@
         self._acceptance.release(run)
         calls = [run, *run.joined]
         answers = [
-            rpc.build_error_answer(kind, may_have_run=each.may_have_run)
+            rpc.build_error_answer(
+                kind, may_have_run=each.may_have_run, is_unsent=each.is_unsent
+            )
             for each in calls
         ]
         self._ticket_manager.settle_refused(run, answers)
--- a/bergamotdeal/calls/failures.py
+++ b/bergamotdeal/calls/failures.py
@@ -1,7 +1,9 @@
-"""Mapping of run failures to error kinds."""
+"""Error kinds and answers for runs that end without an answer."""
 
 from bergamotdeal.calls import messages
+from bergamotdeal.calls import runs
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 
 _KINDS = errors.ErrorKind
 
@@ -24,3 +26,16 @@
     messages.RunFailure.INVALID: _KINDS.SERVER_ANSWER_INVALID,
     messages.RunFailure.TOO_LARGE: _KINDS.ANSWER_TOO_LARGE,
 }
+
+
+def build_deadline_answer(run: runs.Run) -> rpc.Answer:
+    """Builds the answer to a call whose deadline has passed.
+
+    Args:
+      run: Run of the call, before its phase changes.
+    """
+    return rpc.build_error_answer(
+        _KINDS.DEADLINE_EXCEEDED,
+        may_have_run=run.may_have_run,
+        is_unsent=run.is_unsent,
+    )
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -109,6 +109,34 @@
     may_have_been_sent: bool
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class DispatchHeld:
+    """Start or end of the time for which a call waits for its link to open.
+
+    Attributes:
+      number: Number of the dispatch.
+      is_held: Whether the call frame waits. If not, it is written right after
+        this event.
+    """
+
+    number: int
+    is_held: bool
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RunHeld:
+    """Start or end of the time for which a run waits for a connection.
+
+    Attributes:
+      run_id: The run.
+      is_held: Whether the request waits. If not, it is written right after
+        this event.
+    """
+
+    run_id: int
+    is_held: bool
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RunAnswered:
     """Complete answer of the local backend server."""
@@ -318,6 +346,8 @@
     | PeerLinkClosed
     | PeerAnswered
     | DispatchFailed
+    | DispatchHeld
+    | RunHeld
     | RunAnswered
     | RunFailed
     | RunOverdue
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -51,6 +51,8 @@
       timer: Timer of the deadline.
       started_at: Time at which the request was sent to the backend server, in
         monotonic seconds.
+      is_held: Whether the request waits for a connection to the backend server;
+        no byte of it was sent then.
       fingerprint: Digest of the request.
       ticket_record: Record of the presented ticket, or None.
       awaited_record: Record of the ticket whose run this call waits for, or
@@ -78,6 +80,7 @@
     holds_retry_token: bool = False
     timer: deadlines.Timer | None = None
     started_at: float = 0.0
+    is_held: bool = False
     fingerprint: str = ""
     ticket_record: tickets.TicketRecord | None = None
     awaited_record: tickets.TicketRecord | None = None
@@ -91,6 +94,16 @@
         """Whether an earlier attempt of the request may have run."""
         return self.call.may_have_run
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether the request has certainly not reached the backend server.
+
+        Another call with the same ticket may still run the request.
+        """
+        if self.call.ticket:
+            return False
+        return self.phase is Phase.QUEUED or self.is_held
+
 
 MAX_ENDED_REQUESTS = 4096
 """Number of remembered ids of ended runs, some tens of seconds at one node."""
@@ -132,6 +145,12 @@
         self.runs_by_call[run.link_id, run.call.number] = run
         self._runs_by_request_id[run.call.user_request_id] = run
 
+    def record_hold(self, run_id: int, *, is_held: bool) -> None:
+        """Records whether a run waits for a connection."""
+        run = self.runs_by_id.get(run_id)
+        if run is not None:
+            run.is_held = is_held
+
     def close_call(self, run: Run) -> None:
         """Marks the call of a run as answered."""
         run.is_answered = True
--- a/bergamotdeal/node/outgoing.py
+++ b/bergamotdeal/node/outgoing.py
@@ -116,6 +116,7 @@
             self._write_call(outgoing, effect)
             return
         outgoing.waiting[effect.call.number] = effect
+        self._post(calls.DispatchHeld(number=effect.call.number, is_held=True))
 
     def send_cancel(self, effect: calls.SendCancel) -> None:
         """Tells a host that the answer to a call is no longer needed.
@@ -193,9 +194,12 @@
         self._record_link_event(
             catalogue.EventCode.PEER_LINK_OPENED, {"host": outgoing.host_id}
         )
-        waiting = list(outgoing.waiting.values())
-        outgoing.waiting.clear()
-        for effect in waiting:
+        # The engine hears of each frame before it is written, and may cancel
+        # other calls meanwhile.
+        while outgoing.waiting:
+            number = next(iter(outgoing.waiting))
+            effect = outgoing.waiting.pop(number)
+            self._post(calls.DispatchHeld(number=number, is_held=False))
             self._write_call(outgoing, effect)
 
     def _handle_closed(self, outgoing: _OutgoingLink, reason: str) -> None:
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -229,6 +229,7 @@
                 return
             connection.abort()
         self._queued_runs.append(run)
+        self._post(messages.RunHeld(run_id=run.run_id, is_held=True))
         self._connect_if_needed()
 
     def cancel_run(self, effect: messages.CancelRun) -> None:
@@ -321,7 +322,9 @@
         self, connection: server_connection.ServerConnection
     ) -> None:
         if self._queued_runs:
-            self._send_run(connection, self._queued_runs.popleft())
+            run = self._queued_runs.popleft()
+            self._post(messages.RunHeld(run_id=run.run_id, is_held=False))
+            self._send_run(connection, run)
             return
         connection.idle_since = self._reactor.seconds()
         self._idle_connections.append(connection)
--- a/bergamotdeal/node/tests/test_outgoing.py
+++ b/bergamotdeal/node/tests/test_outgoing.py
@@ -46,6 +46,7 @@
     def __init__(self):
         self.reactor = testing.MemoryReactorClock()
         self.events = []
+        self.holds = []
         self.epochs = []
         builder = peer_link.LinkBuilder(
             host_id="kitview-1",
@@ -57,7 +58,7 @@
         self.links = outgoing.OutgoingLinks(
             reactor=self.reactor,
             builder=builder,
-            post=self.events.append,
+            post=self._post,
             on_peer_epoch=lambda epoch, host_id: self.epochs.append(epoch),
             record=lambda _: None,
             hybrid_clock=clock.HybridLogicalClock(wall_ms=lambda: 1),
@@ -96,6 +97,10 @@
             )
         )
 
+    def _post(self, event):
+        is_hold = isinstance(event, messages.DispatchHeld)
+        (self.holds if is_hold else self.events).append(event)
+
     @property
     def connection_attempts(self):
         return len(self.reactor.tcpClients)
@@ -157,6 +162,20 @@
     assert harness.epochs == [5]
 
 
+# Guards against a call that is reported as not sent while its frame is written.
+def test_call_is_held_until_its_frame_is_written():
+    harness = Harness()
+    harness.call(1)
+    assert harness.holds == [messages.DispatchHeld(number=1, is_held=True)]
+    harness.links.send_cancel(messages.SendCancel(host_id=TARGET, number=1))
+    harness.call(2)
+    _, target = harness.accept()
+    assert harness.holds[2:] == [messages.DispatchHeld(number=2, is_held=False)]
+    assert [frame.call.number for frame in target.frames] == [2]
+    harness.call(3)
+    assert len(harness.holds) == 3
+
+
 def test_send_call_with_failed_connection_reports_not_handed_over():
     harness = Harness()
     harness.call(1)
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -43,13 +43,18 @@
     def __init__(self, dialect=None):
         self.reactor = testing.MemoryReactorClock()
         self.events = []
+        self.holds = []
         self.pool = server_link.ServerConnectionPool(
-            reactor=self.reactor, post=self.events.append, dialect=dialect
+            reactor=self.reactor, post=self._post, dialect=dialect
         )
         self.pool.start()
         self.pool.handle_announcement(announcement())
         self.events.clear()
 
+    def _post(self, event):
+        is_hold = isinstance(event, messages.RunHeld)
+        (self.holds if is_hold else self.events).append(event)
+
     @property
     def connection_attempts(self):
         return len(self.reactor.tcpClients)
@@ -80,6 +85,17 @@
         ]
 
 
+def test_run_is_held_until_its_request_is_written():
+    harness = Harness()
+    harness.pool.start_run(start_run(1))
+    assert harness.holds == [messages.RunHeld(run_id=1, is_held=True)]
+    connection = harness.accept_connection()
+    assert harness.holds[1:] == [messages.RunHeld(run_id=1, is_held=False)]
+    connection.dataReceived(ANSWER)
+    harness.pool.start_run(start_run(2))
+    assert len(harness.holds) == 2
+
+
 def test_idle_connection_is_reused():
     harness = Harness()
     connection = harness.complete_run(1)
--- a/bergamotdeal/rpc/core.py
+++ b/bergamotdeal/rpc/core.py
@@ -13,6 +13,9 @@
 """Maximum size of a request body in bytes. A frame between nodes also holds the
 headers and has no room for more."""
 
+_UNSENT_RETRY_AFTER_S = 1
+"""Without a ``Retry-After``, callers take ``not-run`` as an invalid request."""
+
 MAX_CALL_DEPTH = 32
 MAX_ATTEMPT = 65_535
 MAX_PRIOR_CALLS = 65_535
@@ -178,13 +181,19 @@
 
 
 def build_error_answer(
-    kind: errors.ErrorKind, *, may_have_run: bool = False, detail: str = ""
+    kind: errors.ErrorKind,
+    *,
+    may_have_run: bool = False,
+    is_unsent: bool = False,
+    detail: str = "",
 ) -> Answer:
     """Builds the answer that a node gives for an error kind.
 
     Args:
       kind: Error kind.
       may_have_run: Whether an earlier attempt of the request may have run.
+      is_unsent: Whether this attempt was certainly not handed over to a backend
+        server, whatever its kind.
       detail: Message in place of the standard message of the kind; empty for
         the standard message.
 
@@ -193,11 +202,20 @@
     """
     entry = errors.ANSWERS_BY_KIND[kind]
     message = detail or entry.message
+    outcome = errors.resolve_outcome(kind, may_have_run=may_have_run)
+    retry_after_s = entry.retry_after_s
+    if (
+        is_unsent
+        and not may_have_run
+        and entry.outcome is errors.Outcome.UNKNOWN
+    ):
+        outcome = errors.Outcome.NOT_RUN
+        retry_after_s = _UNSENT_RETRY_AFTER_S
     return Answer(
-        outcome=errors.resolve_outcome(kind, may_have_run=may_have_run),
+        outcome=outcome,
         error=kind,
         status=entry.status,
         headers=[("content-type", "text/plain; charset=utf-8")],
         body=message.encode() + b"\n",
-        retry_after_s=entry.retry_after_s,
+        retry_after_s=retry_after_s,
     )
