Add, list and revoke keys from the command line

A switch now names the epoch that was in force before the preset was read: a switch whose preset was read before a revocation and written after it ends as a conflict instead of bringing the key back.

--- a/bergamotdeal/cli/main.py
+++ b/bergamotdeal/cli/main.py
@@ -71,6 +71,7 @@
     import_paths_by_command={
         "completion": ("bergamotdeal.cli.completion", "completion"),
         "drain": ("bergamotdeal.cli.drain", "drain"),
+        "keys": ("bergamotdeal.cli.keys", "keys"),
         "node": ("bergamotdeal.cli.node", "node"),
         "preset": ("bergamotdeal.cli.preset", "preset"),
         "settings": ("bergamotdeal.cli.settings", "settings"),
--- a/bergamotdeal/cli/preset.py
+++ b/bergamotdeal/cli/preset.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import difflib
+import functools
 import os
 import pathlib
 
@@ -166,7 +167,7 @@
     report = switching.switch_preset(
         settings,
         target,
-        name=name,
+        load=functools.partial(switching.load_stored, name=name),
         operation_id=operation_id,
         operator=operator,
         wait_s=wait_s,
--- a/bergamotdeal/cli/switching.py
+++ b/bergamotdeal/cli/switching.py
@@ -1,5 +1,7 @@
 """Switch of the preset in force, with observation of its rollout."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import random
 import time
@@ -15,6 +17,7 @@
 from bergamotdeal.cli import store_session
 from bergamotdeal.node import status as node_status
 from bergamotdeal.presets import library
+from bergamotdeal.presets import model
 from bergamotdeal.presets import switch
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import core as store
@@ -93,21 +96,67 @@
         return "\n".join(lines)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoadedPreset:
+    """Preset to put in force.
+
+    Attributes:
+      preset: The preset.
+      base_epoch: Epoch that was in force before the preset was read. Another
+        switch since then may have changed what the preset was built from.
+    """
+
+    preset: model.Preset
+    base_epoch: int
+
+
+Load = Callable[
+    [store.Store], Awaitable[result.Result[LoadedPreset, store.Failure]]
+]
+
+
+async def load_stored(
+    object_store: store.Store, *, name: str
+) -> result.Result[LoadedPreset, store.Failure]:
+    """Loads a stored preset.
+
+    Args:
+      object_store: The store.
+      name: Name of the preset.
+    """
+    current = await library.read_in_force(object_store)
+    match current:
+        case result.Ok(in_force):
+            base_epoch = in_force.epoch
+        case result.Err(failure) if failure.kind is store.FailureKind.NOT_FOUND:
+            base_epoch = 0
+        case _:
+            return current
+    loaded = await library.get(object_store, name)
+    return loaded.map(
+        lambda preset: LoadedPreset(preset=preset, base_epoch=base_epoch)
+    ).map_err(
+        lambda failure: dataclasses.replace(
+            failure, detail=f"preset {name}: {failure.detail}"
+        )
+    )
+
+
 def switch_preset(
     settings: settings_model.StoreSection,
     target: options.Target | None,
     *,
-    name: str,
+    load: Load,
     operation_id: str | None,
     operator: str,
     wait_s: float | None,
 ) -> SwitchReport:
-    """Puts a stored preset in force.
+    """Puts a preset in force.
 
     Args:
       settings: Address and token of the store.
       target: Nodes through which the fleet is reached, or None.
-      name: Name of the stored preset.
+      load: Loads the preset.
       operation_id: Id of an earlier run, or None for a new operation.
       operator: Name of the operator.
       wait_s: Time to wait for the rollout in seconds; None for no wait.
@@ -115,7 +164,7 @@
     fleet_status = _fetch_fleet_status(target)
     outcome = _run_switch(
         settings,
-        name=name,
+        load=load,
         operation_id=operation_id,
         operator=operator,
         min_epoch=1 if fleet_status is None else fleet_status.epoch + 1,
@@ -154,7 +203,7 @@
 def _run_switch(
     settings: settings_model.StoreSection,
     *,
-    name: str,
+    load: Load,
     operation_id: str | None,
     operator: str,
     min_epoch: int,
@@ -162,13 +211,13 @@
     state_machines: list[switch.SwitchStateMachine] = []
 
     async def run_switch(object_store: store.Store, reactor) -> switch.Outcome:
-        loaded = await library.get(object_store, name)
+        loaded = await load(object_store)
         if isinstance(loaded, result.Err):
             failure = loaded.err_value
-            reason = f"preset {name}: {failure.detail}"
-            return switch.Failed(kind=failure.kind, reason=reason)
+            return switch.Failed(kind=failure.kind, reason=failure.detail)
         state_machine = switch.SwitchStateMachine(
-            preset=loaded.ok_value,
+            preset=loaded.ok_value.preset,
+            base_epoch=loaded.ok_value.base_epoch,
             operator=operator,
             rng=random.SystemRandom(),
             operation_id=operation_id,
--- a/bergamotdeal/cli/tests/conftest.py
+++ b/bergamotdeal/cli/tests/conftest.py
@@ -119,11 +119,14 @@
             other.members = members
         return node
 
-    def run(self, *arguments, node=None, **environment):
+    def run(self, *arguments, node=None, stdin=None, **environment):
         first_node = node or next(iter(self.nodes_by_id.values()))
         variables = {"BERGAMOTDEAL_NODE": f"127.0.0.1:{first_node.port}"}
         return testing.CliRunner().invoke(
-            main.main, list(arguments), env=variables | environment
+            main.main,
+            list(arguments),
+            env=variables | environment,
+            input=stdin,
         )
 
 
--- a/bergamotdeal/organisations/__init__.py
+++ b/bergamotdeal/organisations/__init__.py
@@ -1,3 +1,3 @@
 """Organisations whose callers identify themselves by keys."""
 
-__all__ = ["keys"]
+__all__ = ["changes", "keys"]
--- a/bergamotdeal/presets/switch.py
+++ b/bergamotdeal/presets/switch.py
@@ -162,6 +162,8 @@
       operator: Name of the operator.
       rng: Random source of the operation id and of jitter.
       operation_id: Id of an earlier run to repeat, or None for a new switch.
+      base_epoch: Epoch that the switch replaces if it has no operation id; by
+        default the one that the first read finds.
       min_epoch: Lower bound of the new epoch, one above the highest epoch in
         the fleet.
 
@@ -176,6 +178,7 @@
         operator: str,
         rng: random.Random,
         operation_id: str | None = None,
+        base_epoch: int | None = None,
         min_epoch: int = 1,
     ) -> None:
         self._preset = preset
@@ -185,7 +188,7 @@
         self._backoff = backoff.ExponentialBackoff(rng=rng, max_s=2.0)
         self._attempts = 0
         self._may_have_applied = operation_id is not None
-        self._base_epoch: int | None = None
+        self._base_epoch = base_epoch
         self._candidate: in_force.ActivePreset | None = None
         self.operation_id = operation_id
         if operation_id is not None:
@@ -236,10 +239,10 @@
         self, version: int, current: in_force.ActivePreset | None
     ) -> Step:
         epoch = 0 if current is None else current.epoch
-        if self.operation_id is None:
-            self.operation_id = create_operation_id(epoch, self._rng)
         if self._base_epoch is None:
             self._base_epoch = epoch
+        if self.operation_id is None:
+            self.operation_id = create_operation_id(self._base_epoch, self._rng)
         if current is not None:
             recorded = current.find_switch(self.operation_id)
             if recorded is not None:
