Count refused keys by cause; drop names with underscores

Change: event 1100 names one of five causes, each with a counter, and the digest. Header names that a server may take for the node's own, with an underscore for a dash, are dropped from callers' requests.

--- a/bergamotdeal/calls/acceptance.py
+++ b/bergamotdeal/calls/acceptance.py
@@ -49,7 +49,11 @@
             return _KINDS.NO_SERVER
         if not state.update_key(run.call):
             explanations.record_key_refusal(
-                state, run.call.user_request_id, "arriving call"
+                state,
+                run.call.user_request_id,
+                explanations.KeyRefusal.REVOKED,
+                place="target",
+                key_digest=run.call.key_digest,
             )
             return _KINDS.UNAUTHORIZED
         if run.call.deadline_ms <= 0:
--- a/bergamotdeal/calls/authentication.py
+++ b/bergamotdeal/calls/authentication.py
@@ -7,6 +7,7 @@
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.errors import core as errors
 
+_CAUSES = explanations.KeyRefusal
 _KINDS = errors.ErrorKind
 
 
@@ -52,7 +53,7 @@
         ):
             exchange.key_refusal = _KINDS.CANCELLED
         else:
-            self._refuse(exchange, None)
+            self._refuse(exchange, _CAUSES.MISSING)
 
     def confirm_key(self, exchange: exchanges.Exchange) -> bool:
         """Checks the key of a waiting request against the active preset.
@@ -75,34 +76,50 @@
             return True
         if exchange.route.public or not state.key_table.is_required:
             return True
-        explanations.record_key_refusal(
-            state, exchange.user_request_id, "waiting request"
-        )
+        self._record(exchange, _CAUSES.REVOKED, "dispatch", exchange.key_digest)
         return False
 
-    def _refuse(
-        self, exchange: exchanges.Exchange, key_digest: str | None
-    ) -> None:
-        exchange.key_refusal = _KINDS.UNAUTHORIZED
-        explanations.record_key_refusal(
-            self._state,
-            exchange.user_request_id,
-            explanations.ARRIVAL,
-            key_digest,
-        )
-
     def _apply_key(self, exchange: exchanges.Exchange, digest: str) -> None:
         organisation = self._state.key_table.find(digest)
-        if self._state.is_preset_outdated() and not exchange.route.public:
-            exchange.key_refusal = _KINDS.KEYS_OUTDATED
-        elif organisation is None:
-            if not exchange.route.public:
-                self._refuse(exchange, digest)
-        else:
+        is_public = exchange.route.public
+        if self._state.is_preset_outdated() and not is_public:
+            self._refuse(
+                exchange, _CAUSES.OUTDATED, digest, kind=_KINDS.KEYS_OUTDATED
+            )
+        elif organisation is not None:
             exchange.organisation = organisation.name
             exchange.key_digest = digest
             exchange.key_epoch = self._state.epoch
             exchange.class_name = organisation.class_name or exchange.class_name
+        elif not is_public:
+            cause = _CAUSES.UNKNOWN if digest else _CAUSES.MALFORMED
+            self._refuse(exchange, cause, digest)
+
+    def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        cause: explanations.KeyRefusal,
+        digest: str = "",
+        *,
+        kind: errors.ErrorKind = _KINDS.UNAUTHORIZED,
+    ) -> None:
+        exchange.key_refusal = kind
+        self._record(exchange, cause, "arrival", digest)
+
+    def _record(
+        self,
+        exchange: exchanges.Exchange,
+        cause: explanations.KeyRefusal,
+        place: str,
+        digest: str,
+    ) -> None:
+        explanations.record_key_refusal(
+            self._state,
+            exchange.user_request_id,
+            cause,
+            place=place,
+            key_digest=digest,
+        )
 
     def _find_parent(self, event: messages.CallArrived) -> runs.Run | None:
         if event.context:
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -127,7 +127,11 @@
             is_waiting = run.phase in (runs.Phase.QUEUED, runs.Phase.JOINED)
             if is_waiting and not self._state.update_key(run.call):
                 explanations.record_key_refusal(
-                    self._state, run.call.user_request_id, "waiting call"
+                    self._state,
+                    run.call.user_request_id,
+                    explanations.KeyRefusal.REVOKED,
+                    place="target's queue",
+                    key_digest=run.call.key_digest,
                 )
                 self._end_call(run, rpc.build_error_answer(_KINDS.UNAUTHORIZED))
 
--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -1,5 +1,7 @@
 """Time line records for calls that a node answered with an error."""
 
+import enum
+
 from bergamotdeal.admission import feedback
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import local_server
@@ -13,8 +15,15 @@
 _CODES = catalogue.EventCode
 _MS_PER_S = 1000
 
-ARRIVAL = "arrival"
-"""Place of the check of a request that has just arrived."""
+
+class KeyRefusal(enum.Enum):
+    """What is wrong with the key of a refused request."""
+
+    MISSING = "missing"
+    MALFORMED = "malformed"
+    UNKNOWN = "unknown"  # Never valid, or revoked before the arrival.
+    REVOKED = "revoked"  # Valid on arrival.
+    OUTDATED = "outdated"  # May have been revoked without this node's knowing.
 
 
 def explain_entry_shed(
@@ -61,31 +70,26 @@
 def record_key_refusal(
     state: engine_state.EngineState,
     user_request_id: str,
+    cause: KeyRefusal,
+    *,
     place: str,
-    key_digest: str | None = "",
+    key_digest: str = "",
 ) -> None:
     """Records why a request is refused for want of a valid key.
 
     Args:
       state: State of the engine.
       user_request_id: Id of the user request.
-      place: What was checked.
-      key_digest: Digest of the presented key, None without a key, empty if
-        the header was malformed or the key was valid when the call began.
+      cause: What is wrong with the key.
+      place: Where the request was when its key was checked.
+      key_digest: Digest of the key, or empty.
     """
-    if key_digest is None:
-        reason = "no key"
-    elif place != ARRIVAL:
-        reason = "key revoked meanwhile"
-    elif not key_digest:
-        reason = "malformed header"
-    else:
-        reason = f"unknown or revoked key with the digest {key_digest}"
     state.record_event(
         _CODES.KEY_REFUSED,
         user_request_id,
+        cause=cause.value,
         place=place,
-        reason=reason,
+        digest=key_digest,
         epoch=state.epoch,
     )
 
--- a/bergamotdeal/calls/tests/test_keys.py
+++ b/bergamotdeal/calls/tests/test_keys.py
@@ -12,6 +12,9 @@
 from bergamotdeal.organisations import keys
 from bergamotdeal.presets import model
 from bergamotdeal.rpc import core as rpc
+from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
+from bergamotdeal.wire import heads
 
 _KINDS = errors.ErrorKind
 KEY = keys.digest_key("key-1")
@@ -141,12 +144,25 @@
     assert get_sent(node.request(KEY)) == ("kilo", "urgent")
 
 
-@pytest.mark.parametrize("digest", [None, "", keys.digest_key("key-2")])
-def test_request_without_valid_key_is_refused_and_not_sent(digest):
+@pytest.mark.parametrize(
+    ("digest", "cause"),
+    [
+        (None, "missing"),
+        ("", "malformed"),
+        (keys.digest_key("key-2"), "unknown"),
+    ],
+)
+def test_request_without_valid_key_is_refused_and_not_sent(digest, cause):
     effects = Node().request(digest)
     assert get_error(effects) is _KINDS.UNAUTHORIZED
     (reply,) = select(effects, messages.ReplyToCaller)
     assert reply.answer.outcome is errors.Outcome.NOT_RUN
+    causes = [
+        record.fields["cause"]
+        for record in select(effects, records.EventRecord)
+        if record.code is catalogue.EventCode.KEY_REFUSED
+    ]
+    assert causes == [cause]
 
 
 def test_public_route_and_preset_without_organisations_need_no_key():
@@ -244,3 +260,11 @@
     assert get_sent(node.request(None, path="/open/7"))[0] == ""
     node.handle(messages.PresetConfirmed())
     assert get_sent(node.request(KEY))[0] == "kilo"
+
+
+def test_frame_between_nodes_has_organisation_and_digest_but_no_key():
+    (sent,) = select(Node(slots=0).request(KEY), messages.SendCall)
+    head = heads.encode_call(sent.call)
+    assert b"kilo" in head
+    assert KEY.encode() in head
+    assert b"key-1" not in head
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -169,7 +169,7 @@
         "cost report of {host} on {route} rejected: {reason}"
     ),
     EventCode.KEY_REFUSED: (
-        "key of {place} refused under epoch {epoch}: {reason}"
+        "key at {place} refused under epoch {epoch}: {cause} {digest}"
     ),
     EventCode.QUOTA_REFUSED: (
         "no token of {organisation} for the request, {error}: {reason}"
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -63,7 +63,6 @@
     GOSSIP_DATAGRAMS_SENT = "gossip.datagrams_sent"
     GOSSIP_DATAGRAMS_DROPPED = "gossip.datagrams_dropped"
     SERVER_STOPS = "server.stops"
-    ORGANISATIONS_KEYS_REFUSED = "organisations.keys_refused"
     QUOTA_REQUESTS = "quotas.requests"
     QUOTA_REFUSED_EXCEEDED = "quotas.refused_exceeded"
     QUOTA_REFUSED_UNREACHABLE = "quotas.refused_unreachable"
@@ -73,6 +72,11 @@
     QUOTA_DATAGRAMS_SENT = "quotas.datagrams_sent"
     QUOTA_DATAGRAMS_DROPPED = "quotas.datagrams_dropped"
     QUOTA_BYTES_SENT = "quotas.bytes_sent"
+    ORGANISATIONS_KEYS_MISSING = "organisations.keys_missing"
+    ORGANISATIONS_KEYS_MALFORMED = "organisations.keys_malformed"
+    ORGANISATIONS_KEYS_UNKNOWN = "organisations.keys_unknown"
+    ORGANISATIONS_KEYS_REVOKED = "organisations.keys_revoked"
+    ORGANISATIONS_KEYS_OUTDATED = "organisations.keys_outdated"
 
 
 for _slot, _counter in enumerate(Counter):
@@ -140,7 +144,6 @@
     catalogue.EventCode.PEER_LINK_CLOSED: Counter.PEER_LINKS_CLOSED,
     catalogue.EventCode.PEER_REJECTED: Counter.PEER_REJECTED,
     catalogue.EventCode.FRAME_MALFORMED: Counter.PEER_MALFORMED,
-    catalogue.EventCode.KEY_REFUSED: Counter.ORGANISATIONS_KEYS_REFUSED,
 }
 
 
@@ -153,6 +156,13 @@
     "not-run": Counter.OUTCOME_NOT_RUN,
     "unknown": Counter.OUTCOME_UNKNOWN,
 }
+_COUNTERS_BY_KEY_REFUSAL = {
+    "missing": Counter.ORGANISATIONS_KEYS_MISSING,
+    "malformed": Counter.ORGANISATIONS_KEYS_MALFORMED,
+    "unknown": Counter.ORGANISATIONS_KEYS_UNKNOWN,
+    "revoked": Counter.ORGANISATIONS_KEYS_REVOKED,
+    "outdated": Counter.ORGANISATIONS_KEYS_OUTDATED,
+}
 
 
 # A list indexed by event number, since hashing an enum member is slow.
@@ -164,6 +174,7 @@
 
 _CALL_ARRIVED = int(catalogue.EventCode.CALL_ARRIVED)
 _CALL_ANSWERED = int(catalogue.EventCode.CALL_ANSWERED)
+_KEY_REFUSED = int(catalogue.EventCode.KEY_REFUSED)
 
 
 def find_counter(
@@ -182,6 +193,8 @@
         return _COUNTERS_BY_FACE.get(fields_by_name.get("face"))
     if code == _CALL_ANSWERED:
         return _COUNTERS_BY_OUTCOME.get(fields_by_name.get("outcome"))
+    if code == _KEY_REFUSED:
+        return _COUNTERS_BY_KEY_REFUSAL.get(fields_by_name.get("cause"))
     return None
 
 
--- a/bergamotdeal/utils/headers.py
+++ b/bergamotdeal/utils/headers.py
@@ -63,7 +63,7 @@
         for name, value in headers
         if name not in _HOP_BY_HOP
         and name not in connection_options
-        and not name.startswith(SYSTEM_PREFIX)
+        and not name.replace("_", "-").startswith(SYSTEM_PREFIX)
     ]
 
 
--- a/tests/test_catalogue_pages.py
+++ b/tests/test_catalogue_pages.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bergamotdeal.calls import explanations
 from bergamotdeal.settings import model
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import metrics
@@ -65,6 +66,7 @@
             {"outcome": "completed"},
             {"outcome": "not-run"},
             {"outcome": "unknown"},
+            *({"cause": cause.value} for cause in explanations.KeyRefusal),
         )
     }
     metric_types = (metrics.Counter, metrics.Gauge, metrics.Timing)
