Carry the progress of the whole call tree to the retry budget

Cause: a call told only how many calls its own run had made, so a node below several levels took each call for the first one of its tree and spent scarce retries on trees that had just begun.

Change: prior_calls sums up the runs above; the last token is open from the fourth call of a tree on, not the fifth.

Thinning out at the entries is not built, as the budget shrinks with the first attempts.

--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -37,7 +37,7 @@
         this node can tell.
       is_priced: Whether this is known to be a user request, which pricing may
         refuse.
-      prior_calls: Number of earlier calls of the run that makes this one.
+      prior_calls: Number of earlier calls of the call tree above this one.
       may_have_run: Whether an earlier attempt may have run.
       key: Idempotency key of a run's call, or empty.
       ticket: Encoded ticket to present, or empty.
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -102,7 +102,7 @@
             exchange.is_internal = True
             exchange.class_name = parent.class_name
             exchange.target = parent.target
-            exchange.prior_calls = parent.calls_made
+            exchange.prior_calls = parent.tree_calls
             exchange.is_repeat = parent.call.is_repeat
             parent.calls_made += 1
             state.cost_model.record_outbound_call(
@@ -266,7 +266,7 @@
         exchange.allowance = parent.allowance
         exchange.is_repeat = call.is_repeat
         parent.child_origin_ids.add(exchange.origin_id)
-        exchange.prior_calls = parent.calls_made
+        exchange.prior_calls = parent.tree_calls
         parent.calls_made += 1
         if not exchange.key:
             return
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -89,6 +89,11 @@
         default_factory=dict
     )
 
+    @property
+    def tree_calls(self) -> int:
+        """Number of calls that this run and the runs above it have made."""
+        return self.call.prior_calls + self.calls_made
+
     @property
     def may_have_run(self) -> bool:
         """Whether an earlier attempt of the request may have run."""
--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -182,6 +182,20 @@
     assert child.call.is_internal
 
 
+# A node two levels below the root would otherwise take every call for the first
+# one of its tree and refuse its retry.
+
+
+def test_calls_carry_the_progress_of_the_whole_tree():
+    node = Node()
+    call = dataclasses.replace(make_call(1), prior_calls=2)
+    node.handle(messages.PeerCalled(link_id=1, call=call))
+    node.send_request(request_id="r1.1")
+    node.send_request(request_id="r1.2")
+    _, first, second = node.engine._run_table.runs_by_id.values()
+    assert [first.call.prior_calls, second.call.prior_calls] == [2, 3]
+
+
 def test_unreadable_cost_report_is_recorded():
     node = Node()
     effects = node.send_request()
--- a/bergamotdeal/retries/server_budget.py
+++ b/bergamotdeal/retries/server_budget.py
@@ -24,9 +24,9 @@
 
 _SLICES_PER_WINDOW = 10
 
-_PRIOR_CALLS_FOR_LAST_TOKEN = 4
-"""Prior calls after which a run may use the last token: the number of
-sequential calls that one run makes in the users' deepest chains."""
+_PRIOR_CALLS_FOR_LAST_TOKEN = 3
+"""Prior calls after which a tree may use the last token: those before the last
+of the four calls in sequence that the users' longest trees make."""
 
 _EXHAUSTION_MEMORY_S = 0.2
 """Time after a refusal in which the service counts as out of retries."""
--- a/bergamotdeal/rpc/core.py
+++ b/bergamotdeal/rpc/core.py
@@ -99,7 +99,7 @@
         if unknown.
       is_repeat: Whether an earlier attempt of this call, or of a call above
         it, may have reached a server; it then counts as a retry.
-      prior_calls: Number of calls that the run that makes this one made before.
+      prior_calls: Number of calls that the runs above this call made before.
       organisation: Organisation of the user request, or empty.
       key_digest: Digest of the key that must still be valid when the call
         runs; empty if the call needs no key or inherits its organisation.
