Count return times and name the organisation of a refused caller

Cause: operators could not see whether callers return at their times, nor whose request an entry refused.

Change: events 303 and 304 with their counters; the reason of CALL_SHED at an entry names the organisation.

--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -43,7 +43,15 @@
                 state.now
             ).items()
         )
-        return f"{part:.2f} of {prefix} is let in; services can take {shares}"
+        organisation = (
+            f"; organisation {exchange.organisation}"
+            if exchange.organisation
+            else ""
+        )
+        return (
+            f"{part:.2f} of {prefix} is let in; services can take {shares}"
+            f"{organisation}"
+        )
     threshold = thresholds.threshold(
         service, prefix, exchange.class_name, state.now
     )
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -14,6 +14,7 @@
 from bergamotdeal.retries import allowance
 from bergamotdeal.routing import known_services
 from bergamotdeal.rpc import core as rpc
+from bergamotdeal.telemetry import catalogue
 from bergamotdeal.utils import hashing
 
 _KINDS = errors.ErrorKind
@@ -194,6 +195,10 @@
         is_reserved = policy.return_times and state.return_schedule.claim(
             exchange.fingerprint, state.now
         )
+        if is_reserved:
+            state.record_event(
+                catalogue.EventCode.RETURN_ADMITTED, exchange.user_request_id
+            )
         admitted = state.cost_model.admits(
             exchange.route.prefix,
             request.service,
--- a/bergamotdeal/calls/returns.py
+++ b/bergamotdeal/calls/returns.py
@@ -5,6 +5,7 @@
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import state as engine_state
 from bergamotdeal.errors import core as errors
+from bergamotdeal.telemetry import catalogue
 
 _MS_PER_S = 1000
 
@@ -70,4 +71,11 @@
         remaining_s=exchange.deadline - state.now,
         target_s=route.target_latency_ms / _MS_PER_S,
     )
+    if assigned.is_reserved:
+        state.record_event(
+            catalogue.EventCode.RETURN_RESERVED,
+            exchange.user_request_id,
+            name=exchange.class_name,
+            delay_ms=round(assigned.delay_s * _MS_PER_S),
+        )
     return assigned.delay_s
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -38,6 +38,8 @@
     CALL_SHED = 300
     THRESHOLD_CHANGED = 301
     LIMIT_CHANGED = 302
+    RETURN_RESERVED = 303
+    RETURN_ADMITTED = 304
 
     # 400 routing
     OUTLIER_FOUND = 400
@@ -128,6 +130,11 @@
         "admission threshold of class {name} is {threshold}"
     ),
     EventCode.LIMIT_CHANGED: "concurrency limit is {limit}",
+    EventCode.RETURN_RESERVED: (
+        "refused caller of class {name} is admitted if it returns in "
+        "{delay_ms} ms"
+    ),
+    EventCode.RETURN_ADMITTED: "caller returned at its time",
     EventCode.OUTLIER_FOUND: "host {host} is an outlier",
     EventCode.REQUEST_QUARANTINED: "request {fingerprint} quarantined",
     EventCode.MEMBER_JOINED: "host {host} joined",
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -47,6 +47,8 @@
     ADMISSION_SHED = "admission.shed"
     ADMISSION_THRESHOLD_CHANGES = "admission.threshold_changes"
     ADMISSION_LIMIT_CHANGES = "admission.limit_changes"
+    ADMISSION_RETURNS_RESERVED = "admission.returns_reserved"
+    ADMISSION_RETURNS_ADMITTED = "admission.returns_admitted"
     ROUTING_OUTLIERS = "routing.outliers"
     QUARANTINE_REQUESTS = "quarantine.requests"
     MEMBERSHIP_JOINS = "membership.joins"
@@ -130,6 +132,8 @@
         Counter.ADMISSION_THRESHOLD_CHANGES
     ),
     catalogue.EventCode.LIMIT_CHANGED: Counter.ADMISSION_LIMIT_CHANGES,
+    catalogue.EventCode.RETURN_RESERVED: Counter.ADMISSION_RETURNS_RESERVED,
+    catalogue.EventCode.RETURN_ADMITTED: Counter.ADMISSION_RETURNS_ADMITTED,
     catalogue.EventCode.OUTLIER_FOUND: Counter.ROUTING_OUTLIERS,
     catalogue.EventCode.REQUEST_QUARANTINED: Counter.QUARANTINE_REQUESTS,
     catalogue.EventCode.MEMBER_JOINED: Counter.MEMBERSHIP_JOINS,
