--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -10,6 +10,8 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
+from bergamotdeal.pricing import core
+from bergamotdeal.pricing import origins
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
@@ -319,3 +321,36 @@
         effects = node.handle(messages.PeerCalled(link_id=1, call=retry))
         assert not select_effects(effects, messages.SendAnswer)
         node.handle(messages.PeerCancelled(link_id=1, number=number))
+
+
+@pytest.mark.parametrize("fair_share", [True, False])
+def test_organisations_count_at_the_entry_only_with_fair_share(fair_share):
+    node = Node()
+    policy = model.AdmissionPolicy(pricing=True, fair_share=fair_share)
+    preset = dataclasses.replace(PRESET, admission=policy)
+    node.handle(messages.PresetInForce(epoch=2, preset=preset))
+    state = node.engine._state
+    report = core.Report(
+        origin=origins.Origin.CALLERS,
+        charges=[core.Charge(service="kitview", slot_s=0.1, share=0.3)],
+    )
+    state.cost_model.apply_report("kits", "kitview", core.encode(report), 1.0)
+    intake = node.engine._dispatcher._intake
+    event = messages.CallArrived(
+        origin_id=7,
+        face=messages.Face.ENTRY,
+        request=rpc.Request(
+            service="",
+            method="GET",
+            path="/kits/7",
+            headers=[],
+            body=b"",
+            authority="kits.example",
+        ),
+        user_request_id="r7",
+    )
+    exchange = intake.open(event)
+    exchange.organisation = "o1"
+    intake.find_refusal(exchange)
+    gate = state.cost_model._entry_gate
+    assert gate._has_organisations == fair_share
