Spill calls to other data centres by need

Cause: each call decided by two samples of the near servers whether it also sampled the next ring, so that half-full data centres sent calls to each other. A call that costs more than a refusal stays.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -190,6 +190,9 @@
             answer.threshold,
             self._state.now,
         )
+        self._router.record_call_size(
+            request.service, len(request.body) + len(answer.body)
+        )
         self._close_dispatch(
             exchange,
             succeeded=answer.error not in truth.LOST_ANSWER_KINDS,
@@ -266,13 +269,14 @@
         exchange.delegated_tokens = exchange.allowance.split_for_call()
         exchange.sent_at = state.now
         self._exchanges_by_number[number] = exchange
-        self._router.record_call_start(host_id, state.now)
         state.record_event(
             _CODES.CALL_DISPATCHED,
             exchange.user_request_id,
             number=number,
             host=host_id,
+            **self._router.explain_choice(host_id, state.now),
         )
+        self._router.record_call_start(host_id, state.now)
         parent = exchange.parent
         route = exchange.route
         exchange.is_requesting_ticket = (
--- a/bergamotdeal/calls/targets.py
+++ b/bergamotdeal/calls/targets.py
@@ -46,10 +46,20 @@
                 self._state.record_event(
                     catalogue.EventCode.OUTLIER_FOUND, host=outlier
                 )
+            self._record_spill_changes()
         if host_id is None:
             return result.Err(_KINDS.NO_SERVER)
         return result.Ok(host_id)
 
+    def _record_spill_changes(self) -> None:
+        for service, is_spilling in self._router.pop_spill_changes():
+            self._state.record_event(
+                catalogue.EventCode.SPILL_STARTED
+                if is_spilling
+                else catalogue.EventCode.SPILL_ENDED,
+                service=service,
+            )
+
     def _find_ticket_host(self, encoded: bytes) -> result.Result[str, _KINDS]:
         """Returns the host that issued a ticket; no other may run it."""
         match tickets.decode(encoded):
--- a/bergamotdeal/node/gauges.py
+++ b/bergamotdeal/node/gauges.py
@@ -36,6 +36,7 @@
     node_metrics.set_gauge(metrics.Gauge.RUNNING, server.running)
     node_metrics.set_gauge(metrics.Gauge.QUEUED, server.queued)
     node_metrics.set_gauge(metrics.Gauge.LIMIT, server.limit)
+    node_metrics.set_gauge(metrics.Gauge.WORK_FACTOR, server.work_factor)
     for class_name, threshold in server.thresholds_by_class.items():
         node_metrics.set_gauge(
             metrics.Gauge.THRESHOLD, threshold, label=class_name
--- a/bergamotdeal/node/status.py
+++ b/bergamotdeal/node/status.py
@@ -48,6 +48,8 @@
       running: Number of requests that the server is running.
       queued: Number of requests queued at the node.
       limit: Concurrency limit in force.
+      work_factor: How long work takes now as a multiple of the server's usual
+        time.
       thresholds_by_class: Share of request hashes admitted for each request
         class, 0.0 to 1.0.
     """
@@ -57,6 +59,7 @@
     running: int = 0
     queued: int = 0
     limit: int = 0
+    work_factor: float = 1.0
     thresholds_by_class: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -56,6 +56,7 @@
         running=load.running if load else 0,
         queued=load.queued if load else 0,
         limit=load.limit if load else 0,
+        work_factor=load.work_factor if load else 1.0,
         thresholds_by_class={name: engine.threshold(name) for name in classes},
     )
 
--- a/bergamotdeal/node/tests/test_metrics_sources.py
+++ b/bergamotdeal/node/tests/test_metrics_sources.py
@@ -146,6 +146,7 @@
                 running=4,
                 queued=2,
                 limit=7,
+                work_factor=2.5,
                 thresholds_by_class={"browse": 0.5},
             ),
         ),
@@ -162,5 +163,6 @@
         "server.running": 4,
         "server.queued": 2,
         "server.limit": 7,
+        "server.work_factor": 2.5,
         "admission.threshold.browse": 0.5,
     }
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -287,6 +287,10 @@
         time, instead of by load alone.
       slow_start_ms: Milliseconds in which a server that joins a known service
         reaches its full share of the calls.
+      refusal_bytes: Bytes between data centres that cost as much as one refused
+        request. Calls then go to other data centres only when the near servers
+        are full, and not at all if a call has more bytes. Zero decides for each
+        call by spill_share.
     """
 
     prefer_near: bool = True
@@ -295,6 +299,7 @@
     outlier_weight: Share = 0.1
     weigh_speed: bool = False
     slow_start_ms: Milliseconds = 10_000
+    refusal_bytes: Count = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bergamotdeal/routing/router.py
+++ b/bergamotdeal/routing/router.py
@@ -7,9 +7,10 @@
 from bergamotdeal.routing import core
 from bergamotdeal.routing import outliers
 from bergamotdeal.routing import rendezvous
+from bergamotdeal.routing import service_servers
+from bergamotdeal.routing import spill
 from bergamotdeal.rpc import core as rpc
 
-_LOCALITY_TIERS = 3
 _MAX_SUBSET_SIZE = 32
 _SUBSET_SHARE_BY_TIER = (0.5, 0.75, 1.0)
 _OUTLIER_CHECK_INTERVAL_S = 1.0
@@ -36,51 +37,6 @@
 _MAX_RESAMPLES = 4
 
 
-class _ServiceServers:
-    """Servers of one service and the subset that this node uses.
-
-    Attributes:
-      members_by_id: All members that announce the service, by host id.
-      eligible_digests: Rendezvous digests of the members eligible for
-        selection, by host id.
-      suspect_digests: Rendezvous digests of suspected members, which are
-        used only as a fallback, by host id.
-      targets: Subset of servers that this node uses.
-      targets_by_tier: The same servers by locality tier.
-      next_outlier_check: Time of the next outlier detection, monotonic
-        seconds.
-      mean_run_ms: Mean run time of the servers, milliseconds; zero when
-        unknown.
-      has_uneven_speeds: Whether servers report that their speed differs from
-        the usual one.
-    """
-
-    def __init__(self, *, members_by_id: dict[str, membership.Member]):
-        self.members_by_id = members_by_id
-        self.eligible_digests: dict[str, int] = {}
-        self.suspect_digests: dict[str, int] = {}
-        self.targets: list[core.Target] = []
-        self.targets_by_tier: list[list[core.Target]] = [
-            [] for _ in range(_LOCALITY_TIERS)
-        ]
-        self.next_outlier_check = 0.0
-        self.mean_run_ms = 0.0
-        self.has_uneven_speeds = False
-
-    def update_speeds(self) -> None:
-        """Summarizes the run times and speeds that the servers report."""
-        self.has_uneven_speeds = any(
-            each.load_report is not None and each.load_report.work_factor != 1.0
-            for each in self.targets
-        )
-        reported_ms = [
-            ms for ms in (each.run_ms() for each in self.targets) if ms > 0
-        ]
-        self.mean_run_ms = (
-            sum(reported_ms) / len(reported_ms) if reported_ms else 0.0
-        )
-
-
 class Router:
     """Load balancer with two random choices within a stable server subset.
 
@@ -107,8 +63,9 @@
         self._region = region
         self._rng = rng
         self._targets_by_id: dict[str, core.Target] = {}
-        self._services_by_name: dict[str, _ServiceServers] = {}
+        self._services_by_name: dict[str, service_servers.ServiceServers] = {}
         self._new_outliers: list[str] = []
+        self._spill_changes: list[tuple[str, bool]] = []
 
     def pop_new_outliers(self) -> list[str]:
         """Returns the host ids of new outliers since the last call."""
@@ -116,6 +73,35 @@
         self._new_outliers = []
         return new_outliers
 
+    def pop_spill_changes(self) -> list[tuple[str, bool]]:
+        """Returns changes of the spill to other data centres.
+
+        Returns:
+          Services, and whether their calls began to spill or no longer do, in
+          the order of the changes since the last call.
+        """
+        spill_changes = self._spill_changes
+        self._spill_changes = []
+        return spill_changes
+
+    def explain_choice(
+        self, host_id: str, now: float
+    ) -> dict[str, int | float]:
+        """Returns what is known of a server, as fields of an event.
+
+        Args:
+          host_id: Host of the server.
+          now: Monotonic seconds.
+        """
+        target = self._targets_by_id.get(host_id)
+        if target is None or target.load_report is None:
+            return {}
+        return {
+            "load": round(target.projected_utilization(now), 2),
+            "work_factor": round(target.work_factor(now), 2),
+            "report_ms": int((now - target.reported_at) * _MS_PER_S),
+        }
+
     def set_policy(self, policy: model.RoutingPolicy) -> None:
         """Applies the policy of a new preset."""
         changes_tiers = policy.prefer_near != self._policy.prefer_near
@@ -144,7 +130,7 @@
                 )
                 service_members[host_id] = member
         previous = self._services_by_name
-        services: dict[str, _ServiceServers] = {}
+        services: dict[str, service_servers.ServiceServers] = {}
         for name, service_members in members_by_service.items():
             service = previous.get(name)
             if service is None or service.members_by_id != service_members:
@@ -152,6 +138,8 @@
                 service = self._build_service(
                     service_members, was_known=was_known
                 )
+                if name in previous:
+                    service.spill.inherit(previous[name].spill)
             services[name] = service
         self._services_by_name = services
         self._index_targets()
@@ -178,6 +166,13 @@
             return None
         self._check_outliers(servers, now)
         targets_by_tier = servers.targets_by_tier
+        if self._policy.refusal_bytes and self._policy.prefer_near:
+            targets_by_tier = self._select_data_centre(
+                servers, is_resent=bool(exclude), now=now
+            )
+            is_spilling = servers.spill.pop_change(now)
+            if is_spilling is not None:
+                self._spill_changes.append((service, is_spilling))
         if exclude:
             targets_by_tier = [
                 [each for each in tier if each.member.host_id not in exclude]
@@ -191,6 +186,38 @@
             return target.member.host_id
         return self._select_fallback(servers, exclude)
 
+    def _select_data_centre(
+        self,
+        service: service_servers.ServiceServers,
+        *,
+        is_resent: bool,
+        now: float,
+    ) -> list[list[core.Target]]:
+        """Returns the servers of one data centre by locality tier."""
+        selected = service.spill.select_targets(
+            refusal_bytes=self._policy.refusal_bytes,
+            is_resent=is_resent,
+            rng=self._rng,
+            now=now,
+        )
+        targets_by_tier: list[list[core.Target]] = [
+            [] for _ in range(service_servers.LOCALITY_TIERS)
+        ]
+        for target in selected:
+            targets_by_tier[target.locality_tier].append(target)
+        return targets_by_tier
+
+    def record_call_size(self, service: str, size_bytes: int) -> None:
+        """Records the bytes of a request and its answer.
+
+        Args:
+          service: Service that was called.
+          size_bytes: Bytes of both bodies.
+        """
+        servers = self._services_by_name.get(service)
+        if servers is not None:
+            servers.spill.record_call_size(size_bytes)
+
     def select_server_by_hash(
         self, service: str, key: str, *, exclude: frozenset[str]
     ) -> str | None:
@@ -276,8 +303,8 @@
 
     def _build_service(
         self, members_by_id: dict[str, membership.Member], *, was_known: bool
-    ) -> _ServiceServers:
-        service = _ServiceServers(members_by_id=members_by_id)
+    ) -> service_servers.ServiceServers:
+        service = service_servers.ServiceServers(members_by_id=members_by_id)
         for host_id, member in members_by_id.items():
             if member.state is membership.MemberState.ALIVE:
                 service.eligible_digests[host_id] = rendezvous.digest(host_id)
@@ -291,10 +318,10 @@
         return service
 
     def _select_subset(
-        self, service: _ServiceServers, *, was_known: bool
+        self, service: service_servers.ServiceServers, *, was_known: bool
     ) -> None:
         digests_by_tier: list[dict[str, int]] = [
-            {} for _ in range(_LOCALITY_TIERS)
+            {} for _ in range(service_servers.LOCALITY_TIERS)
         ]
         for host_id, digest in service.eligible_digests.items():
             tier = self._locality_tier(service.members_by_id[host_id])
@@ -313,6 +340,10 @@
                 )
                 service.targets.append(target)
                 service.targets_by_tier[tier].append(target)
+        near, *far = service.targets_by_tier
+        service.spill = spill.SpillController(
+            near=near, far=[target for tier in far for target in tier]
+        )
 
     def _get_or_create_target(
         self, member: membership.Member, tier: int, *, was_known: bool
@@ -360,7 +391,7 @@
 
     def _select_by_completion(
         self,
-        service: _ServiceServers,
+        service: service_servers.ServiceServers,
         targets_by_tier: list[list[core.Target]],
         now: float,
     ) -> core.Target | None:
@@ -434,7 +465,9 @@
             return 1.0
         return max(_MIN_SLOW_START_WEIGHT, age_share)
 
-    def _check_outliers(self, service: _ServiceServers, now: float) -> None:
+    def _check_outliers(
+        self, service: service_servers.ServiceServers, now: float
+    ) -> None:
         if now < service.next_outlier_check:
             return
         service.next_outlier_check = now + _OUTLIER_CHECK_INTERVAL_S
@@ -446,7 +479,7 @@
         )
 
     def _select_fallback(
-        self, service: _ServiceServers, exclude: frozenset[str]
+        self, service: service_servers.ServiceServers, exclude: frozenset[str]
     ) -> str | None:
         for host_ids in (
             service.eligible_digests,
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -43,6 +43,8 @@
 
     # 400 routing
     OUTLIER_FOUND = 400
+    SPILL_STARTED = 401
+    SPILL_ENDED = 402
 
     # 500 quarantine
     REQUEST_QUARANTINED = 500
@@ -96,7 +98,10 @@
 
 MESSAGES_BY_CODE: dict[EventCode, str] = {
     EventCode.CALL_ARRIVED: "{method} {service}{path} arrived at {face}",
-    EventCode.CALL_DISPATCHED: "call {number} sent to {host}",
+    EventCode.CALL_DISPATCHED: (
+        "call {number} sent to {host}; with it {load} of the slots are in use, "
+        "work takes {work_factor} of the usual, as reported {report_ms} ms ago"
+    ),
     EventCode.CALL_QUEUED: "call {number} queued, {queued} waiting",
     EventCode.RUN_STARTED: "run {run} started on the backend server",
     EventCode.RUN_ENDED: "run {run} ended: {result}",
@@ -136,6 +141,11 @@
     ),
     EventCode.RETURN_ADMITTED: "caller returned at its time",
     EventCode.OUTLIER_FOUND: "host {host} is an outlier",
+    EventCode.SPILL_STARTED: (
+        "calls to {service} spill to other data centres, the near servers are "
+        "full"
+    ),
+    EventCode.SPILL_ENDED: "calls to {service} stay in this data centre",
     EventCode.REQUEST_QUARANTINED: "request {fingerprint} quarantined",
     EventCode.MEMBER_JOINED: "host {host} joined",
     EventCode.MEMBER_STATE_CHANGED: "host {host} is {state}",
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -40,6 +40,7 @@
     OUTCOME_UNKNOWN = "outcome.unknown"
     RUNS_STARTED = "runs.started"
     RUNS_ENDED = "runs.ended"
+    RUNS_HUNG = "runs.hung"
     TICKETS_ISSUED = "tickets.issued"
     TICKETS_USED = "tickets.used"
     TICKETS_REFUSED = "tickets.refused"
@@ -50,6 +51,7 @@
     ADMISSION_RETURNS_RESERVED = "admission.returns_reserved"
     ADMISSION_RETURNS_ADMITTED = "admission.returns_admitted"
     ROUTING_OUTLIERS = "routing.outliers"
+    ROUTING_SPILLS = "routing.spills"
     QUARANTINE_REQUESTS = "quarantine.requests"
     MEMBERSHIP_JOINS = "membership.joins"
     MEMBERSHIP_STATE_CHANGES = "membership.state_changes"
@@ -91,6 +93,7 @@
     RUNNING = "server.running"
     QUEUED = "server.queued"
     LIMIT = "server.limit"
+    WORK_FACTOR = "server.work_factor"
     THRESHOLD = "admission.threshold"
     EPOCH = "presets.epoch"
     MEMBERS_ALIVE = "membership.alive"
@@ -124,6 +127,7 @@
         Counter.CALLS_INTERNAL_FAILURES
     ),
     catalogue.EventCode.DISPATCH_FAILED: Counter.CALLS_DISPATCH_FAILURES,
+    catalogue.EventCode.RUN_HUNG: Counter.RUNS_HUNG,
     catalogue.EventCode.TICKET_ISSUED: Counter.TICKETS_ISSUED,
     catalogue.EventCode.TICKET_USED: Counter.TICKETS_USED,
     catalogue.EventCode.TICKET_REFUSED: Counter.TICKETS_REFUSED,
@@ -135,6 +139,7 @@
     catalogue.EventCode.RETURN_RESERVED: Counter.ADMISSION_RETURNS_RESERVED,
     catalogue.EventCode.RETURN_ADMITTED: Counter.ADMISSION_RETURNS_ADMITTED,
     catalogue.EventCode.OUTLIER_FOUND: Counter.ROUTING_OUTLIERS,
+    catalogue.EventCode.SPILL_STARTED: Counter.ROUTING_SPILLS,
     catalogue.EventCode.REQUEST_QUARANTINED: Counter.QUARANTINE_REQUESTS,
     catalogue.EventCode.MEMBER_JOINED: Counter.MEMBERSHIP_JOINS,
     catalogue.EventCode.MEMBER_STATE_CHANGED: (
