Grant from the slack while a bucket owner is down

Cause: half of a small cap is on one host; when it dies, that half was lost for 10 minutes. After a stop, a fetch that was in flight kept an entry from asking, and the first request got 503. A full datagram of grants exceeded the size limit of gossip datagrams.

Change: two standbys, the next hosts in rank, grant from the slack; fetches older than the longest wait no longer count; 32 organisations per datagram.

--- a/bergamotdeal/quotas/account.py
+++ b/bergamotdeal/quotas/account.py
@@ -82,6 +82,7 @@
         self.fetches_by_number: dict[int, Fetch] = {}
         self.views_by_owner: dict[str, OwnerView] = {}
         self.owners: list[str] = []
+        self.standbys: list[str] = []
         self.plan: core.Plan | None = None
         self.placed_at = float("-inf")
         self.version = -1
@@ -109,10 +110,14 @@
         """Returns the number of tokens held."""
         return sum(count for _, count in self.held)
 
-    def coming_count(self) -> int:
-        """Returns the number of tokens asked for and not overdue."""
+    def coming_count(self, oldest_at: float) -> int:
+        """Returns the number of tokens asked for and not overdue.
+
+        Args:
+          oldest_at: Time before which a request counts as lost.
+        """
         return sum(
             fetch.wanted
             for fetch in self.fetches_by_number.values()
-            if not fetch.is_late
+            if not fetch.is_late and fetch.sent_at > oldest_at
         )
--- a/bergamotdeal/quotas/cache.py
+++ b/bergamotdeal/quotas/cache.py
@@ -290,14 +290,18 @@
         account.plan = self._caps and self._caps.find_plan(
             account.digest, len(counted.digests_by_host)
         )
-        parts = account.plan.parts if account.plan else 0
-        account.owners = rendezvous.rank_names_by_digest(
-            account.digest, counted.digests_by_host, parts
+        plan = account.plan
+        parts = plan.parts if plan else 0
+        standby_count = plan.standby.parts if plan and plan.standby else 0
+        ranked = rendezvous.rank_names_by_digest(
+            account.digest, counted.digests_by_host, parts + standby_count
         )
+        account.owners = ranked[:parts]
+        account.standbys = ranked[parts:]
         account.views_by_owner = {
             owner: view
             for owner, view in account.views_by_owner.items()
-            if owner in account.owners
+            if owner in ranked
         }
 
     def _fetch(self, account: account_state.Account, now: float) -> None:
@@ -307,7 +311,7 @@
         horizon_s = min(AHEAD_S, account.plan.lifetime_s / 2)
         ahead = int(account.demand.read(now) * horizon_s)
         held = account.held_count()
-        need = len(account.waiting) - account.coming_count()
+        need = len(account.waiting) - account.coming_count(now - WAIT_S)
         if 2 * held < ahead:
             need += ahead - held
         while need > 0:
@@ -321,10 +325,18 @@
     def _choose_owner(
         self, account: account_state.Account, now: float
     ) -> str | None:
-        asked = {fetch.owner_id for fetch in account.fetches_by_number.values()}
+        # Older fetches are those of before a stop of this process.
+        asked = {
+            fetch.owner_id
+            for fetch in account.fetches_by_number.values()
+            if now - fetch.sent_at < WAIT_S
+        }
         best = None
         best_rank = (-1.0, 0.0)
-        for owner in account.owners:
+        candidates = account.owners
+        if any(self._is_down(account, owner, now) for owner in candidates):
+            candidates = candidates + account.standbys
+        for owner in candidates:
             if owner in asked or not self._can_answer(owner, now):
                 continue
             view = account.views_by_owner.get(owner)
@@ -383,6 +395,19 @@
                 break  # Those behind arrived later.
             self._refuse(account, origin_id, refusal, now)
 
+    def _is_down(
+        self, account: account_state.Account, owner: str, now: float
+    ) -> bool:
+        """Returns whether a bucket owner can't be reached or doesn't grant."""
+        if not self._can_answer(owner, now):
+            return True
+        view = account.views_by_owner.get(owner)
+        return (
+            view is not None
+            and view.refused_to_grant
+            and view.empty_until > now
+        )
+
     def _is_known_empty(
         self, account: account_state.Account, owner: str, now: float
     ) -> bool:
--- a/bergamotdeal/quotas/core.py
+++ b/bergamotdeal/quotas/core.py
@@ -25,6 +25,12 @@
 """Share of the excess that a window may have which the lifetime uses. The rest
 covers the time between the use of a token and the run of its request."""
 
+_MAX_STANDBYS = 2
+_STANDBY_RATE_SHARE = 0.5
+"""Share of the slack that the standbys grant in one window."""
+
+_STANDBY_BURST_SHARE = 0.25
+
 _MIN_CAPACITY_S = 0.1
 """Seconds of the rate that the buckets hold at least, if the bound allows it.
 Tokens that exceed the capacity before an entry asks for them are lost."""
@@ -39,12 +45,15 @@
       capacity: Capacity of all buckets in tokens.
       parts: Number of buckets.
       lifetime_s: Seconds from the request for a token to its expiry.
+      standby: Buckets of the hosts that follow the owners in rank, from which
+        entries take tokens if an owner can't be reached, or None.
     """
 
     rate: float
     capacity: float
     parts: int
     lifetime_s: float
+    standby: "Plan | None" = None
 
 
 def compute_bound(
@@ -78,6 +87,10 @@
     """
     window_s = policy.window_ms / _MS_PER_S
     bound = compute_bound(policy=policy, rate_per_s=rate_per_s, burst=burst)
+    standby = _compute_standby(policy)
+    if standby is not None:
+        longest_s = window_s + MAX_LIFETIME_S
+        bound -= standby.rate * longest_s + standby.capacity
     excess = bound - rate_per_s * window_s - burst
     lifetime_s = min(
         MAX_LIFETIME_S,
@@ -100,6 +113,20 @@
         capacity=capacity,
         parts=max(1, parts),
         lifetime_s=lifetime_s,
+        standby=standby and dataclasses.replace(standby, lifetime_s=lifetime_s),
+    )
+
+
+def _compute_standby(policy: model.QuotaPolicy) -> Plan | None:
+    """Computes the buckets of the standbys, which a part of the slack pays."""
+    capacity = policy.slack * _STANDBY_BURST_SHARE
+    parts = min(_MAX_STANDBYS, math.floor(capacity))
+    if not parts:
+        return None
+    window_s = policy.window_ms / _MS_PER_S
+    rate = policy.slack * _STANDBY_RATE_SHARE / window_s
+    return Plan(
+        rate=rate, capacity=capacity, parts=parts, lifetime_s=MAX_LIFETIME_S
     )
 
 
--- a/bergamotdeal/quotas/messages.py
+++ b/bergamotdeal/quotas/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-MAX_ITEMS = 64
+MAX_ITEMS = 32
 """Maximum number of organisations in one datagram."""
 
 MAX_WANTED = 255
--- a/bergamotdeal/quotas/owner.py
+++ b/bergamotdeal/quotas/owner.py
@@ -191,8 +191,10 @@
         plan = self._caps.find_plan(digest, len(digests_by_host))
         if plan is None:
             return None
-        if not rendezvous.is_among_first(
-            digest, self._host_id, digests_by_host, plan.parts
-        ):
+        standby_count = plan.standby.parts if plan.standby else 0
+        rank = rendezvous.find_rank(
+            digest, self._host_id, digests_by_host, plan.parts + standby_count
+        )
+        if rank is None:
             return None
-        return plan
+        return plan if rank < plan.parts else plan.standby
--- a/bergamotdeal/routing/rendezvous.py
+++ b/bergamotdeal/routing/rendezvous.py
@@ -65,20 +65,23 @@
     )
 
 
-def is_among_first(
+def find_rank(
     key_digest: int, name: str, digests_by_name: Mapping[str, int], count: int
-) -> bool:
-    """Returns whether a candidate has one of the highest weights for a key.
+) -> int | None:
+    """Returns the rank of a candidate if it is among the first, else None.
 
     Args:
       key_digest: Digest of the key.
       name: Name of the candidate.
       digests_by_name: Digests of the candidates by name.
       count: Number of candidates that are among the first.
+
+    Returns:
+      The number of candidates with a higher weight, below ``count``, or None.
     """
     own_digest = digests_by_name.get(name)
     if own_digest is None:
-        return False
+        return None
     mix = hashing.split_mix_64
     own_weight = (mix(key_digest ^ own_digest), name)
     higher_count = 0
@@ -86,5 +89,5 @@
         if (mix(key_digest ^ other_digest), other) > own_weight:
             higher_count += 1
             if higher_count >= count:
-                return False
-    return True
+                return None
+    return higher_count
--- a/bergamotdeal/wire/quotas.py
+++ b/bergamotdeal/wire/quotas.py
@@ -17,7 +17,7 @@
 
 MARKER = b"\xb7Q1"
 MAC_BYTES = 16
-MAX_DATAGRAM_BYTES = 1400
+MAX_DATAGRAM_BYTES = 1200
 
 _UInt8 = Annotated[int, msgspec.Meta(ge=0, le=255)]
 _UInt32 = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
