Never drop a run that can't be repeated before its deadline

Cause: the detection of hung connections ended a silent run after ten times its usual run time, whether or not its request may be sent again. Silence is no reason to end an answer sooner; a server that is slow by more than that still answers, and the caller of a non-repeatable request could not retry. Change: only runs of repeatable requests are taken for hung; their origin retries them at another server. Test: test_run_that_cannot_be_repeated_is_not_dropped.

--- a/bergamotdeal/calls/overdue.py
+++ b/bergamotdeal/calls/overdue.py
@@ -38,7 +38,9 @@
     """Returns whether an overdue run is one that the server never started.
 
     A run that has made calls is running, and waits for them as long as they
-    take. A run that still has to answer later callers is not given up.
+    take. A run that still has to answer later callers is not given up, nor one
+    that can't be repeated: its caller could not retry, and a slow server may
+    still answer.
 
     Args:
       run: Run without an answer.
@@ -47,4 +49,5 @@
         run.phase is runs.Phase.RUNNING
         and run.calls_made == 0
         and run.ticket_record is None
+        and run.route.repeatable
     )
--- a/bergamotdeal/node/tests/test_hanging_server.py
+++ b/bergamotdeal/node/tests/test_hanging_server.py
@@ -13,7 +13,7 @@
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 RUN_S = 0.05
 ROUTE = dataclasses.replace(
-    test_host_routes.PRESET.host_routes[0], timeout_ms=5000
+    test_host_routes.PRESET.host_routes[0], timeout_ms=5000, repeatable=True
 )
 PRESET = dataclasses.replace(test_host_routes.PRESET, host_routes=(ROUTE,))
 CHILD_ORIGIN_ID = 99
@@ -23,10 +23,10 @@
 class FakeServer:
     """Node whose server answers after ``RUN_S``, or never while it hangs."""
 
-    def __init__(self):
+    def __init__(self, preset=PRESET):
         self.hangs = False
         self.node = test_host_routes.Node()
-        self.node.handle(messages.PresetInForce(epoch=2, preset=PRESET))
+        self.node.handle(messages.PresetInForce(epoch=2, preset=preset))
         self.replies = []
         self._reactor = testing.MemoryReactorClock()
         self._events = collections.deque()
@@ -113,8 +113,8 @@
                     self.replies.append(effect.answer)
 
 
-def build_measured_server():
-    server = FakeServer()
+def build_measured_server(preset=PRESET):
+    server = FakeServer(preset)
     for number in range(8):
         server.call(f"r{number}")
         server.pass_time(0.2)
@@ -149,6 +149,20 @@
     assert server.node.engine.load().running == 1
 
 
+# Guards against a failure of a request that a slow server would still answer
+# and that its caller can't send again.
+def test_run_that_cannot_be_repeated_is_not_dropped():
+    route = dataclasses.replace(ROUTE, repeatable=False)
+    server = build_measured_server(
+        dataclasses.replace(PRESET, host_routes=(route,))
+    )
+    server.hangs = True
+    server.call("h")
+    server.pass_time(1.5)
+    assert server.replies == []
+    assert server.node.engine.load().running == 1
+
+
 def test_request_without_a_known_run_time_is_not_dropped():
     server = FakeServer()
     server.hangs = True
