--- a/bergamotdeal/presets/parser.py
+++ b/bergamotdeal/presets/parser.py
@@ -60,6 +60,9 @@
     *_POLICY_BY_SECTION,
 )
 _DESTINATIONS_KEY = "destinations"
+_MIN_QUOTA_WINDOW_MS = 1000
+"""Tokens live at least 250 ms, which a shorter window would mostly be."""
+
 _ROUTE_FIELD_BY_KEY = {"class": "class_name"}
 
 
@@ -320,6 +323,14 @@
                 message="must not be above window_max_ms",
             )
         )
+    if preset.quotas.window_ms < _MIN_QUOTA_WINDOW_MS:
+        problems.append(
+            ini.Problem(
+                section="quotas",
+                key="window_ms",
+                message=f"must be at least {_MIN_QUOTA_WINDOW_MS}",
+            )
+        )
     return problems
 
 
--- a/bergamotdeal/presets/tests/test_parser.py
+++ b/bergamotdeal/presets/tests/test_parser.py
@@ -101,6 +101,13 @@
             "window_min_ms",
             "window_max_ms",
         ),
+        (
+            "[route kitview * /]",
+            "[quotas]\nwindow_ms = 100\n[route kitview * /]",
+            "quotas",
+            "window_ms",
+            "at least 1000",
+        ),
     ],
 )
 def test_problem_names_section_key_and_accepted_values(
