Count a node as alone only once the store lists it alone

Cause: nodes that start together all see an empty registry first; each could have taken itself for the whole fleet and granted whole caps.

Change: a node may grant alone only if the listing contains it and no other.

Tests: those of the registry task pass.

--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -50,8 +50,8 @@
       store: The platform's object store.
       membership: The membership task.
       record: Takes events for the event log.
-      on_listed: Called after each listing with whether it contains no other
-        node.
+      on_listed: Called after each listing with whether it contains this node
+        and no other.
     """
 
     def __init__(
@@ -124,7 +124,8 @@
             for listed in outcome.ok_value
         }
         if self._on_listed is not None:
-            self._on_listed(not listed_by_host_id.keys() - {self._host_id})
+            # Of nodes that start together, at most one lists itself alone.
+            self._on_listed(listed_by_host_id.keys() == {self._host_id})
         has_entry = yield self._write_own_entry(
             listed_by_host_id.get(self._host_id)
         )
--- a/bergamotdeal/node/tests/test_registry.py
+++ b/bergamotdeal/node/tests/test_registry.py
@@ -100,6 +100,7 @@
         self.store = MemoryStore(**options)
         self.membership = FakeMembership()
         self.records = []
+        self.alone = []
         self.task = registry_task.RegistryTask(
             settings=settings.Settings(
                 node=settings.NodeSection(host_id=OWN, data_centre="prai"),
@@ -110,6 +111,7 @@
             store=self.store,
             membership=self.membership,
             record=self.records.append,
+            on_listed=self.alone.append,
         )
 
     def run(self, seconds):
@@ -125,6 +127,17 @@
     assert registry.decode(value).unwrap().address == OWN
 
 
+def test_node_is_alone_only_once_it_is_listed_without_others():
+    # Nodes that start together all see an empty registry first.
+    harness = Harness()
+    harness.task.start()
+    harness.run(30)
+    assert (harness.alone[0], harness.alone[-1]) == (False, True)
+    harness.store.write_entry("host-2")
+    harness.run(60)
+    assert harness.alone[-1] is False
+
+
 def test_start_with_unchanged_entry_writes_nothing():
     harness = Harness()
     own = registry.build_entry(make_member(OWN))
