--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -77,7 +77,8 @@
             may_have_run=event.attempt > 0,
             ticket=event.ticket,
         )
-        self._authenticator.authenticate(exchange, event)
+        if route is not _NO_ROUTE:
+            self._authenticator.authenticate(exchange, event)
         is_refused = route is _NO_ROUTE or exchange.key_refusal is not None
         if route.target_latency_ms:
             exchange.target = state.now + route.target_latency_ms / 1000
--- a/bergamotdeal/calls/tests/test_keys.py
+++ b/bergamotdeal/calls/tests/test_keys.py
@@ -268,3 +268,11 @@
     assert b"kilo" in head
     assert KEY.encode() in head
     assert b"key-1" not in head
+
+
+def test_request_without_route_is_not_refused_for_its_key():
+    # Guards against counts of refused keys for requests that get 404 anyway.
+    effects = Node().request(None, path="/none/7")
+    assert get_error(effects) is _KINDS.NO_ROUTE
+    codes = [record.code for record in select(effects, records.EventRecord)]
+    assert catalogue.EventCode.KEY_REFUSED not in codes
