--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -39,6 +39,7 @@
     catalogue.EventCode.CALL_REFUSED: INFO,
     catalogue.EventCode.KEY_REFUSED: INFO,
     catalogue.EventCode.CALL_LOST: INFO,
+    catalogue.EventCode.RUN_HUNG: INFO,
     catalogue.EventCode.DISPATCH_FAILED: INFO,
     catalogue.EventCode.LATE_ANSWER_DROPPED: INFO,
     catalogue.EventCode.SERVER_STOPPED: WARNING,
