Let hosts that restart together grant again

Cause: a host that starts waits until it counts as many active hosts as its peers. Peers still count the hosts that restart with it, which it did not, so two hosts that restarted at the same time waited for one another for ever.

Change: replies name the active hosts, also those that the replier sees, up to 100 chosen at random. A host that has just started no longer vetoes another by not knowing it; only one that has been active for the time of a removal does.

--- a/bergamotdeal/node/quotas.py
+++ b/bergamotdeal/node/quotas.py
@@ -221,7 +221,9 @@
             case messages.TokenGrant():
                 self._handle_grants(message, now)
             case messages.Introduction():
-                self._send(self._counted.handle_introduction(message), source)
+                self._send(
+                    self._counted.handle_introduction(message, now), source
+                )
             case messages.IntroductionReply():
                 self._counted.handle_reply(message, now)
 
--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -55,11 +55,14 @@
     Attributes:
       stage: Highest stage that it has confirmed.
       was_active: Whether it knew this host as active before the attempt.
+      may_have_removed: Whether it has been active for long enough to have
+        stopped counting a host.
       active_count: Number of other active hosts that it counts.
     """
 
     stage: messages.Stage
     was_active: bool
+    may_have_removed: bool
     active_count: int
 
 
@@ -95,10 +98,12 @@
         self._hosts: dict[str, _Host] = {}
         self._names_by_digest: dict[int, str] = {}
         self._present: dict[str, None] = {}
+        self._present_by_digest: dict[int, str] = {}
         self.digests_by_host: dict[str, int] = {}
         self.version = 0
         self.term = 0
         self._half_seen_at = now
+        self._active_since = now
         self._restart_introductions()
 
     def may_grant(self, now: float) -> bool:
@@ -156,6 +161,11 @@
         for host_id in left:
             if host_id != self._host_id:
                 self._remove(host_id)
+        known = {name: key for key, name in self._present_by_digest.items()}
+        self._present_by_digest = {
+            known.get(host_id) or rendezvous.digest(host_id): host_id
+            for host_id in self._present
+        }
         for host_id in self._present:
             self._name(host_id)
         self._progress(now)
@@ -173,12 +183,13 @@
         return self._list_introductions(now)
 
     def handle_introduction(
-        self, message: messages.Introduction
+        self, message: messages.Introduction, now: float
     ) -> messages.IntroductionReply:
         """Handles the introduction of another host.
 
         Args:
           message: The introduction.
+          now: Time in seconds on the clock that counts suspended time.
 
         Returns:
           The reply to send.
@@ -188,22 +199,28 @@
         was_active = known is not None and known.is_active
         if message.stage is not _Stage.ANNOUNCED:
             self._count(sender, is_active=message.stage is _Stage.ACTIVE)
-        absent = [
-            self.digests_by_host[host_id]
-            for host_id, host in self._hosts.items()
-            if host.is_active and not self.is_present(host_id)
-        ]
-        if len(absent) > messages.MAX_ABSENT:
-            absent = self._rng.sample(absent, messages.MAX_ABSENT)
+        active: list[int] = []
+        if message.stage is not _Stage.ACTIVE:
+            active = [
+                self.digests_by_host[host_id]
+                for host_id, host in self._hosts.items()
+                if host.is_active and host_id != sender
+            ]
+        if len(active) > messages.MAX_ACTIVE:
+            active = self._rng.sample(active, messages.MAX_ACTIVE)
         return messages.IntroductionReply(
             host_id=self._host_id,
             nonce=message.nonce,
             stage=message.stage,
             was_active=was_active,
+            may_have_removed=(
+                self.stage is _Stage.ACTIVE
+                and now - self._active_since >= REMOVAL_S
+            ),
             is_counted=sender in self._hosts,
             own_stage=self.stage,
             active_count=self._count_active(except_id=sender),
-            absent=tuple(absent),
+            active=tuple(active),
         )
 
     def handle_reply(
@@ -225,8 +242,8 @@
         if is_counted and self.stage is _Stage.ANNOUNCED:
             self._count(self._host_id)
         if self.stage is not _Stage.ACTIVE:
-            for digest in message.absent:
-                self._count_absent(digest)
+            for digest in message.active:
+                self._count_active_digest(digest)
         self._record_reply(message)
         self._try_next_stage(now)
 
@@ -236,6 +253,7 @@
             self._replies_by_host[message.host_id] = _Reply(
                 stage=message.stage,
                 was_active=message.was_active,
+                may_have_removed=message.may_have_removed,
                 active_count=message.active_count,
             )
         else:
@@ -268,13 +286,15 @@
             self._insert(host_id, host, rendezvous.digest(host_id))
         host.is_active = host.is_active or is_active
 
-    def _count_absent(self, digest: int) -> None:
-        """Counts a host that only another host has seen."""
+    def _count_active_digest(self, digest: int) -> None:
+        """Counts a host that another host counts as active."""
         host_id = self._names_by_digest.get(digest)
         if host_id is None:
-            self._insert(f"#{digest:x}", _Host(is_active=True), digest)
+            host_id = self._present_by_digest.get(digest)
+        if host_id is not None:
+            self._count(host_id, is_active=True)
         else:
-            self._hosts[host_id].is_active = True
+            self._insert(f"#{digest:x}", _Host(is_active=True), digest)
 
     def _remove(self, host_id: str) -> None:
         self._replies_by_host.pop(host_id, None)
@@ -332,8 +352,7 @@
             reply = self._replies_by_host.get(host_id)
             if reply is None or reply.stage < self.stage:
                 return False
-            # Until the replier has noticed that a host is absent, it does not
-            # name it.
+            # A reply names only some of the active hosts of a large fleet.
             if reply.active_count > active_count:
                 return False
         return bool(self._present) or self._may_be_alone
@@ -355,6 +374,7 @@
         if self.stage is _Stage.ACTIVE:
             self._hosts[self._host_id].is_active = True
             self._half_seen_at = now
+            self._active_since = now
         self.version += 1
         self._try_next_stage(now)
 
@@ -368,9 +388,13 @@
             self._hosts[name].is_active and not self.is_present(name)
             for name in others
         )
-        return not absent or all(
-            self._replies_by_host[host_id].was_active
-            for host_id in self._present
+        if not absent:
+            return True
+        # A host that has just started knows few others as active, which is no
+        # sign that this one is no longer counted.
+        replies = [self._replies_by_host[name] for name in self._present]
+        return any(reply.was_active for reply in replies) and not any(
+            reply.may_have_removed and not reply.was_active for reply in replies
         )
 
     def _list_introductions(
--- a/bergamotdeal/quotas/messages.py
+++ b/bergamotdeal/quotas/messages.py
@@ -7,8 +7,8 @@
 """Maximum number of organisations in one datagram."""
 
 MAX_WANTED = 255
-MAX_ABSENT = 100
-"""Maximum number of absent hosts in one reply; the repliers choose at random,
+MAX_ACTIVE = 100
+"""Maximum number of active hosts in one reply; the repliers choose at random,
 so a host that asks all of them learns all."""
 
 
@@ -104,21 +104,25 @@
       nonce: Nonce of the introduction.
       stage: Stage of the introduction.
       was_active: Whether the replier knew the sender as active before.
+      may_have_removed: Whether the replier has been active for long enough to
+        have stopped counting a host.
       is_counted: Whether the replier counts the sender now.
       own_stage: Stage of the replier.
       active_count: Number of active hosts that the replier counts, without
         the sender.
-      absent: Digests of active hosts that the replier counts and doesn't see.
+      active: Digests of active hosts that the replier counts, without the
+        sender.
     """
 
     host_id: str
     nonce: int
     stage: Stage
     was_active: bool = False
+    may_have_removed: bool = False
     is_counted: bool = False
     own_stage: Stage = Stage.ANNOUNCED
     active_count: int = 0
-    absent: tuple[int, ...] = ()
+    active: tuple[int, ...] = ()
 
 
 Message = TokenRequest | TokenGrant | Introduction | IntroductionReply
--- a/bergamotdeal/quotas/tests/model.py
+++ b/bergamotdeal/quotas/tests/model.py
@@ -97,7 +97,7 @@
             case messages.TokenGrant():
                 self.cache.handle_grant(message, now)
             case messages.Introduction():
-                reply = self.counted.handle_introduction(message)
+                reply = self.counted.handle_introduction(message, now)
                 self.fleet.send(self, source, reply)
             case messages.IntroductionReply():
                 self.counted.handle_reply(message, now)
--- a/bergamotdeal/quotas/tests/test_faults.py
+++ b/bergamotdeal/quotas/tests/test_faults.py
@@ -185,15 +185,27 @@
     assert model.count_between(runs, end - 10, end) >= 0.95 * 10 * _RATE
 
 
+def test_hosts_that_restart_together_become_active():
+    # The others still count each of them as active, and they know nothing.
+    fleet = _start_fleet(14, 11)
+    for n in range(7):
+        fleet.kill(f"h{n}")
+        fleet.start(f"h{n}")
+    fleet.run_until(fleet.now + 10)
+    assert all(host.counted.stage == 2 for host in fleet.hosts.values())
+
+
 def test_restart_of_all_hosts_while_one_is_dead_keeps_the_cap_usable():
     # Each restarted host has to become active without the dead host's reply.
     fleet = _start_fleet(14, 7)
     fleet.kill("h13")
     fleet.run_until(fleet.now + 5)
-    for n in range(13):
-        fleet.kill(f"h{n}")
-        fleet.start(f"h{n}")
-        fleet.run_until(fleet.now + 6)
+    for n in range(0, 12, 3):
+        for name in (f"h{n}", f"h{n + 1}", f"h{n + 2}"):
+            fleet.kill(name)
+            fleet.start(name)
+        fleet.run_until(fleet.now + 8)
+    assert all(host.counted.stage == 2 for host in fleet.hosts.values())
     end = fleet.now + 20
     fleet.demand("o", 4 * _RATE, dict.fromkeys(fleet.hosts, 1.0), end)
     fleet.run_until(end)
--- a/bergamotdeal/wire/quotas.py
+++ b/bergamotdeal/wire/quotas.py
@@ -53,11 +53,12 @@
     nonce: _UInt32
     stage: _Stage
     was_active: bool
+    may_have_removed: bool
     is_counted: bool
     own_stage: _Stage
     active_count: _UInt32
-    absent: Annotated[
-        list[_UInt64], msgspec.Meta(max_length=messages.MAX_ABSENT)
+    active: Annotated[
+        list[_UInt64], msgspec.Meta(max_length=messages.MAX_ACTIVE)
     ]
 
 
@@ -106,10 +107,11 @@
                 message.nonce,
                 int(message.stage),
                 message.was_active,
+                message.may_have_removed,
                 message.is_counted,
                 int(message.own_stage),
                 message.active_count,
-                list(message.absent),
+                list(message.active),
             )
     content = _ENCODER.encode(body)
     return MARKER + _compute_mac(content, key) + content
@@ -186,8 +188,9 @@
                 nonce=body.nonce,
                 stage=messages.Stage(body.stage),
                 was_active=body.was_active,
+                may_have_removed=body.may_have_removed,
                 is_counted=body.is_counted,
                 own_stage=messages.Stage(body.own_stage),
                 active_count=body.active_count,
-                absent=tuple(body.absent),
+                active=tuple(body.active),
             )
--- a/bergamotdeal/wire/tests/test_quotas.py
+++ b/bergamotdeal/wire/tests/test_quotas.py
@@ -42,7 +42,7 @@
         nonce=_U32,
         stage=_STAGES,
         own_stage=_STAGES,
-        absent=strategies.lists(_U64, max_size=100).map(tuple),
+        active=strategies.lists(_U64, max_size=100).map(tuple),
     ),
 )
 
