Build calls and jobs in a module of their own; let tests of caps use keys

Change: calls/frames.py builds the call of a dispatch and the job of a run; a run keeps and discards the tickets of its calls. Tests of caps present keys, so that the stand-in node which read a header goes. Tests: calls, conventions, keys and caps of real nodes pass.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -7,6 +7,7 @@
 from bergamotdeal.admission import feedback
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import explanations
+from bergamotdeal.calls import frames
 from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import quotas
@@ -262,9 +263,8 @@
             return
         self._last_number += 1
         number = self._last_number
-        exchange.number = number
+        exchange.number = exchange.last_number = number
         exchange.is_held = False
-        exchange.last_number = number
         exchange.host_id = host_id
         exchange.delegated_tokens = exchange.allowance.split_for_call()
         exchange.sent_at = state.now
@@ -277,43 +277,10 @@
             **self._router.explain_choice(host_id, state.now),
         )
         self._router.record_call_start(host_id, state.now)
-        parent = exchange.parent
-        route = exchange.route
         exchange.is_requesting_ticket = (
-            not exchange.ticket and state.needs_ticket(route)
-        )
-        call = rpc.Call(
-            number=number,
-            user_request_id=exchange.user_request_id,
-            call_id=exchange.call_id,
-            request=exchange.request,
-            deadline_ms=remaining_ms,
-            attempt=min(
-                rpc.MAX_ATTEMPT, exchange.attempt + exchange.retry_count
-            ),
-            may_have_run=exchange.may_have_run,
-            tokens=exchange.delegated_tokens,
-            ticket=exchange.ticket,
-            class_name=exchange.class_name,
-            depth=exchange.depth,
-            epoch=state.epoch,
-            needs_ticket=exchange.is_requesting_ticket,
-            only_repeatable=(
-                (parent is not None and parent.call.only_repeatable)
-                or (route.repeatable and route.repeatable_below)
-            ),
-            route_name=route.prefix if exchange.request.authority else "",
-            repeatable=route.repeatable,
-            caller_service=state.caller_service,
-            is_repeat=exchange.is_repeat,
-            prior_calls=min(rpc.MAX_PRIOR_CALLS, exchange.prior_calls),
-            organisation=exchange.organisation,
-            key_digest="" if route.public else exchange.key_digest,
-            target_ms=engine_state.compute_target_ms(
-                exchange.target, state.now
-            ),
-            is_internal=exchange.is_internal or parent is not None,
+            not exchange.ticket and state.needs_ticket(exchange.route)
         )
+        call = frames.build_call(state, exchange, deadline_ms=remaining_ms)
         self._send(host_id, call)
 
     def _close_dispatch(
@@ -377,8 +344,10 @@
         if self._should_use_ticket(exchange, answer):
             self._use_ticket(exchange, answer.ticket)
             return
-        if exchange.has_own_ticket and _is_refusal(answer):
-            self._discard_ticket(exchange)
+        if exchange.has_own_ticket and (
+            answer.outcome is errors.Outcome.NOT_RUN
+        ):
+            self._discard_burnt_ticket(exchange)
         if self._try_retry(exchange, answer):
             return
         self._reply(exchange, answer)
@@ -401,18 +370,17 @@
         exchange.ticket = ticket
         exchange.has_own_ticket = True
         exchange.repeatable = False
-        parent = exchange.parent
-        if parent is not None and exchange.key:
-            key = (exchange.request.service, exchange.key)
-            parent.tickets_by_key[key] = ticket
+        if exchange.parent is not None:
+            exchange.parent.keep_ticket(
+                exchange.request.service, exchange.key, ticket
+            )
         self._dispatch(exchange)
 
-    def _discard_ticket(self, exchange: exchanges.Exchange) -> None:
-        """Discards a ticket that its issuer has burnt."""
-        parent = exchange.parent
-        if parent is not None and exchange.key:
-            key = (exchange.request.service, exchange.key)
-            parent.tickets_by_key.pop(key, None)
+    def _discard_burnt_ticket(self, exchange: exchanges.Exchange) -> None:
+        if exchange.parent is not None:
+            exchange.parent.discard_ticket(
+                exchange.request.service, exchange.key
+            )
 
     def _try_retry(
         self, exchange: exchanges.Exchange, answer: rpc.Answer
@@ -530,7 +498,3 @@
             status=answer.status,
             error=answer.error.value if answer.error else "",
         )
-
-
-def _is_refusal(answer: rpc.Answer) -> bool:
-    return answer.outcome is errors.Outcome.NOT_RUN
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -7,6 +7,7 @@
 from bergamotdeal.calls import acceptance
 from bergamotdeal.calls import explanations
 from bergamotdeal.calls import failures
+from bergamotdeal.calls import frames
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import overdue
@@ -20,7 +21,6 @@
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.tickets import table
-from bergamotdeal.utils import hashing
 
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
@@ -244,17 +244,7 @@
         state = self._state
         run.phase = runs.Phase.QUEUED
         self._set_timer(run, run.deadline)
-        job = admission.Job(
-            job_id=run.run_id,
-            class_rank=state.preset.get_class_rank(run.class_name),
-            hash_share=_hash_share(state, run),
-            deadline=run.deadline,
-            arrived=state.now,
-            organisation=run.call.organisation,
-            weight=state.get_weight(run.call.organisation),
-            target=run.target,
-            calls_made=run.call.prior_calls + run.call.is_internal,
-        )
+        job = frames.build_job(state, run)
         self.apply_decisions(
             self._server.submit(job, was_refused_elsewhere=run.call.attempt > 0)
         )
@@ -501,9 +491,3 @@
 
 def _grace_ms(run: runs.Run) -> int:
     return RUN_GRACE_MS if run.ticket_record is None else TICKET_RUN_GRACE_MS
-
-
-def _hash_share(state: engine_state.EngineState, run: runs.Run) -> float:
-    if not state.preset.admission.consistent_hash:
-        return 0.0
-    return hashing.hash_share(run.call.user_request_id)
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -20,9 +20,6 @@
     EGRESS = "egress"
 
 
-# --- Events --------------------------------------------------------------
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CallArrived:
     """Request of a caller or of the local backend server.
@@ -368,9 +365,6 @@
 )
 
 
-# --- Effects -------------------------------------------------------------
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ReplyToCaller:
     """Final answer of an exchange; exactly one per origin id."""
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -99,6 +99,21 @@
         """Whether an earlier attempt of the request may have run."""
         return self.call.may_have_run
 
+    def keep_ticket(self, service: str, key: str, ticket: bytes) -> None:
+        """Keeps the ticket of a call for a repeat of this run.
+
+        Args:
+          service: Service that the run calls.
+          key: Idempotency key of the call; without one it is not recognised.
+          ticket: Encoded ticket.
+        """
+        if key:
+            self.tickets_by_key[service, key] = ticket
+
+    def discard_ticket(self, service: str, key: str) -> None:
+        """Discards the ticket of a call, as its issuer has burnt it."""
+        self.tickets_by_key.pop((service, key), None)
+
     @property
     def is_unsent(self) -> bool:
         """Whether the request has certainly not reached the backend server.
--- a/bergamotdeal/calls/tests/test_quotas.py
+++ b/bergamotdeal/calls/tests/test_quotas.py
@@ -6,16 +6,17 @@
 
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
-from bergamotdeal.calls import quotas
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
+from bergamotdeal.organisations import keys
 from bergamotdeal.presets import model
 from bergamotdeal.rpc import core as rpc
 
 _KINDS = errors.ErrorKind
+KEY = keys.digest_key("key")
 
 
-def _make_engine(monkeypatch, *, target_latency_ms=0):
+def _make_engine(*, target_latency_ms=0):
     preset = model.Preset(
         name="capped",
         host_routes=(
@@ -27,7 +28,9 @@
                 target_latency_ms=target_latency_ms,
             ),
         ),
-        organisations=(model.Organisation(name="acme", rate_per_s=1.0),),
+        organisations=(
+            model.Organisation(name="acme", key_digests=(KEY,), rate_per_s=1.0),
+        ),
     )
     member = membership.Member(
         host_id="far",
@@ -53,13 +56,6 @@
         messages.MembersChanged(members_by_id={"far": member, "own": identity}),
         0.0,
     )
-    request = quotas.QuotaGate.request_token
-
-    def request_as_acme(self, exchange):
-        exchange.organisation = "acme"
-        return request(self, exchange)
-
-    monkeypatch.setattr(quotas.QuotaGate, "request_token", request_as_acme)
     return built
 
 
@@ -77,6 +73,7 @@
                 authority="a.example",
             ),
             user_request_id="u",
+            key_digest=KEY,
         ),
         now,
     )
@@ -86,8 +83,8 @@
     return [effect for effect in effects if isinstance(effect, kind)]
 
 
-def test_request_is_sent_only_after_its_token(monkeypatch):
-    built = _make_engine(monkeypatch)
+def test_request_is_sent_only_after_its_token():
+    built = _make_engine()
     effects = _arrive(built)
     assert _of(effects, messages.RequestQuota)
     assert not _of(effects, messages.SendCall)
@@ -99,9 +96,9 @@
 
 
 @pytest.mark.parametrize(("is_exceeded", "status"), [(True, 429), (False, 503)])
-def test_refusal_keeps_its_own_retry_time(monkeypatch, is_exceeded, status):
+def test_refusal_keeps_its_own_retry_time(is_exceeded, status):
     # A route's target latency replaces the time of other refusals.
-    built = _make_engine(monkeypatch, target_latency_ms=400)
+    built = _make_engine(target_latency_ms=400)
     _arrive(built)
     effects = built.handle(
         messages.QuotaRefused(
@@ -130,7 +127,7 @@
 def test_token_returns_only_if_no_server_had_the_request(
     monkeypatch, error, is_returned
 ):
-    built = _make_engine(monkeypatch)
+    built = _make_engine()
     _arrive(built)
     granted = messages.QuotaGranted(origin_id=7, expires_at=9.0)
     (sent,) = _of(built.handle(granted, 0.01), messages.SendCall)
@@ -153,15 +150,14 @@
     assert bool(_of(effects, messages.ReturnQuota)) is is_returned
 
 
-def test_disconnect_and_deadline_end_the_wait(monkeypatch):
+def test_disconnect_and_deadline_end_the_wait():
     for event, now in (
         (messages.CallerDisconnected(origin_id=7), 0.01),
         (messages.TimePassed(), 100.0),
     ):
-        with monkeypatch.context() as patch:
-            built = _make_engine(patch)
-            _arrive(built)
-            effects = built.handle(event, now)
+        built = _make_engine()
+        _arrive(built)
+        effects = built.handle(event, now)
         assert _of(effects, messages.CancelQuota)
         assert len(_of(effects, messages.ReplyToCaller)) == 1
         assert built.is_idle()
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -480,18 +480,16 @@
 
     def _handle_drain_finished(self) -> None:
         self._emit(catalogue.EventCode.DRAIN_FINISHED)
-        self._entry.stop(self._reactor)
-        self._egress.stop(self._reactor)
+        for face in (self._entry, self._egress):
+            face.stop(self._reactor)
         self._admin.stop()
         self._server.stop()
         if self._registry is not None:
             self._registry.stop()
         for listener in self._platform_listeners:
             listener.stop()
-        self._presets.stop()
-        self._quotas.stop()
-        self._membership.stop()
-        self._peer.stop()
+        for each in (self._presets, self._quotas, self._membership, self._peer):
+            each.stop()
         if self._settings_poll.running:
             self._settings_poll.stop()
         drain.stop_when_flushed(
--- a/tests/integration/test_organisation_caps.py
+++ b/tests/integration/test_organisation_caps.py
@@ -3,16 +3,16 @@
 import bisect
 import http.client
 import signal
-import sys
 import threading
 import time
 
 import pytest
 
-from standins import capped_node
+from bergamotdeal.organisations import keys
 from standins import cluster as clusters
 from standins import presets
 
+KEY = "key-of-acme"
 RATE = 12.0
 BURST = 12.0
 BOUND = (RATE * 5 + BURST) * 1.1 + 20
@@ -40,11 +40,7 @@
                 connection.request(
                     "GET",
                     "/orderline/kits",
-                    headers={
-                        capped_node.ORGANISATION_HEADER: (
-                            capped_node.ORGANISATION
-                        )
-                    },
+                    headers={"Authorization": f"Bearer {KEY}"},
                 )
                 response = connection.getresponse()
                 response.read()
@@ -57,13 +53,16 @@
 
 
 @pytest.fixture
-def cluster(tmp_path, monkeypatch):
-    monkeypatch.setenv(capped_node.RATE_VARIABLE, str(RATE))
-    monkeypatch.setenv(capped_node.BURST_VARIABLE, str(BURST))
+def cluster(tmp_path):
     started = clusters.Cluster(
         folder=tmp_path,
-        preset=presets.build_controlled_preset(("orderline",)),
-        command=(sys.executable, "-m", "standins.capped_node"),
+        preset=(
+            f"{presets.build_controlled_preset(('orderline',))}\n"
+            "[organisation acme]\n"
+            f"key_digests = {keys.digest_key(KEY)}\n"
+            f"rate_per_s = {RATE}\n"
+            f"burst = {BURST}\n"
+        ),
     )
     for number in range(10):
         started.add_host(f"entry-{number}", "prai")
