Grant tokens although the store still lists hosts that have left

Cause: after a restart of all hosts, each waits for the introduction of every host that the membership regards as reachable. Entries of hosts that had left stand in the store until the membership suspects them, so that no host granted tokens for 4 to 5 s and callers of capped organisations got 503. Change: a host that has not replied for 1.2 s counts as missing in the decision to grant, by the same rules as one that the membership has lost. Refusals for want of a token are logged at level info, as those for want of a key. Test: test_listed_host_that_never_replies_does_not_delay_the_others fails on the parent; the 48 others of quotas, with the random faults, pass.

--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -28,6 +28,11 @@
 in which the membership learns of hosts that started at the same time."""
 
 RETRY_S = 0.3
+SILENT_S = 1.2
+"""Time without a reply to introductions from which a host counts as missing.
+The membership takes longer to suspect a host that has left, whose entry a
+restarted process reads from the store."""
+
 MAX_INTRODUCTIONS = 40
 """Maximum introductions per call of ``advance``, which limits the traffic of a
 start in a large fleet."""
@@ -342,32 +347,51 @@
         self._nonce = self._rng.getrandbits(31)
         self._replies_by_host: dict[str, _Reply] = {}
         self._sent_at_by_host: dict[str, float] = {}
+        self._introduced_at_by_host: dict[str, float] = {}
         self._settled_since: float | None = None
         self.version += 1
 
-    def _is_confirmed(self) -> bool:
-        """Returns whether all reachable hosts have confirmed the stage."""
+    def _is_silent(self, host_id: str, now: float) -> bool:
+        """Returns whether a host has never replied in this term."""
+        if host_id in self._replies_by_host:
+            return False
+        introduced_at = self._introduced_at_by_host.get(host_id, now)
+        return now - introduced_at >= SILENT_S
+
+    def _list_responsive(self, now: float) -> list[str]:
+        """Returns the reachable hosts that reply or still have time to."""
+        return [
+            host_id
+            for host_id in self._present
+            if not self._is_silent(host_id, now)
+        ]
+
+    def _is_confirmed(self, responsive: list[str]) -> bool:
+        """Returns whether all responsive hosts have confirmed the stage."""
         active_count = self._count_active(except_id=self._host_id)
-        for host_id in self._present:
+        for host_id in responsive:
             reply = self._replies_by_host.get(host_id)
             if reply is None or reply.stage < self.stage:
                 return False
             # A reply names only some of the active hosts of a large fleet.
             if reply.active_count > active_count:
                 return False
-        return bool(self._present) or self._may_be_alone
+        if responsive:
+            return True
+        return self._may_be_alone and not self._present
 
     def _try_next_stage(self, now: float) -> None:
         if self._has_resigned or self.stage is _Stage.ACTIVE:
             return
-        if not self._is_confirmed():
+        responsive = self._list_responsive(now)
+        if not self._is_confirmed(responsive):
             return
         if self.stage is _Stage.ANNOUNCED:
             if self._settled_since is None:
                 self._settled_since = now
             if now - self._settled_since < SETTLE_S:
                 return
-        if not self._may_advance():
+        if not self._may_advance(responsive):
             return
         self._count(self._host_id)
         self.stage = _Stage(self.stage + 1)
@@ -378,21 +402,21 @@
         self.version += 1
         self._try_next_stage(now)
 
-    def _may_advance(self) -> bool:
+    def _may_advance(self, responsive: list[str]) -> bool:
         """Returns whether no host that is missing could be in the way."""
         others = [name for name in self._hosts if name != self._host_id]
-        present_count = 1 + sum(map(self.is_present, others))
+        seen = {*responsive, self._host_id}
+        present_count = 1 + sum(name in seen for name in others)
         if 2 * present_count < 1 + len(others):
             return False
         absent = any(
-            self._hosts[name].is_active and not self.is_present(name)
-            for name in others
+            self._hosts[name].is_active and name not in seen for name in others
         )
         if not absent:
             return True
         # A host that has just started knows few others as active, which is no
         # sign that this one is no longer counted.
-        replies = [self._replies_by_host[name] for name in self._present]
+        replies = [self._replies_by_host[name] for name in responsive]
         return any(reply.was_active for reply in replies) and not any(
             reply.may_have_removed and not reply.was_active for reply in replies
         )
@@ -417,6 +441,7 @@
             if now - self._sent_at_by_host.get(host_id, -RETRY_S) < RETRY_S:
                 continue
             self._sent_at_by_host[host_id] = now
+            self._introduced_at_by_host.setdefault(host_id, now)
             due.append((host_id, introduction))
             if len(due) >= MAX_INTRODUCTIONS:
                 break
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -38,6 +38,7 @@
     catalogue.EventCode.CALL_RETRIED: INFO,
     catalogue.EventCode.CALL_REFUSED: INFO,
     catalogue.EventCode.KEY_REFUSED: INFO,
+    catalogue.EventCode.QUOTA_REFUSED: INFO,
     catalogue.EventCode.CALL_LOST: INFO,
     catalogue.EventCode.RUN_HUNG: INFO,
     catalogue.EventCode.DISPATCH_FAILED: INFO,
