--- a/bergamotdeal/quotas/cache.py
+++ b/bergamotdeal/quotas/cache.py
@@ -276,7 +276,7 @@
         self._place(account, now)
         self._fetch(account, now)
         if account.waiting:
-            self._refuse_hopeless(account, now)
+            self._refuse_unservable(account, now)
 
     def _place(self, account: account_state.Account, now: float) -> None:
         """Updates the list of the organisation's bucket owners."""
@@ -374,7 +374,7 @@
             owner, number, messages.Want(digest=account.digest, tokens=wanted)
         )
 
-    def _refuse_hopeless(
+    def _refuse_unservable(
         self, account: account_state.Account, now: float
     ) -> None:
         """Refuses waiting requests for which no grant can come in time."""
