Shorten the waits after a restart of all hosts

Cause: after a restart of all, a preset with organisations waited 1.5 s for other nodes' epochs, introductions between bucket owners began only then, and owners waited until no host had joined their view for a second. Entries asked hosts that were no owner yet again after a second only.

Change: the wait for epochs ends 0.3 s after the first of four other nodes told that it has no preset. Hosts introduce themselves while the preset waits. A restarted host to which more than half of the listed hosts have replied skips the settling time if those that grant tokens counted it before. Entries retry hosts that don't grant after 0.05 s, doubled up to 1 s.

Ruled out: settling times of 0.2 s for all hosts, which no majority covers.

--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -20,8 +20,6 @@
 from bergamotdeal.membership import timing as timings
 
 Health = messages.Health
-
-
 _LEAVE_FANOUT = 6
 
 _REJOIN_WINDOW_S = 60.0
@@ -418,13 +416,15 @@
             )
 
     def _report_epoch(self, epoch: int, host_id: str) -> None:
-        if epoch >= max(1, self._epoch):
+        if epoch == 0 and self._epoch == 0:
+            self._effects.append(messages.NoEpochAdvertised(host_id=host_id))
+        elif epoch >= max(1, self._epoch):
             self._effects.append(
                 messages.EpochAdvertised(epoch=epoch, host_id=host_id)
             )
 
     def _adopt_store_era(self, era: int) -> bool:
-        """Passes on a newer era of the store; returns whether it is newer."""
+        """Passes on an era of the store; returns whether it is newer."""
         if era <= self._store_era:
             return False
         self._store_era = era
--- a/bergamotdeal/membership/messages.py
+++ b/bergamotdeal/membership/messages.py
@@ -411,6 +411,20 @@
     host_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoEpochAdvertised:
+    """A notice that another node has no preset yet, and neither has this one.
+
+    Attributes:
+      host_id: Host id of the other node.
+    """
+
+    host_id: str
+
+
+EpochNotice = EpochAdvertised | NoEpochAdvertised
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoreEraAdvertised:
     """A notice that the store was restored, as another node told.
@@ -450,7 +464,7 @@
     SendDatagram
     | SendBulk
     | ViewChanged
-    | EpochAdvertised
+    | EpochNotice
     | StoreEraAdvertised
     | CrashReportsReceived
     | EmitEvent
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -336,6 +336,7 @@
             ).unwrap_or_raise(InvalidPresetError),
             record=self._record,
             post_news=self._dispatcher.post,
+            on_organisations_expected=self._quotas.introduce,
         )
 
     def _build_registry(self) -> registry_task.RegistryTask | None:
@@ -349,7 +350,7 @@
             store=self._store,
             membership=self._membership,
             record=self._record,
-            on_listed=self._quotas.allow_alone,
+            on_listed=self._quotas.apply_listing,
         )
 
     def _build_store(self) -> store_core.Store | None:
@@ -357,15 +358,14 @@
             settings=self._settings,
             platform_hooks=self._platform_hooks,
             reactor=self._reactor,
-            on_call=self._count_store_call,
+            on_call=lambda: self._recorder.metrics.increment(
+                metrics.Counter.STORE_CALLS
+            ),
             on_object_rejected=lambda reason: self._emit(
                 catalogue.EventCode.STORE_OBJECT_REJECTED, reason=reason
             ),
         )
 
-    def _count_store_call(self) -> None:
-        self._recorder.metrics.increment(metrics.Counter.STORE_CALLS)
-
     def _build_faces(self) -> tuple[faces.CallListener, faces.CallListener]:
         origin_ids = itertools.count(1)
         handler = announcements.AnnouncementHandler(
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -53,7 +53,8 @@
       rng: Random number generator.
       send_bulk_request: ``PeerTask.send_bulk_request``; None disables
         anti-entropy.
-      on_epoch_heard: Called with each ``EpochAdvertised``.
+      on_epoch_heard: Called with each ``EpochAdvertised`` and
+        ``NoEpochAdvertised``.
       on_store_era_heard: Called with each era of the store that another node
         told.
       record: Called with each event for the event log.
@@ -74,8 +75,7 @@
         post: Callable[[calls.Event], None],
         rng: random.Random,
         send_bulk_request: SendBulkRequest | None = None,
-        on_epoch_heard: Callable[[messages.EpochAdvertised], None]
-        | None = None,
+        on_epoch_heard: Callable[[messages.EpochNotice], None] | None = None,
         on_store_era_heard: Callable[[int], None] | None = None,
         record: Callable[[records.EventRecord], None] | None = None,
         count: Callable[[metrics.Counter, int], None] | None = None,
@@ -297,7 +297,7 @@
                     self._send_bulk(effect)
                 case messages.ViewChanged():
                     has_changed = True
-                case messages.EpochAdvertised():
+                case messages.EpochAdvertised() | messages.NoEpochAdvertised():
                     self._on_epoch_heard(effect)
                 case messages.StoreEraAdvertised(era=era):
                     self._on_store_era_heard(era)
--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -16,6 +16,7 @@
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import preset_news
 from bergamotdeal.node import store_watch
+from bergamotdeal.presets import epoch_wait
 from bergamotdeal.presets import follower
 from bergamotdeal.presets import in_force
 from bergamotdeal.presets import model
@@ -27,11 +28,6 @@
 
 PresetPushed = follower.PresetPushed
 
-OTHERS_EPOCH_WAIT_S = 1.5
-"""Time from the start in which a preset of the store that has organisations
-waits for the epoch of another node: a store that was restored from an older
-copy may hold a preset in which a revoked key is still valid."""
-
 _MS_PER_S = 1000
 
 
@@ -49,6 +45,8 @@
       initial_preset: Preset of the settings, active until the first switch.
       record: Called with each event for the event log.
       post_news: Called with each event that confirms the active preset.
+      on_organisations_expected: Called when a preset with organisations waits
+        for the epochs of other nodes.
       clock: Returns monotonic seconds.
     """
 
@@ -65,6 +63,7 @@
         initial_preset: model.Preset | None = None,
         record: Callable[[records.EventRecord], None] | None = None,
         post_news: Callable[[calls.Event], None] | None = None,
+        on_organisations_expected: Callable[[], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._reactor = reactor
@@ -75,8 +74,10 @@
         self._record = record or _ignore
         self._clock = clock
         self._wakeup_timer = None
-        self._others_wait_ends_at = 0.0
+        self._on_organisations_expected = on_organisations_expected
+        self._epoch_wait = epoch_wait.EpochWait(now=clock())
         self._held_event: follower.StoreRead | None = None
+        self._held_event_timer = None
         self._running = False
         self._follower = follower.Follower(
             host_id=settings.node.host_id,
@@ -130,7 +131,7 @@
     def start(self) -> None:
         """Starts to look for the active preset."""
         self._running = True
-        self._others_wait_ends_at = self._clock() + OTHERS_EPOCH_WAIT_S
+        self._epoch_wait = epoch_wait.EpochWait(now=self._clock())
         self._news.start()
         self._handle(follower.TimePassed())
 
@@ -140,8 +141,9 @@
         self._news.stop()
         if self._watch is not None:
             self._watch.stop()
-        if self._wakeup_timer is not None and self._wakeup_timer.active():
-            self._wakeup_timer.cancel()
+        for timer in (self._wakeup_timer, self._held_event_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     def handle_store_restored(self) -> None:
         """Watches the store anew if this node watches it."""
@@ -152,9 +154,9 @@
         """Handles a message of another task.
 
         Args:
-          message: ``EpochAdvertised`` of the follower or of the gossip core,
-            ``PresetPushed`` or ``calls.messages.MembersChanged``. Others are
-            ignored.
+          message: ``EpochAdvertised`` of the follower, an ``EpochNotice`` of
+            the gossip core, ``PresetPushed`` or
+            ``calls.messages.MembersChanged``. Others are ignored.
         """
         match message:
             case gossip.EpochAdvertised(epoch=epoch, host_id=host_id):
@@ -164,7 +166,15 @@
                 self._handle(
                     follower.EpochAdvertised(epoch=epoch, host_id=host_id)
                 )
-                self._release_held_event()
+                self._epoch_wait.finish()
+                self._schedule_held_event()
+            case gossip.NoEpochAdvertised(host_id=host_id):
+                self._epoch_wait.record_host_without_preset(
+                    host_id,
+                    host_count=len(self._membership.routed_by_id()),
+                    now=self._clock(),
+                )
+                self._schedule_held_event()
             case calls.MembersChanged(members_by_id=members_by_id):
                 self._handle(
                     follower.MembershipUpdated(members_by_id=members_by_id)
@@ -297,21 +307,36 @@
                 event = follower.StoreRead(document=None)
             case result.Err(failure):
                 event = follower.StoreFailed(reason=failure.detail)
-        wait_s = self._others_wait_ends_at - self._clock()
-        if wait_s > 0.0 and _has_organisations(event):
+        if self._is_held_back(event):
             self._held_event = event
-            self._reactor.callLater(wait_s, self._release_held_event)
+            self._schedule_held_event()
+            if self._on_organisations_expected is not None:
+                self._on_organisations_expected()
             return
         self._handle(event)
         if not isinstance(event, follower.StoreFailed):
             self._news.record()
 
-    def _release_held_event(self) -> None:
-        """Handles the preset of the store that waited for others' epochs."""
-        self._others_wait_ends_at = 0.0
+    def _is_held_back(self, event: follower.Event) -> bool:
+        """Returns whether an event waits for the epochs of other nodes."""
+        is_waiting = self._epoch_wait.remaining_s(self._clock()) > 0.0
+        return is_waiting and _has_organisations(event)
+
+    def _schedule_held_event(self) -> None:
+        """Handles the held event when the wait is over."""
+        if self._held_event is None or not self._running:
+            return
+        timer = self._held_event_timer
+        if timer is not None and timer.active():
+            timer.cancel()
+        remaining_s = self._epoch_wait.remaining_s(self._clock())
+        if remaining_s > 0.0:
+            self._held_event_timer = self._reactor.callLater(
+                remaining_s, self._schedule_held_event
+            )
+            return
         event, self._held_event = self._held_event, None
-        if event is not None:
-            self._handle(event)
+        self._handle(event)
 
     def _handle_stored(self, stored: store_core.StoredObject) -> None:
         # A large preset takes the event loop for tens of milliseconds; other
--- a/bergamotdeal/node/quotas.py
+++ b/bergamotdeal/node/quotas.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 import random
 import time
 
@@ -101,12 +102,14 @@
         self._tick = task.LoopingCall(self._handle_tick)
         self._tick.clock = reactor
         self._tick_count = 0
+        self._is_running = True
         self._was_active = False
         self._reported_by_digest: dict[int, tuple[int, int]] = {}
         self._expired_reported = 0
 
     def stop(self) -> None:
         """Stops the timers."""
+        self._is_running = False
         if self._tick.running:
             self._tick.stop()
         for timer in (self._flush_timer, self._wakeup_timer):
@@ -117,9 +120,9 @@
         """Stops granting; the parts of this host go to other hosts."""
         self._counted.resign()
 
-    def allow_alone(self, may_be_alone: bool) -> None:
-        """Sets whether this host may be the whole fleet."""
-        self._counted.allow_alone(may_be_alone)
+    def apply_listing(self, host_ids: Collection[str]) -> None:
+        """Applies the store's list of the fleet's hosts."""
+        self._counted.apply_listing(host_ids)
 
     def apply_preset(self, preset: preset_model.Preset) -> None:
         """Applies the caps of a preset."""
@@ -130,8 +133,16 @@
         }
         self._owner.set_caps(self._caps, self._clock())
         self._cache.set_caps(self._caps)
-        # A fleet without caps sends nothing.
-        if self._caps.caps_by_digest and not self._tick.running:
+        if self._caps.caps_by_digest:
+            self.introduce()
+
+    def introduce(self) -> None:
+        """Starts introducing this host to the others.
+
+        A fleet without caps sends nothing. A host may introduce itself before
+        it has a preset, so that it can grant tokens as soon as it has one.
+        """
+        if not self._tick.running and self._is_running:
             self._tick.start(TICK_S, now=False)
 
     def update_members(
@@ -221,6 +232,7 @@
             case messages.TokenGrant():
                 self._handle_grants(message, now)
             case messages.Introduction():
+                self.introduce()
                 self._send(
                     self._counted.handle_introduction(message, now), source
                 )
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -1,6 +1,7 @@
 """Registry task: node discovery through entries in the store."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import random
 
 import result
@@ -50,8 +51,7 @@
       store: The platform's object store.
       membership: The membership task.
       record: Takes events for the event log.
-      on_listed: Called after each listing with whether it contains this node
-        and no other.
+      on_listed: Called after each listing with the ids of the listed hosts.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         store: store_core.Store,
         membership: membership_task.MembershipTask,
         record: Callable[[records.EventRecord], None],
-        on_listed: Callable[[bool], None] | None = None,
+        on_listed: Callable[[Collection[str]], None] | None = None,
     ) -> None:
         self._host_id = settings.node.host_id
         self._data_centre = settings.node.data_centre
@@ -124,8 +124,7 @@
             for listed in outcome.ok_value
         }
         if self._on_listed is not None:
-            # Of nodes that start together, at most one lists itself alone.
-            self._on_listed(listed_by_host_id.keys() == {self._host_id})
+            self._on_listed(listed_by_host_id.keys())
         has_entry = yield self._write_own_entry(
             listed_by_host_id.get(self._host_id)
         )
--- a/bergamotdeal/node/tests/test_registry.py
+++ b/bergamotdeal/node/tests/test_registry.py
@@ -100,7 +100,7 @@
         self.store = MemoryStore(**options)
         self.membership = FakeMembership()
         self.records = []
-        self.alone = []
+        self.listings = []
         self.task = registry_task.RegistryTask(
             settings=settings.Settings(
                 node=settings.NodeSection(host_id=OWN, data_centre="prai"),
@@ -111,7 +111,7 @@
             store=self.store,
             membership=self.membership,
             record=self.records.append,
-            on_listed=self.alone.append,
+            on_listed=lambda host_ids: self.listings.append(set(host_ids)),
         )
 
     def run(self, seconds):
@@ -127,15 +127,15 @@
     assert registry.decode(value).unwrap().address == OWN
 
 
-def test_node_is_alone_only_once_it_is_listed_without_others():
+def test_listings_are_reported_with_the_ids_of_the_hosts():
     # Nodes that start together all see an empty registry first.
     harness = Harness()
     harness.task.start()
     harness.run(30)
-    assert (harness.alone[0], harness.alone[-1]) == (False, True)
+    assert (harness.listings[0], harness.listings[-1]) == (set(), {OWN})
     harness.store.write_entry("host-2")
     harness.run(60)
-    assert harness.alone[-1] is False
+    assert harness.listings[-1] == {OWN, "host-2"}
 
 
 def test_start_with_unchanged_entry_writes_nothing():
--- a/bergamotdeal/quotas/account.py
+++ b/bergamotdeal/quotas/account.py
@@ -7,6 +7,11 @@
 
 from bergamotdeal.quotas import core
 
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+"""Bounds of the time for which a host that has said that it grants no tokens
+of an organisation is not asked again."""
+
 _RATE_AVERAGE_S = 1.0
 
 
@@ -57,12 +62,24 @@
       empty_until: Time until which the owner is not asked.
       refused_to_grant: Whether the host has said that it grants no tokens of
         this organisation.
+      retry_s: Seconds to wait after the last such answer.
     """
 
     level: float = 1.0
     reported_at: float = 0.0
     empty_until: float = 0.0
     refused_to_grant: bool = False
+    retry_s: float = 0.0
+
+    def record_refusal_to_grant(self, now: float) -> None:
+        """Records that the host grants no tokens of this organisation.
+
+        A host that has just started grants soon, so the first retries follow
+        after a short time.
+        """
+        self.refused_to_grant = True
+        self.retry_s = min(max(MIN_RETRY_S, 2 * self.retry_s), MAX_RETRY_S)
+        self.empty_until = now + self.retry_s
 
     def estimate_level(self, plan: core.Plan, now: float) -> float:
         """Returns the level that the bucket has if nobody else takes tokens."""
--- a/bergamotdeal/quotas/cache.py
+++ b/bergamotdeal/quotas/cache.py
@@ -29,8 +29,11 @@
 
 MAX_RETRY_AFTER_S = 30.0
 PLACEMENT_AGE_S = 1.0
-"""Maximum age of an entry's list of bucket owners. Ranking all hosts takes a
-millisecond in a large fleet."""
+"""Minimum time between two updates of an entry's list of bucket owners.
+Ranking all hosts takes a millisecond in a large fleet."""
+
+REFUSED_PLACEMENT_AGE_S = 0.1
+"""The same while a host of the list says that it isn't an owner."""
 
 _MS_PER_S = 1000
 
@@ -189,8 +192,7 @@
             view = account.views_by_owner.setdefault(
                 fetch.owner_id, account_state.OwnerView()
             )
-            view.refused_to_grant = True
-            view.empty_until = now + owner_peers.RETRY_S
+            view.record_refusal_to_grant(now)
         self._advance(account, now)
 
     def advance(self, now: float) -> None:
@@ -242,6 +244,7 @@
         view.level = grant.level
         view.reported_at = now
         view.refused_to_grant = False
+        view.retry_s = 0.0
         view.empty_until = now + grant.wait_ms / _MS_PER_S
         tokens = min(grant.tokens, fetch.wanted)
         expires_at = fetch.sent_at + grant.lifetime_ms / _MS_PER_S
@@ -283,7 +286,11 @@
         counted = self._counted
         if account.version == counted.version:
             return
-        if account.owners and now - account.placed_at < PLACEMENT_AGE_S:
+        is_refused = any(
+            view.refused_to_grant for view in account.views_by_owner.values()
+        )
+        min_age_s = REFUSED_PLACEMENT_AGE_S if is_refused else PLACEMENT_AGE_S
+        if account.owners and now - account.placed_at < min_age_s:
             return
         account.version = counted.version
         account.placed_at = now
--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -25,7 +25,8 @@
 REMOVAL_S = 600.0
 SETTLE_S = 1.0
 """Time for which all reachable hosts must have replied before the next stage,
-in which the membership learns of hosts that started at the same time."""
+in which the membership learns of hosts that started at the same time. It is
+skipped by a host that most of the listed hosts have replied to."""
 
 RETRY_S = 0.3
 SILENT_S = 1.2
@@ -63,12 +64,14 @@
       may_have_removed: Whether it has been active for long enough to have
         stopped counting a host.
       active_count: Number of other active hosts that it counts.
+      is_active: Whether it grants tokens itself.
     """
 
     stage: messages.Stage
     was_active: bool
     may_have_removed: bool
     active_count: int
+    is_active: bool
 
 
 class CountedHosts:
@@ -99,6 +102,7 @@
         self._host_id = host_id
         self._rng = rng
         self._may_be_alone = may_be_alone
+        self._listed_count: int | None = None
         self._has_resigned = False
         self._hosts: dict[str, _Host] = {}
         self._names_by_digest: dict[int, str] = {}
@@ -126,9 +130,18 @@
         """Number of counted hosts that are reachable."""
         return sum(map(self.is_present, self._hosts))
 
-    def allow_alone(self, may_be_alone: bool) -> None:
-        """Sets whether this host may be the whole fleet."""
-        self._may_be_alone = may_be_alone
+    def apply_listing(self, host_ids: Collection[str]) -> None:
+        """Applies the store's list of the fleet's hosts.
+
+        Args:
+          host_ids: Names of the hosts, some of which may have left. This host
+            is missing if it has never run before.
+        """
+        # Of hosts that start together, at most one is listed alone.
+        self._may_be_alone = set(host_ids) == {self._host_id}
+        # While a fleet starts for the first time, the list is incomplete.
+        is_complete = self._host_id in host_ids
+        self._listed_count = len(host_ids) if is_complete else None
 
     def resign(self) -> None:
         """Stops granting for the rest of the process.
@@ -260,10 +273,12 @@
                 was_active=message.was_active,
                 may_have_removed=message.may_have_removed,
                 active_count=message.active_count,
+                is_active=message.own_stage is _Stage.ACTIVE,
             )
         else:
             reply.stage = max(reply.stage, message.stage)
             reply.active_count = message.active_count
+            reply.is_active = message.own_stage is _Stage.ACTIVE
 
     # Counting.
 
@@ -386,7 +401,7 @@
         responsive = self._list_responsive(now)
         if not self._is_confirmed(responsive):
             return
-        if self.stage is _Stage.ANNOUNCED:
+        if self.stage is _Stage.ANNOUNCED and not self._is_known_to_most():
             if self._settled_since is None:
                 self._settled_since = now
             if now - self._settled_since < SETTLE_S:
@@ -402,6 +417,20 @@
         self.version += 1
         self._try_next_stage(now)
 
+    def _is_known_to_most(self) -> bool:
+        """Returns whether the replies show that this host has only restarted.
+
+        Any two hosts for which this holds have a common replier, and those
+        that grant tokens counted this host before.
+        """
+        if self._listed_count is None:
+            return False
+        replies = self._replies_by_host.values()
+        has_majority = 2 * (1 + len(replies)) > self._listed_count
+        return has_majority and all(
+            reply.was_active for reply in replies if reply.is_active
+        )
+
     def _may_advance(self, responsive: list[str]) -> bool:
         """Returns whether no host that is missing could be in the way."""
         others = [name for name in self._hosts if name != self._host_id]
