Test an upgrade and a rollback beside the previous version

Cause: hosts of two versions run side by side while machines are replaced, with keys and caps in force; nothing showed that the promises hold then.

--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -139,15 +139,23 @@
       fleet: The fleet.
       name: Name of the preset; also part of the operator's name.
       operation_id: Operation id of an earlier run to repeat, or None.
+      preset: The preset, or None for one that only has a name.
     """
 
-    def __init__(self, *, fleet: Fleet, name: str, operation_id=None):
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        name: str,
+        operation_id=None,
+        preset: model.Preset | None = None,
+    ):
         section = settings.StoreSection(
             address=fleet.store_address, port=clusters.STORE_PORT
         )
         self._store = http.HttpStore(settings=section, reactor=reactor)
         self._state_machine = switch.SwitchStateMachine(
-            preset=model.Preset(name=name),
+            preset=preset or model.Preset(name=name),
             operator=f"operator of {name}",
             rng=random.Random(),
             operation_id=operation_id,
--- /dev/null
+++ b/tests/integration/test_mixed_versions.py
@@ -0,0 +1,248 @@
+"""Rolling upgrade and rollback between the previous version and this one.
+
+Nodes of both versions run side by side with keys and a cap in force, while a
+key is withdrawn by a preset switch and one host is killed.
+"""
+
+import bisect
+import http.client
+import io
+import pathlib
+import signal
+import subprocess
+import sys
+import tarfile
+import threading
+import time
+
+import pytest
+
+from bergamotdeal.organisations import keys
+from bergamotdeal.presets import model
+from standins import cluster as clusters
+from tests.integration import fleet as fleets
+
+PREVIOUS_COMMIT = "aa4a3adcde7af2fa8097eaa5ee057b58c1192f56"
+ROOT = pathlib.Path(__file__).parent.parent.parent
+ENTRY_COUNT = 4
+SERVICE = "orderline"
+KEY = "key-of-acme"
+WITHDRAWN_KEY = "key-of-harbour"
+RATE = 30.0
+BURST = 30.0
+BOUND = (RATE * 5 + BURST) * 1.1 + 20
+USUAL_PAUSE_S = 0.2  # Together two thirds of the cap.
+OVERLOAD_PAUSE_S = 0.01
+OVERLOAD_S = 6.0
+KEY_DEADLINE_S = 5.0
+MIN_SERVED_SHARE = 0.9
+
+
+class Sender(threading.Thread):
+    """A thread that sends requests of the organisation to one entry."""
+
+    def __init__(self, host):
+        super().__init__(daemon=True)
+        self.host = host
+        self.pause_s = USUAL_PAUSE_S
+        self.is_stopped = False
+        self.statuses_by_pause: dict[float, list[int]] = {
+            USUAL_PAUSE_S: [],
+            OVERLOAD_PAUSE_S: [],
+        }
+
+    def run(self):
+        while not self.is_stopped:
+            pause_s = self.pause_s
+            time.sleep(pause_s)
+            try:
+                status = send(self.host, KEY)
+            except (OSError, http.client.HTTPException):
+                continue  # The node is down.
+            self.statuses_by_pause[pause_s].append(status)
+
+
+def send(host, key):
+    status, _ = clusters.send_request(
+        host.address,
+        clusters.ENTRY_PORT,
+        "GET",
+        f"/{SERVICE}/kits",
+        headers_by_name={"Authorization": f"Bearer {key}"},
+        timeout_s=5,
+    )
+    return status
+
+
+def build_preset(name, keys_by_organisation):
+    return model.Preset(
+        name=name,
+        tickets=model.TicketPolicy(required=False),
+        organisations=tuple(
+            model.Organisation(
+                name=organisation,
+                key_digests=tuple(map(keys.digest_key, organisation_keys)),
+                rate_per_s=RATE,
+                burst=BURST,
+            )
+            for organisation, organisation_keys in keys_by_organisation.items()
+        ),
+    )
+
+
+class Fleet(fleets.Fleet):
+    """A fleet in which each host runs one of two versions.
+
+    Args:
+      previous_root: Folder with the source of the previous version.
+      **options: Arguments of ``fleets.Fleet``.
+    """
+
+    def __init__(self, *, previous_root, **options):
+        super().__init__(**options)
+        script = (
+            f"import sys; sys.path.insert(0, {str(previous_root)!r}); "
+            "from bergamotdeal.cli import main; main.main()"
+        )
+        self._previous_command = (sys.executable, "-c", script)
+        self._current_command = self._command
+        self.upgraded_ids: set[str] = set()
+
+    def start_node(self, host):
+        """Starts the node of a host in the host's version."""
+        self._command = (
+            self._current_command
+            if host.host_id in self.upgraded_ids
+            else self._previous_command
+        )
+        super().start_node(host)
+
+    def replace_node(self, host, *, is_upgrade, stop_signal=signal.SIGTERM):
+        """Stops a host's node and starts it in the other version."""
+        self.signal_process(host.node, stop_signal)
+        host.node.wait()
+        if is_upgrade:
+            self.upgraded_ids.add(host.host_id)
+        else:
+            self.upgraded_ids.discard(host.host_id)
+        self.start_node(host)
+        self.wait_until_ready(host)
+
+    def wait_until_granting(self):
+        """Waits until every node grants tokens of caps."""
+        clusters.wait_for(
+            lambda: all(
+                (self.status(host).get("quotas") or {}).get("is_granting")
+                for host in self.hosts_by_id.values()
+            ),
+            "all nodes grant tokens",
+        )
+
+
+@pytest.fixture(scope="module")
+def previous_root(tmp_path_factory):
+    archive = subprocess.run(
+        ["git", "archive", PREVIOUS_COMMIT, "bergamotdeal"],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+    ).stdout
+    folder = tmp_path_factory.mktemp("previous")
+    with tarfile.open(fileobj=io.BytesIO(archive)) as packed:
+        packed.extractall(folder, filter="data")
+    return folder
+
+
+@pytest.fixture
+def fleet(tmp_path, previous_root):
+    with Fleet(
+        previous_root=previous_root,
+        folder=tmp_path,
+        size=ENTRY_COUNT,
+        with_store=True,
+    ) as started:
+        for number in range(2):
+            started.add_host(
+                f"{SERVICE}-{number}",
+                fleets.DATA_CENTRES[number],
+                service=SERVICE,
+                service_ms=2.0,
+                slots=50,
+            )
+        started.start_store()
+        started.wait_for_store()
+        started.start_nodes()
+        for host in started.hosts_by_id.values():
+            if host.service:
+                started.start_server(host)
+        yield started
+        started.assert_epochs_never_decreased()
+
+
+def switch(fleet, name, keys_by_organisation, epoch):
+    operator = fleet.operator(
+        name, preset=build_preset(name, keys_by_organisation)
+    )
+    assert operator.switch().epoch == epoch
+    fleet.wait_for_epoch(
+        epoch, fleet.hosts_by_id.values(), fleets.SWITCH_DEADLINE_S
+    )
+
+
+def find_fullest_window(fleet):
+    times = [
+        line["time"]
+        for line in fleet.read_ledgers()
+        if line["step"] == "started"
+    ]
+    return max(
+        bisect.bisect_left(times, start + 5.0) - index
+        for index, start in enumerate(times)
+    )
+
+
+def test_promises_hold_while_versions_are_mixed(fleet):
+    both = {"acme": [KEY], "harbour": [WITHDRAWN_KEY]}
+    switch(fleet, "both-keys", both, 1)
+    fleet.wait_until_joined()
+    fleet.wait_until_granting()
+    hosts = list(fleet.hosts_by_id.values())
+    entries = hosts[:ENTRY_COUNT]
+    senders = [Sender(host) for host in entries]
+    for sender in senders:
+        sender.start()
+
+    for host in hosts[:2]:
+        fleet.replace_node(host, is_upgrade=True)
+    fleet.replace_node(hosts[-1], is_upgrade=True, stop_signal=signal.SIGKILL)
+    assert send(entries[0], WITHDRAWN_KEY) == 200
+    switch(fleet, "one-key", {"acme": [KEY]}, 2)
+    time.sleep(KEY_DEADLINE_S)
+    assert [send(host, WITHDRAWN_KEY) for host in entries] == [401] * 4
+
+    fleet.wait_until_granting()
+    for sender in senders:
+        sender.pause_s = OVERLOAD_PAUSE_S
+    time.sleep(OVERLOAD_S)
+    for sender in senders:
+        sender.pause_s = USUAL_PAUSE_S
+    time.sleep(1.0)
+
+    for host in hosts[2:-1]:
+        fleet.replace_node(host, is_upgrade=True)
+    for host in hosts[:2]:
+        fleet.replace_node(host, is_upgrade=False)
+    fleet.wait_until_granting()
+    assert [send(host, WITHDRAWN_KEY) for host in entries] == [401] * 4
+    for sender in senders:
+        sender.is_stopped = True
+        sender.join()
+
+    assert find_fullest_window(fleet) <= BOUND
+    usual = [s for x in senders for s in x.statuses_by_pause[USUAL_PAUSE_S]]
+    overload = [
+        s for x in senders for s in x.statuses_by_pause[OVERLOAD_PAUSE_S]
+    ]
+    assert usual.count(200) >= MIN_SERVED_SHARE * len(usual)
+    assert overload.count(200) >= RATE * OVERLOAD_S * MIN_SERVED_SHARE
+    assert set(overload) <= {200, 429}
