Tell the fleet of a server while its health check runs

Cause: a restarted node published its server after it had a preset and the answer to a health check, some 0.5 s after its start, and the fleet took as long again to learn of it by rumours. After a restart of all no call could be routed until then.

Change: the membership is told at once of a server of the settings' service; the node itself admits nothing before the health check has ended, and withdraws a server that has not answered. The publication moved from the application into a class of its own.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -26,6 +26,7 @@
 from bergamotdeal.node import server_inquiry
 from bergamotdeal.node import server_life
 from bergamotdeal.node import server_link
+from bergamotdeal.node import server_publisher
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
 from bergamotdeal.node import store_setup
@@ -81,7 +82,6 @@
         self._recorder = self._telemetry.recorder
         self._record = self._recorder.record
         self._has_preset = False
-        self._announcement: messages.ServerAnnounced | None = None
         self._engine = timed_engine.build_engine(
             settings=settings, incarnation=self._incarnation, rng=self._rng
         )
@@ -95,7 +95,7 @@
         )
         self._server = server_link.ServerConnectionPool(
             reactor=reactor,
-            post=self._post_server_event,
+            post=lambda event: self._publisher.handle_event(event),
             dialect=platform_hooks.server_dialect,
             announcement_timeout_s=platform_hooks.server_timeout_s,
         )
@@ -106,6 +106,13 @@
             instance_tracker=self.instance_tracker,
             on_finished=self._handle_health_report,
         )
+        self._publisher = server_publisher.ServerPublisher(
+            service=settings.node.service,
+            inquiry=self._inquiry,
+            post=self._dispatcher.post,
+            tell_fleet=lambda event: self._membership.deliver(event),
+            emit=self._emit,
+        )
         self._peer = self._build_peer()
         self._membership = self._build_membership()
         self._store = self._build_store()
@@ -180,6 +187,7 @@
             peer_port=self._peer.port,
             admin_port=status_report.find_reachable_admin_port(settings),
         )
+        self._publisher.start()
         for listener in self._platform_listeners:
             listener.start(self._reactor)
         if self._platform_hooks.has_settings_changed is not None:
@@ -256,7 +264,7 @@
             uptime_s=self._reactor.seconds() - self._started_at,
             resident_bytes=status_report.measure_resident_bytes(),
             server=status_report.build_server_status(
-                self._engine, server=self._announcement, preset=preset
+                self._engine, server=self._publisher.announcement, preset=preset
             ),
             quotas=self._quotas.build_status(),
             members=[
@@ -414,34 +422,6 @@
         self._presets.handle_store_restored()
         self._registry.handle_store_restored()
 
-    def _post_server_event(self, event: messages.Event) -> None:
-        match event:
-            case messages.ServerAnnounced():
-                if event != self._announcement:
-                    self._emit(
-                        catalogue.EventCode.SERVER_ANNOUNCED,
-                        service=event.service,
-                        slots=event.slots,
-                    )
-                self._announcement = event
-                # Admission needs a preset, which the inquiry waits for, too.
-                if self._inquiry.is_finished:
-                    self._publish_server(event)
-            case messages.ServerStopped() | messages.ServerUnresponsive():
-                self._announcement = None
-                self._emit(catalogue.EventCode.SERVER_STOPPED)
-                self._publish_server(event)
-            case messages.ServerLeaving(instance=instance):
-                self._announcement = None
-                self._emit(catalogue.EventCode.SERVER_LEAVING, server=instance)
-                self._publish_server(event)
-            case _:
-                self._dispatcher.post(event)
-
-    def _publish_server(self, event: messages.Event) -> None:
-        self._dispatcher.post(event)
-        self._membership.deliver(event)
-
     # Presets.
 
     def _post_preset(self, event: messages.PresetInForce) -> None:
@@ -460,8 +440,7 @@
         self, report: server_link.HealthReport | None
     ) -> None:
         self._server.handle_health_report(report)
-        if self._announcement is not None:
-            self._publish_server(self._announcement)
+        self._publisher.finish_inquiry()
 
     # Drain and stop.
 
--- a/bergamotdeal/node/server_inquiry.py
+++ b/bergamotdeal/node/server_inquiry.py
@@ -40,6 +40,11 @@
         self._on_finished = on_finished
         self._is_finished = False
 
+    @property
+    def has_health_check(self) -> bool:
+        """Whether the platform can ask the server."""
+        return self._probe_server is not None
+
     @property
     def is_finished(self) -> bool:
         """Whether the server may be published."""
