Hold requests while a node starts

Nodes listen 0.1 s after their start, have a preset after 0.4 s and a granting bucket owner after 0.8 s; until then callers, most of them with their last attempt, got 503.

Change: for at most 2 s after its start an entry holds requests, each for up to 0.5 s and 256 in all, until it has a preset, servers of all services and hosts that grant tokens. Time limit and target count from the arrival.

--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -61,6 +61,7 @@
         state = self._state
         request = event.request
         route, timeout_ms = self._select_route(event)
+        arrived_at = state.now - event.held_s
         exchange = exchanges.Exchange(
             origin_id=event.origin_id,
             face=event.face,
@@ -69,8 +70,8 @@
             call_id=event.user_request_id,
             route=route,
             class_name=route.class_name,
-            arrived_at=state.now,
-            deadline=state.now + timeout_ms / 1000,
+            arrived_at=arrived_at,
+            deadline=arrived_at + timeout_ms / 1000,
             depth=0,
             attempt=event.attempt,
             allowance=allowance.Allowance(),
@@ -81,7 +82,7 @@
             self._authenticator.authenticate(exchange, event)
         is_refused = route is _NO_ROUTE or exchange.key_refusal is not None
         if route.target_latency_ms:
-            exchange.target = state.now + route.target_latency_ms / 1000
+            exchange.target = arrived_at + route.target_latency_ms / 1000
         if request.authority and not is_refused:
             self._classify_origin(exchange)
         match event.face:
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -38,6 +38,7 @@
       idempotency_key: Idempotency key of the call, or empty.
       key_digest: Digest of the organisation's key that the caller presented;
         None without a key and empty if the header was malformed.
+      held_s: Seconds for which the face held the request.
     """
 
     origin_id: int
@@ -50,6 +51,7 @@
     context: str = ""
     idempotency_key: str = ""
     key_digest: str | None = None
+    held_s: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -27,6 +27,7 @@
 from bergamotdeal.node import server_life
 from bergamotdeal.node import server_link
 from bergamotdeal.node import server_publisher
+from bergamotdeal.node import startup_hold
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
 from bergamotdeal.node import store_setup
@@ -163,6 +164,22 @@
         """Whether the node is ready to take calls and is not draining."""
         return self._has_preset and not self._drain.is_draining
 
+    def _can_serve(self) -> bool:
+        """Returns whether requests of callers can reach all services."""
+        preset = self._presets.preset
+        if preset is None or not self._quotas.can_serve:
+            return False
+        services = {
+            destination.service
+            for route in preset.host_routes
+            for destination in route.destinations
+        }
+        return services <= {
+            member.server.service
+            for member in self._membership.routed_by_id().values()
+            if member.server is not None
+        }
+
     def start(self) -> None:
         """Opens the listeners and joins the fleet."""
         settings = self._settings
@@ -376,6 +393,9 @@
 
     def _build_faces(self) -> tuple[faces.CallListener, faces.CallListener]:
         origin_ids = itertools.count(1)
+        entry_hold = startup_hold.StartupHold(
+            reactor=self._reactor, can_serve=self._can_serve
+        )
         handler = announcements.AnnouncementHandler(
             on_announced=self._server.handle_announcement,
             on_drain=self.start_drain,
@@ -389,10 +409,11 @@
                 origin_ids=origin_ids,
                 handle_node_request=handle_node_request,
                 dialect=self._platform_hooks.caller_dialect,
+                hold=hold,
             )
-            for face, handle_node_request in (
-                (messages.Face.ENTRY, None),
-                (messages.Face.EGRESS, handler.handle_request),
+            for face, handle_node_request, hold in (
+                (messages.Face.ENTRY, None, entry_hold),
+                (messages.Face.EGRESS, handler.handle_request, None),
             )
         )
         return entry, egress
--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -15,6 +15,7 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import http_server
+from bergamotdeal.node import startup_hold
 from bergamotdeal.organisations import keys
 from bergamotdeal.presets import model
 from bergamotdeal.rpc import core as rpc
@@ -48,6 +49,7 @@
         path starts with ``/v1/``; only the egress listener has such requests.
       dialect: Headers and statuses that callers use; the node's native
         dialect by default.
+      hold: Holds requests while the node starts; None refuses them at once.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         ]
         | None = None,
         dialect: dialects.CallerDialect | None = None,
+        hold: startup_hold.StartupHold | None = None,
     ) -> None:
         self._face = face
+        self._hold = hold
         self._dialect = dialect or NativeDialect(face=face)
         self._post = post
         self._is_ready = is_ready
@@ -107,6 +111,8 @@
         )
         self._idle_checks.clock = reactor
         self._idle_checks.start(http_server.IDLE_CHECK_INTERVAL_S, now=False)
+        if self._hold is not None:
+            self._hold.start(self._process_request)
 
     def apply_preset(self, preset: model.Preset) -> None:
         """Applies what the preset in force says about reading requests.
@@ -137,6 +143,8 @@
           reactor: The reactor.
         """
         self._factory.drain_connections()
+        if self._hold is not None:
+            self._hold.stop()
         if self._idle_checks.running:
             self._idle_checks.stop()
         if isinstance(self._listener, tcp.Port):
@@ -173,6 +181,15 @@
         if self._handle_own is not None and request.target.startswith("/v1/"):
             self._handle_own(exchange, request)
             return
+        if self._hold is None or not self._hold.add(exchange, request):
+            self._process_request(exchange, request)
+
+    def _process_request(
+        self,
+        exchange: http_server.Exchange,
+        request: http_server.HttpRequest,
+        held_s: float = 0.0,
+    ) -> None:
         origin_id = next(self._origin_ids)
         parsed = self._dialect.read_call(
             request, origin_id=origin_id, rng=self._rng
@@ -185,7 +202,9 @@
             return
         self._exchanges_by_origin_id[origin_id] = exchange
         exchange.on_disconnect = lambda: self._report_caller_gone(origin_id)
-        self._post(parsed.ok_value)
+        event = parsed.ok_value
+        event.held_s = held_s
+        self._post(event)
 
     def _refuse_request(
         self,
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -96,6 +96,11 @@
         self._keep_alive = keep_alive
         self._responded = False
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the response was written or the client disconnected."""
+        return self._responded
+
     def respond(self, answer: rpc.Answer, headers: rpc.Headers) -> None:
         """Writes the response; later calls do nothing.
 
--- a/bergamotdeal/node/quotas.py
+++ b/bergamotdeal/node/quotas.py
@@ -136,6 +136,13 @@
         if self._caps.caps_by_digest:
             self.introduce()
 
+    @property
+    def can_serve(self) -> bool:
+        """Whether tokens can be had, as far as the preset has caps."""
+        if self._caps is None or not self._caps.caps_by_digest:
+            return True
+        return self._counted.has_granting_hosts(self._clock())
+
     def introduce(self) -> None:
         """Starts introducing this host to the others.
 
--- /dev/null
+++ b/bergamotdeal/node/startup_hold.py
@@ -0,0 +1,113 @@
+"""Requests that wait until a node that has just started can serve them.
+
+A caller that is refused at once may have no attempt left when the node is
+ready a moment later.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from twisted.internet import task
+
+from bergamotdeal.node import http_server
+
+MAX_HOLD_S = 0.5
+"""Longest wait of one request."""
+
+STARTUP_S = 2.0
+"""Time after the start in which requests are held at all."""
+
+CHECK_INTERVAL_S = 0.02
+MAX_HELD_REQUESTS = 256
+MAX_HELD_BYTES = 4 * 1024 * 1024
+
+Handler = Callable[[http_server.Exchange, http_server.HttpRequest, float], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _HeldRequest:
+    exchange: http_server.Exchange
+    request: http_server.HttpRequest
+    arrived_at: float
+
+
+class StartupHold:
+    """Queue of the requests that arrive while a node starts.
+
+    Args:
+      reactor: The reactor.
+      can_serve: Returns whether the node can serve requests.
+    """
+
+    def __init__(self, *, reactor, can_serve: Callable[[], bool]) -> None:
+        self._reactor = reactor
+        self._can_serve = can_serve
+        self._held: collections.deque[_HeldRequest] = collections.deque()
+        self._held_bytes = 0
+        self._handle: Handler | None = None
+        self._ends_at = 0.0
+        self._checks = task.LoopingCall(self._check)
+        self._checks.clock = reactor
+
+    def start(self, handle: Handler) -> None:
+        """Starts to hold requests.
+
+        Args:
+          handle: Called with each exchange, its request and the seconds for
+            which it was held, when the hold ends.
+        """
+        self._handle = handle
+        self._ends_at = self._reactor.seconds() + STARTUP_S
+        self._checks.start(CHECK_INTERVAL_S, now=False)
+
+    def stop(self) -> None:
+        """Ends the hold; the held requests are handled now."""
+        if self._checks.running:
+            self._checks.stop()
+        self._release(float("inf"))
+
+    def add(
+        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+    ) -> bool:
+        """Holds a request.
+
+        Args:
+          exchange: Exchange of the request.
+          request: The request.
+
+        Returns:
+          Whether the request is held.
+        """
+        size = len(request.body)
+        is_full = (
+            len(self._held) >= MAX_HELD_REQUESTS
+            or self._held_bytes + size > MAX_HELD_BYTES
+        )
+        if not self._checks.running or is_full:
+            return False
+        self._held_bytes += size
+        self._held.append(
+            _HeldRequest(
+                exchange=exchange,
+                request=request,
+                arrived_at=self._reactor.seconds(),
+            )
+        )
+        return True
+
+    def _check(self) -> None:
+        now = self._reactor.seconds()
+        if self._can_serve() or now >= self._ends_at:
+            self.stop()
+        else:
+            self._release(now - MAX_HOLD_S)
+
+    def _release(self, arrived_until: float) -> None:
+        """Handles the requests that arrived up to a time."""
+        while self._held and self._held[0].arrived_at <= arrived_until:
+            held = self._held.popleft()
+            self._held_bytes -= len(held.request.body)
+            if not held.exchange.is_answered:
+                held_s = self._reactor.seconds() - held.arrived_at
+                self._handle(held.exchange, held.request, held_s)
--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -130,6 +130,20 @@
         """Number of counted hosts that are reachable."""
         return sum(map(self.is_present, self._hosts))
 
+    def has_granting_hosts(self, now: float) -> bool:
+        """Returns whether this host or half of the reachable ones grant.
+
+        Args:
+          now: Time in seconds on the clock that counts suspended time.
+        """
+        granting = sum(
+            host.is_active and self.is_present(host_id)
+            for host_id, host in self._hosts.items()
+        )
+        return self.may_grant(now) or (
+            granting > 0 and 2 * granting >= len(self._present)
+        )
+
     def apply_listing(self, host_ids: Collection[str]) -> None:
         """Applies the store's list of the fleet's hosts.
 
