Run the event loop without Twisted's log context and send directly

Of the samples of a node under load a sixth lie in Twisted's loop: for each event it copies and sets a context for its own log, and each write passes four more calls.

Change: a reactor of our own class handles ready sockets directly; writes go straight to the socket; frames of links that don't compress are decoded without a wrapper.

--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -168,18 +168,17 @@
             return
         self.last_received_at = self._clock()
         self._unanswered_pings = 0
-        decoded = self._decompress(string).and_then(codec.decode)
+        if self._decompressor is None:
+            decoded = codec.decode(string)
+        else:
+            decompressed = self._decompressor.decompress(string)
+            decoded = decompressed.and_then(codec.decode)
         if isinstance(decoded, result.Err):
             self.has_malformed_input = True
             self.close(f"malformed frame: {decoded.err_value}")
             return
         self._handle_frame(decoded.ok_value)
 
-    def _decompress(self, data: bytes) -> result.Result[bytes, str]:
-        if self._decompressor is None:
-            return result.Ok(data)
-        return self._decompressor.decompress(data)
-
     def lengthLimitExceeded(self, length: int) -> None:
         """Closes the link after a frame that exceeds the length limit.
 
--- a/bergamotdeal/node/process.py
+++ b/bergamotdeal/node/process.py
@@ -6,6 +6,7 @@
 
 from bergamotdeal.node import app
 from bergamotdeal.node import environment
+from bergamotdeal.node import event_loop
 from bergamotdeal.settings import model as settings_model
 
 GC_THRESHOLDS = (20_000, 20, 50)
@@ -26,8 +27,8 @@
       InvalidPresetError: The preset file is missing or invalid.
       twisted.internet.error.CannotListenError: A port is in use.
     """
-    # Importing the reactor installs it process-wide, which must not happen when
-    # this module is imported.
+    event_loop.install()
+    # Importing the reactor before would install another one process-wide.
     from twisted.internet import reactor
 
     use_monotonic_clock(reactor)
--- a/bergamotdeal/utils/transport.py
+++ b/bergamotdeal/utils/transport.py
@@ -17,29 +17,25 @@
         through its buffer.
       data: The bytes to write.
     """
-    if not _can_write_now(transport):
-        transport.write(data)
-        return
-    sent = transport.writeSomeData(data)
-    if not isinstance(sent, int) or sent < 0:
-        # The connection is lost; write() lets the reactor detect that.
+    if (
+        not isinstance(transport, tcp.Connection)
+        or not transport.connected
+        or transport.disconnecting
+        or transport.dataBuffer
+        or transport._tempDataBuffer
+    ):
         transport.write(data)
         return
+    try:
+        sent = transport.socket.send(data)
+    except OSError:
+        # The kernel's buffer is full, or the connection is lost, which write()
+        # lets the reactor detect.
+        sent = 0
     if sent < len(data):
         transport.write(data[sent:])
 
 
-def _can_write_now(transport: interfaces.ITransport) -> bool:
-    if not isinstance(transport, tcp.Connection):
-        return False
-    return bool(
-        transport.connected
-        and not transport.disconnecting
-        and not transport.dataBuffer
-        and not transport._tempDataBuffer
-    )
-
-
 KEEPALIVE_IDLE_S = 1
 """Idle time before the first probe; a dead peer is to be detected in 3 s."""
 
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -64,7 +64,7 @@
     "memory, whole process": "The libraries alone pass the bound (see "
     "`resident memory after import`); fewer imports, or the bound read as "
     "control's own growth, which is the two last terms.",
-    "added latency p99": "The next causes are in the run's profile; compare "
+    "added latency p99": "The call cost is the part of the decisions; compare "
     "the null relay of the same run, which has the same hops and reads "
     "nothing.",
 }
--- a/standins/measure/__main__.py
+++ b/standins/measure/__main__.py
@@ -11,12 +11,12 @@
 from twisted.internet import task
 from twisted.internet import threads
 
+from standins.measure import call_cost
 from standins.measure import control
 from standins.measure import figures
 from standins.measure import latency
 from standins.measure import operations
 from standins.measure import overload
-from standins.measure import profile
 from standins.measure import resends
 from standins.measure import scale
 
@@ -28,7 +28,7 @@
     "control",
     "scale",
     "resends",
-    "profile",
+    "call-cost",
 )
 
 
@@ -66,8 +66,8 @@
                 scale.measure(report)
             case "resends":
                 resends.measure(report)
-            case "profile":
-                yield profile.measure(report)
+            case "call-cost":
+                call_cost.measure(report)
         elapsed_s = twisted_reactor.seconds() - start
         report.conditions[f"time for {benchmark}"] = f"{elapsed_s:.0f} s"
         report.write(OUTPUT_DIRECTORY)
--- a/standins/measure/figures.py
+++ b/standins/measure/figures.py
@@ -60,12 +60,10 @@
     Attributes:
       conditions: Machine, sizes and durations of the run, by name.
       figures: Figures in the order of measurement.
-      profile: Lines of the profile, the most expensive function first.
     """
 
     conditions: dict[str, str] = dataclasses.field(default_factory=dict)
     figures: list[Figure] = dataclasses.field(default_factory=list)
-    profile: list[str] = dataclasses.field(default_factory=list)
 
     def add(self, name: str, value: float | None, unit: str, **fields) -> None:
         """Adds a figure, its value rounded to six decimals.
@@ -111,7 +109,6 @@
         content = {
             "conditions": self.conditions,
             "figures": rows,
-            "profile": self.profile,
         }
         return json.dumps(content, indent=1) + "\n"
 
@@ -126,9 +123,6 @@
         lines += ["", f"Missed targets: {len(missed)}"]
         for figure in missed:
             lines.append(f"  {figure.name} ({figure.variant}): {figure.note}")
-        if self.profile:
-            lines += ["", "Profile of an entry node, by own time:"]
-            lines += self.profile
         return "\n".join(lines) + "\n"
 
 
@@ -137,7 +131,6 @@
     content = json.loads(path.read_text())
     return Report(
         conditions=content["conditions"],
-        profile=content["profile"],
         figures=[
             Figure(
                 name=row["figure"],
--- a/standins/measure/latency.py
+++ b/standins/measure/latency.py
@@ -283,7 +283,7 @@
                 variant=f"{name}, {load}",
                 target=TARGET_P99_MS if has_target else None,
                 note="see the null relay in the same run for the machine's "
-                "share, and the profile for the node's"
+                "share, and the call cost for the node's"
                 if has_target
                 else "",
             )
