--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -19,6 +19,7 @@
 import random
 
 from bergamotdeal.quotas import messages
+from bergamotdeal.quotas import replies
 from bergamotdeal.routing import rendezvous
 
 LAPSE_S = 480.0
@@ -54,26 +55,6 @@
     absent_since: float | None = None
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Reply:
-    """Reply of another host in the current attempt to become active.
-
-    Attributes:
-      stage: Highest stage that it has confirmed.
-      was_active: Whether it knew this host as active before the attempt.
-      may_have_removed: Whether it has been active for long enough to have
-        stopped counting a host.
-      active_count: Number of other active hosts that it counts.
-      is_active: Whether it grants tokens itself.
-    """
-
-    stage: messages.Stage
-    was_active: bool
-    may_have_removed: bool
-    active_count: int
-    is_active: bool
-
-
 class CountedHosts:
     """The counted hosts as this host knows them, and its right to grant.
 
@@ -279,24 +260,9 @@
         if self.stage is not _Stage.ACTIVE:
             for digest in message.active:
                 self._count_active_digest(digest)
-        self._record_reply(message)
+        self._replies.record(message)
         self._try_next_stage(now)
 
-    def _record_reply(self, message: messages.IntroductionReply) -> None:
-        reply = self._replies_by_host.get(message.host_id)
-        if reply is None:
-            self._replies_by_host[message.host_id] = _Reply(
-                stage=message.stage,
-                was_active=message.was_active,
-                may_have_removed=message.may_have_removed,
-                active_count=message.active_count,
-                is_active=message.own_stage is _Stage.ACTIVE,
-            )
-        else:
-            reply.stage = max(reply.stage, message.stage)
-            reply.active_count = message.active_count
-            reply.is_active = message.own_stage is _Stage.ACTIVE
-
     # Counting.
 
     def _name(self, host_id: str) -> None:
@@ -334,7 +300,7 @@
             self._insert(f"#{digest:x}", _Host(is_active=True), digest)
 
     def _remove(self, host_id: str) -> None:
-        self._replies_by_host.pop(host_id, None)
+        self._replies.by_host.pop(host_id, None)
         if self._hosts.pop(host_id, None) is None:
             return
         del self._names_by_digest[self.digests_by_host.pop(host_id)]
@@ -378,7 +344,7 @@
         self.unused_since: float | None = None
         self.term += 1
         self._nonce = self._rng.getrandbits(31)
-        self._replies_by_host: dict[str, _Reply] = {}
+        self._replies = replies.ReplyTable()
         self._sent_at_by_host: dict[str, float] = {}
         self._introduced_at_by_host: dict[str, float] = {}
         self._settled_since: float | None = None
@@ -386,7 +352,7 @@
 
     def _is_silent(self, host_id: str, now: float) -> bool:
         """Returns whether a host has never replied in this term."""
-        if host_id in self._replies_by_host:
+        if host_id in self._replies.by_host:
             return False
         introduced_at = self._introduced_at_by_host.get(host_id, now)
         return now - introduced_at >= SILENT_S
@@ -403,7 +369,7 @@
         """Returns whether all responsive hosts have confirmed the stage."""
         active_count = self._count_active(except_id=self._host_id)
         for host_id in responsive:
-            reply = self._replies_by_host.get(host_id)
+            reply = self._replies.by_host.get(host_id)
             if reply is None or reply.stage < self.stage:
                 return False
             # A reply names only some of the active hosts of a large fleet.
@@ -419,12 +385,13 @@
         responsive = self._list_responsive(now)
         if not self._is_confirmed(responsive):
             return
-        if self.stage is _Stage.ANNOUNCED and not self._is_known_to_most():
+        has_only_restarted = self._replies.show_restart(self._listed_count)
+        if self.stage is _Stage.ANNOUNCED and not has_only_restarted:
             if self._settled_since is None:
                 self._settled_since = now
             if now - self._settled_since < SETTLE_S:
                 return
-        elif self.stage is _Stage.ANNOUNCED and self._have_all_restarted():
+        elif self._has_all_restarted():
             self.unused_since = self._started_at
         if not self._may_advance(responsive):
             return
@@ -437,24 +404,10 @@
         self.version += 1
         self._try_next_stage(now)
 
-    def _is_known_to_most(self) -> bool:
-        """Returns whether the replies show that this host has only restarted.
-
-        Any two hosts for which this holds have a common replier, and those
-        that grant tokens counted this host before.
-        """
-        if self._listed_count is None:
-            return False
-        replies = self._replies_by_host.values()
-        has_majority = 2 * (1 + len(replies)) > self._listed_count
-        return has_majority and all(
-            reply.was_active for reply in replies if reply.is_active
-        )
-
-    def _have_all_restarted(self) -> bool:
+    def _has_all_restarted(self) -> bool:
         """Returns whether no host has granted tokens since this one started."""
-        replies = self._replies_by_host.values()
-        return self.term == 1 and not any(reply.is_active for reply in replies)
+        is_first = self.stage is _Stage.ANNOUNCED and self.term == 1
+        return is_first and not self._replies.has_active_replier
 
     def _may_advance(self, responsive: list[str]) -> bool:
         """Returns whether no host that is missing could be in the way."""
@@ -470,9 +423,9 @@
             return True
         # A host that has just started knows few others as active, which is no
         # sign that this one is no longer counted.
-        replies = [self._replies_by_host[name] for name in responsive]
-        return any(reply.was_active for reply in replies) and not any(
-            reply.may_have_removed and not reply.was_active for reply in replies
+        given = [self._replies.by_host[name] for name in responsive]
+        return any(reply.was_active for reply in given) and not any(
+            reply.may_have_removed and not reply.was_active for reply in given
         )
 
     def _list_introductions(
@@ -485,7 +438,7 @@
         is_active = self.stage is _Stage.ACTIVE
         active_count = self._count_active(except_id=self._host_id)
         for host_id in self._present:
-            reply = self._replies_by_host.get(host_id)
+            reply = self._replies.by_host.get(host_id)
             if (
                 reply is not None
                 and reply.stage >= self.stage
