Keep a reactor that the process already has

Change: the reactor is installed only if there is none. Tests of the reactor: bytes, the end of a connection, an exception in a protocol.

Ruled out: nothing else installs a reactor before a node starts.

--- a/bergamotdeal/node/event_loop.py
+++ b/bergamotdeal/node/event_loop.py
@@ -1,5 +1,7 @@
 """Event loop of a node: Twisted's epoll reactor without its log context."""
 
+import sys
+
 from twisted.internet import epollreactor
 from twisted.internet import main
 
@@ -35,5 +37,6 @@
 
 
 def install() -> None:
-    """Installs the reactor; no other may have been installed before."""
-    main.installReactor(NodeReactor())
+    """Installs the reactor, unless the process has one already."""
+    if "twisted.internet.reactor" not in sys.modules:
+        main.installReactor(NodeReactor())
--- a/bergamotdeal/node/process.py
+++ b/bergamotdeal/node/process.py
@@ -28,7 +28,7 @@
       twisted.internet.error.CannotListenError: A port is in use.
     """
     event_loop.install()
-    # Importing the reactor before would install another one process-wide.
+    # Importing the reactor before that would install another one.
     from twisted.internet import reactor
 
     use_monotonic_clock(reactor)
@@ -71,3 +71,4 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
