Fill only the first buckets of a host from the start of its process

Cause: found in reading: after a restart of all hosts a bucket counted as filled since the start of the process whenever it was created, also for a part that came to the host minutes later and that another host had granted until then. Such a part could grant its whole capacity at once.

Change: only buckets that are created within 0.5 s of the first activation count so. A test that failed first: a part that is taken over six seconds after a restart of all grants nothing at once.

--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -29,6 +29,10 @@
 in which the membership learns of hosts that started at the same time. It is
 skipped by a host that most of the listed hosts have replied to."""
 
+FIRST_PARTS_S = 0.5
+"""Time after its first activation in which the parts of a host are those that
+it had when all hosts started."""
+
 RETRY_S = 0.3
 SILENT_S = 1.2
 """Time without a reply to introductions from which a host counts as missing.
@@ -70,8 +74,6 @@
         grant.
       stage: Stage of this process.
       term: Number of the attempt to become active.
-      unused_since: Start of this process if all hosts have restarted, so that
-        nobody has granted tokens since then, or None.
     """
 
     def __init__(
@@ -109,6 +111,21 @@
             self.stage is _Stage.ACTIVE and now - self._half_seen_at < LAPSE_S
         )
 
+    def find_fill_start(self, now: float) -> float:
+        """Returns the time from which a new bucket counts as filled.
+
+        It is the start of this process if all hosts have restarted, as nobody
+        has granted tokens since then. A part that comes to this host later was
+        another host's.
+
+        Args:
+          now: Time in seconds on the clock that counts suspended time.
+        """
+        if self._unused_since is None:
+            return now
+        is_first_part = now - self._active_since < FIRST_PARTS_S
+        return self._unused_since if is_first_part else now
+
     @property
     def present_count(self) -> int:
         """Number of counted hosts that are reachable."""
@@ -341,7 +358,7 @@
 
     def _restart_introductions(self) -> None:
         self.stage = _Stage.ANNOUNCED
-        self.unused_since: float | None = None
+        self._unused_since: float | None = None
         self.term += 1
         self._nonce = self._rng.getrandbits(31)
         self._replies = replies.ReplyTable()
@@ -392,7 +409,7 @@
             if now - self._settled_since < SETTLE_S:
                 return
         elif self._has_all_restarted():
-            self.unused_since = self._started_at
+            self._unused_since = self._started_at
         if not self._may_advance(responsive):
             return
         self._count(self._host_id)
--- a/bergamotdeal/quotas/owner.py
+++ b/bergamotdeal/quotas/owner.py
@@ -180,9 +180,9 @@
         plan = self._find_own_plan(digest)
         if plan is None:
             return None
-        unused_since = self._counted.unused_since
-        filled_at = now if unused_since is None else unused_since
-        bucket = _Bucket(plan=plan, filled_at=filled_at)
+        bucket = _Bucket(
+            plan=plan, filled_at=self._counted.find_fill_start(now)
+        )
         self._buckets_by_digest[digest] = bucket
         return bucket
 
--- a/bergamotdeal/quotas/tests/model.py
+++ b/bergamotdeal/quotas/tests/model.py
@@ -36,7 +36,6 @@
 
     version = 1
     term = 1
-    unused_since = None
 
     def __init__(self, names):
         self.digests_by_host = {n: rendezvous.digest(n) for n in names}
@@ -44,6 +43,9 @@
     def may_grant(self, now):
         return True
 
+    def find_fill_start(self, now):
+        return now
+
     def is_present(self, host_id):
         return True
 
--- a/bergamotdeal/quotas/tests/test_restart.py
+++ b/bergamotdeal/quotas/tests/test_restart.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bergamotdeal.quotas import messages
 from bergamotdeal.quotas.tests import model
 
 _DOWN_S = 0.6
@@ -110,3 +111,25 @@
     fleet.run_until(end)
     bound = (_RATE * 5 + _RATE) * 1.1 + 20
     assert model.find_fullest_window(fleet.runs["o"]) <= bound
+
+
+# Guards against a bucket that counts as filled while another host granted.
+def test_part_that_is_taken_over_later_starts_empty():
+    fleet = _start_fleet(14, 10, (_RATE, _RATE))
+    fleet.restart_all()
+    fleet.run_until(fleet.now + 6.0)
+    want = messages.Want(digest=fleet.digests["o"], tokens=100)
+    owners = [
+        name
+        for name, host in fleet.hosts.items()
+        if host.owner.grant(want, fleet.now).is_owner
+    ]
+    fleet.leave(owners[0])
+    later = {
+        name: host.owner.grant(want, fleet.now)
+        for name, host in fleet.hosts.items()
+        if name not in owners
+    }
+    taken_over = [grant for grant in later.values() if grant.is_owner]
+    assert taken_over
+    assert all(grant.tokens == 0 for grant in taken_over)
