--- a/tests/integration/test_mixed_versions.py
+++ b/tests/integration/test_mixed_versions.py
@@ -14,6 +14,7 @@
 import tarfile
 import threading
 import time
+import tomllib
 
 import pytest
 
@@ -22,8 +23,8 @@
 from standins import cluster as clusters
 from tests.integration import fleet as fleets
 
-PREVIOUS_COMMIT = "aa4a3adcde7af2fa8097eaa5ee057b58c1192f56"
 ROOT = pathlib.Path(__file__).parent.parent.parent
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 ENTRY_COUNT = 4
 SERVICE = "orderline"
 KEY = "key-of-acme"
@@ -141,8 +142,9 @@
 
 @pytest.fixture(scope="module")
 def previous_root(tmp_path_factory):
+    commit = tomllib.loads(DEPLOY_FILE.read_text())["production"]
     archive = subprocess.run(
-        ["git", "archive", PREVIOUS_COMMIT, "bergamotdeal"],
+        ["git", "archive", commit, "bergamotdeal"],
         cwd=ROOT,
         check=True,
         capture_output=True,
