Record how many requests a node held after its start

Operators could not see the hold at work: event 918 tells the number of held requests and the longest wait once it ends.

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -169,16 +169,8 @@
         preset = self._presets.preset
         if preset is None or not self._quotas.can_serve:
             return False
-        services = {
-            destination.service
-            for route in preset.host_routes
-            for destination in route.destinations
-        }
-        return services <= {
-            member.server.service
-            for member in self._membership.routed_by_id().values()
-            if member.server is not None
-        }
+        members_by_id = self._membership.routed_by_id()
+        return startup_hold.has_servers_for_all_routes(preset, members_by_id)
 
     def start(self) -> None:
         """Opens the listeners and joins the fleet."""
@@ -383,18 +375,21 @@
             settings=self._settings,
             platform_hooks=self._platform_hooks,
             reactor=self._reactor,
-            on_call=lambda: self._recorder.metrics.increment(
-                metrics.Counter.STORE_CALLS
-            ),
+            on_call=self._count_store_call,
             on_object_rejected=lambda reason: self._emit(
                 catalogue.EventCode.STORE_OBJECT_REJECTED, reason=reason
             ),
         )
 
+    def _count_store_call(self) -> None:
+        self._recorder.metrics.increment(metrics.Counter.STORE_CALLS)
+
     def _build_faces(self) -> tuple[faces.CallListener, faces.CallListener]:
         origin_ids = itertools.count(1)
         entry_hold = startup_hold.StartupHold(
-            reactor=self._reactor, can_serve=self._can_serve
+            reactor=self._reactor,
+            can_serve=self._can_serve,
+            record=self._record,
         )
         handler = announcements.AnnouncementHandler(
             on_announced=self._server.handle_announcement,
--- a/bergamotdeal/node/startup_hold.py
+++ b/bergamotdeal/node/startup_hold.py
@@ -10,7 +10,11 @@
 
 from twisted.internet import task
 
+from bergamotdeal.membership import core as membership
 from bergamotdeal.node import http_server
+from bergamotdeal.presets import model
+from bergamotdeal.telemetry import catalogue
+from bergamotdeal.telemetry import records
 
 MAX_HOLD_S = 0.5
 """Longest wait of one request."""
@@ -21,6 +25,7 @@
 CHECK_INTERVAL_S = 0.02
 MAX_HELD_REQUESTS = 256
 MAX_HELD_BYTES = 4 * 1024 * 1024
+_MS_PER_S = 1000
 
 Handler = Callable[[http_server.Exchange, http_server.HttpRequest, float], None]
 
@@ -32,17 +37,48 @@
     arrived_at: float
 
 
+def has_servers_for_all_routes(
+    preset: model.Preset, members_by_id: dict[str, membership.Member]
+) -> bool:
+    """Returns whether each service of a preset's host routes has a server.
+
+    Args:
+      preset: Preset in force.
+      members_by_id: Known members of the fleet.
+    """
+    services = {
+        destination.service
+        for route in preset.host_routes
+        for destination in route.destinations
+    }
+    return services <= {
+        member.server.service
+        for member in members_by_id.values()
+        if member.server is not None
+    }
+
+
 class StartupHold:
     """Queue of the requests that arrive while a node starts.
 
     Args:
       reactor: The reactor.
       can_serve: Returns whether the node can serve requests.
+      record: Takes an event for the event log.
     """
 
-    def __init__(self, *, reactor, can_serve: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        reactor,
+        can_serve: Callable[[], bool],
+        record: Callable[[records.EventRecord], None],
+    ) -> None:
         self._reactor = reactor
         self._can_serve = can_serve
+        self._record = record
+        self._held_count = 0
+        self._longest_s = 0.0
         self._held: collections.deque[_HeldRequest] = collections.deque()
         self._held_bytes = 0
         self._handle: Handler | None = None
@@ -63,9 +99,17 @@
 
     def stop(self) -> None:
         """Ends the hold; the held requests are handled now."""
-        if self._checks.running:
-            self._checks.stop()
+        if not self._checks.running:
+            return
+        self._checks.stop()
         self._release(float("inf"))
+        if self._held_count:
+            fields = {
+                "requests": self._held_count,
+                "longest_ms": int(self._longest_s * _MS_PER_S),
+            }
+            code = catalogue.EventCode.STARTUP_HOLD_ENDED
+            self._record(records.EventRecord(code=code, fields=fields))
 
     def add(
         self, exchange: http_server.Exchange, request: http_server.HttpRequest
@@ -86,6 +130,7 @@
         )
         if not self._checks.running or is_full:
             return False
+        self._held_count += 1
         self._held_bytes += size
         self._held.append(
             _HeldRequest(
@@ -108,6 +153,7 @@
         while self._held and self._held[0].arrived_at <= arrived_until:
             held = self._held.popleft()
             self._held_bytes -= len(held.request.body)
+            held_s = self._reactor.seconds() - held.arrived_at
+            self._longest_s = max(self._longest_s, held_s)
             if not held.exchange.is_answered:
-                held_s = self._reactor.seconds() - held.arrived_at
                 self._handle(held.exchange, held.request, held_s)
--- a/bergamotdeal/node/tests/test_startup_hold.py
+++ b/bergamotdeal/node/tests/test_startup_hold.py
@@ -4,6 +4,7 @@
 
 from bergamotdeal.node import http_server
 from bergamotdeal.node import startup_hold
+from bergamotdeal.telemetry import catalogue
 
 
 class FakeExchange:
@@ -16,8 +17,11 @@
         self.clock = task.Clock()
         self.can_serve = False
         self.handled = []
+        self.records = []
         self.hold = startup_hold.StartupHold(
-            reactor=self.clock, can_serve=lambda: self.can_serve
+            reactor=self.clock,
+            can_serve=lambda: self.can_serve,
+            record=self.records.append,
         )
         self.hold.start(
             lambda exchange, request, held_s: self.handled.append(
@@ -51,6 +55,9 @@
     assert 0.1 <= held_s[1] <= 0.15
     # From now on, requests are handled at once.
     assert harness.add() is None
+    (record,) = harness.records
+    assert record.code is catalogue.EventCode.STARTUP_HOLD_ENDED
+    assert record.fields["requests"] == 2
 
 
 def test_no_request_is_held_longer_than_the_limit():
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -78,6 +78,7 @@
     SERVER_RATE_LIMITED = 915
     SERVER_RATE_LIMIT_LIFTED = 916
     SERVER_CONDITION_REJECTED = 917
+    STARTUP_HOLD_ENDED = 918
     PEER_LINK_OPENED = 906
     PEER_LINK_CLOSED = 907
     PEER_REJECTED = 908
@@ -160,6 +161,9 @@
     EventCode.STORE_RESTORED: "store restored from a copy, era {era}",
     EventCode.NODE_STARTED: "node {host} started, incarnation {incarnation}",
     EventCode.NODE_READY: "node ready",
+    EventCode.STARTUP_HOLD_ENDED: (
+        "held {requests} requests after the start, the longest {longest_ms} ms"
+    ),
     EventCode.DRAIN_STARTED: "drain started",
     EventCode.DRAIN_FINISHED: "drain finished",
     EventCode.SERVER_ANNOUNCED: "server of {service} announced {slots} slots",
