Send the store's requests through a pool of our own

Change: a pool of HTTP/1.1 connections over httptools, which the node uses for callers and servers already. Requests are sent at most once, as before. A version or an era in non-ASCII digits, on which int() raised, is now no number. Twisted itself still imports http.cookiejar.

--- a/bergamotdeal/store/__init__.py
+++ b/bergamotdeal/store/__init__.py
@@ -1,3 +1,3 @@
 """Client of the platform's object API, the store."""
 
-__all__ = ["backoff", "budget", "core", "http", "http_calls"]
+__all__ = ["backoff", "budget", "core", "http", "http_calls", "http_connection"]
--- a/bergamotdeal/store/http.py
+++ b/bergamotdeal/store/http.py
@@ -165,12 +165,12 @@
 def _parse_version(
     response: http_calls.HttpResponse,
 ) -> result.Result[int, core.Failure]:
-    values = response.headers.getRawHeaders(_VERSION_HEADER, [])
-    if not values or not values[0].isdigit():
+    version = response.headers_by_name.get(_VERSION_HEADER.lower(), "")
+    if not version.isdecimal():
         return _invalid_response(
             "no valid version in the Object-Version header of the answer"
         )
-    return result.Ok(eras.combine(response.era, int(values[0])))
+    return result.Ok(eras.combine(response.era, int(version)))
 
 
 def _parse_object(
--- a/bergamotdeal/store/http_calls.py
+++ b/bergamotdeal/store/http_calls.py
@@ -2,24 +2,17 @@
 
 from collections.abc import Callable
 import http
-import io
 import time
 import typing
+import urllib.parse
 
 import result
 from twisted.internet import defer
-from twisted.internet import endpoints
-from twisted.internet import interfaces
-from twisted.internet import protocol
-from twisted.web import client
-from twisted.web import http_headers
-from twisted.web import iweb
-import zope.interface
 
 from bergamotdeal.store import core
 from bergamotdeal.store import eras
+from bergamotdeal.store import http_connection
 from bergamotdeal.utils import token_bucket
-from bergamotdeal.utils import transport
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -32,72 +25,21 @@
 
 
 class HttpResponse(typing.NamedTuple):
-    """A response with its complete body."""
+    """A response with its complete body.
+
+    Attributes:
+      status: HTTP status code.
+      headers_by_name: First value of each header, by its lower-case name.
+      body: Complete body.
+      era: Era of the store in which it answered.
+    """
 
     status: int
-    headers: http_headers.Headers
+    headers_by_name: dict[str, str]
     body: bytes
     era: int = eras.NO_ERA
 
 
-class _BodyReader(protocol.Protocol):
-    """A collector of a response body of bounded size."""
-
-    def __init__(self, *, done: defer.Deferred) -> None:
-        self._done = done
-        self._buffer = io.BytesIO()
-
-    def dataReceived(self, data):  # noqa: N802
-        """Appends a part of the body; closes the connection past the limit."""
-        if self._buffer.tell() + len(data) > MAX_RESPONSE_BYTES:
-            self.transport.loseConnection()
-            return
-        self._buffer.write(data)
-
-    def connectionLost(self, reason):  # noqa: N802
-        """Passes on a complete body; a truncated one fails."""
-        if reason.check(client.ResponseDone):
-            self._done.callback(self._buffer.getvalue())
-        else:
-            self._done.errback(reason)
-
-
-@zope.interface.implementer(interfaces.IStreamClientEndpoint)
-class _DeadPeerDetectingEndpoint:
-    """An endpoint whose connections close when the peer stops responding."""
-
-    def __init__(self, *, inner: interfaces.IStreamClientEndpoint) -> None:
-        self._inner = inner
-
-    def connect(self, factory):
-        """Connects and enables dead peer detection on the connection."""
-        connected = self._inner.connect(factory)
-        return connected.addCallback(_enable_dead_peer_detection)
-
-
-def _enable_dead_peer_detection(
-    connected: protocol.Protocol,
-) -> protocol.Protocol:
-    transport.enable_dead_peer_detection(connected.transport)
-    return connected
-
-
-@zope.interface.implementer(iweb.IAgentEndpointFactory)
-class _EndpointFactory:
-    """A factory of endpoints for IP addresses, without resolver threads."""
-
-    def __init__(self, *, reactor) -> None:
-        self._reactor = reactor
-
-    def endpointForURI(self, uri):  # noqa: N802
-        """Returns the endpoint for a URI."""
-        return _DeadPeerDetectingEndpoint(
-            inner=endpoints.TCP4ClientEndpoint(
-                self._reactor, uri.host, uri.port, timeout=CONNECT_TIMEOUT_S
-            )
-        )
-
-
 class HttpClient:
     """An HTTP client that never retries by itself.
 
@@ -131,16 +73,15 @@
             capacity=calls_per_minute,
             now=clock(),
         )
-        # The pool would otherwise retry a request itself after a lost response.
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.retryAutomatically = False
-        self._agent = client.Agent.usingEndpointFactory(
-            reactor, _EndpointFactory(reactor=reactor), pool=self._pool
+        self._pool = http_connection.ConnectionPool(
+            reactor=reactor,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_response_bytes=MAX_RESPONSE_BYTES,
         )
 
     def close(self) -> defer.Deferred:
         """Closes idle connections."""
-        return self._pool.closeCachedConnections()
+        return self._pool.close()
 
     def call(
         self,
@@ -175,14 +116,18 @@
             return defer.succeed(result.Err(failure))
         if self._on_call is not None:
             self._on_call()
-        headers = http_headers.Headers()
-        for name, value in (headers_by_name or {}).items():
-            headers.addRawHeader(name, value)
-        producer = client.FileBodyProducer(io.BytesIO(body)) if body else None
-        pending_response = self._agent.request(
-            method.encode(), url.encode(), headers, producer
+        parts = urllib.parse.urlsplit(url)
+        pending_response = self._pool.send(
+            http_connection.Request(
+                address=parts.hostname,
+                port=parts.port,
+                method=method,
+                target=parts._replace(scheme="", netloc="").geturl(),
+                headers_by_name=headers_by_name or {},
+                body=body,
+            )
         )
-        pending_response.addCallback(_read_response)
+        pending_response.addCallback(_build_response)
         pending_response.addTimeout(timeout_s, self._reactor)
         is_write = method != "GET"
         pending_response.addCallbacks(
@@ -203,10 +148,10 @@
         """Checks era and status of an answer; an older era changes nothing."""
         if not self._era_header:
             return _check_status(response, is_write=is_write)
-        values = response.headers.getRawHeaders(self._era_header, [])
-        if not values or not values[0].isdigit():
+        value = response.headers_by_name.get(self._era_header.lower(), "")
+        if not value.isdecimal():
             return _check_status(response, is_write=is_write)
-        era = int(values[0])
+        era = int(value)
         if not self._eras.observe(era):
             return result.Err(
                 core.Failure(
@@ -255,14 +200,9 @@
     )
 
 
-def _read_response(response) -> defer.Deferred:
-    done: defer.Deferred[bytes] = defer.Deferred(
-        lambda _: reader.transport.loseConnection()
-    )
-    reader = _BodyReader(done=done)
-    response.deliverBody(reader)
-    return done.addCallback(
-        lambda body: HttpResponse(response.code, response.headers, body)
+def _build_response(response: http_connection.Response) -> HttpResponse:
+    return HttpResponse(
+        response.status, response.headers_by_name, response.body
     )
 
 
@@ -301,10 +241,8 @@
 
 
 def _parse_retry_after(response: HttpResponse) -> float | None:
-    values = response.headers.getRawHeaders("Retry-After", [])
-    if values and values[0].isdigit():
-        return float(values[0])
-    return None
+    value = response.headers_by_name.get("retry-after", "")
+    return float(value) if value.isdecimal() else None
 
 
 def _request_failure(error, *, is_write: bool) -> core.Failure:
