--- a/bergamotdeal/admission/controller.py
+++ b/bergamotdeal/admission/controller.py
@@ -1,8 +1,9 @@
 """Admission controller of one backend server."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.admission import core
 from bergamotdeal.admission import estimate
 from bergamotdeal.admission import limit as limits
@@ -19,8 +20,7 @@
 _MS_PER_S = 1000.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Run:
+class _Run(msgspec.Struct, kw_only=True):
     job: core.Job
     rank: int
     share: float
--- a/bergamotdeal/admission/core.py
+++ b/bergamotdeal/admission/core.py
@@ -1,13 +1,13 @@
 """Data types of admission control: jobs and the decisions on them."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.errors import core as errors
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Job:
+class Job(msgspec.Struct, kw_only=True):
     """A request that asks for a slot of the backend server.
 
     Attributes:
@@ -35,15 +35,13 @@
     calls_made: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Start:
+class Start(msgspec.Struct, frozen=True, kw_only=True):
     """Decision to send a job to the backend server; it now holds a slot."""
 
     job_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True, kw_only=True):
     """Decision to reject a job that has not started.
 
     The controller keeps no state for the job after this decision.
@@ -53,8 +51,7 @@
     kind: errors.ErrorKind
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Preempt:
+class Preempt(msgspec.Struct, frozen=True, kw_only=True):
     """Decision to cancel a running job whose slot goes to another job."""
 
     job_id: int
--- a/bergamotdeal/admission/feedback.py
+++ b/bergamotdeal/admission/feedback.py
@@ -1,8 +1,9 @@
 """Admission thresholds that other nodes report in their answers."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.presets import model
 
 _SMOOTHING_TIME_CONSTANT_S = 0.02
@@ -19,8 +20,7 @@
 _Key = tuple[str, str, str]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Entry:
+class _Entry(msgspec.Struct, kw_only=True):
     threshold: float
     observed_at: float
 
--- a/bergamotdeal/admission/limit.py
+++ b/bergamotdeal/admission/limit.py
@@ -1,8 +1,9 @@
 """Adaptive concurrency limit of one backend server."""
 
-import dataclasses
 import math
 
+import msgspec
+
 _MIN_INTERVAL_S = 0.5
 _MAX_INTERVAL_S = 3.0
 _INTERVAL_COMPLETIONS = 60
@@ -25,16 +26,14 @@
 _SLOW_START_SHARE = 0.1
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Interval:
+class _Interval(msgspec.Struct, kw_only=True):
     started_at: float
     completed: int = 0
     run_s: float = 0.0
     busy_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Trial:
+class _Trial(msgspec.Struct, frozen=True, kw_only=True):
     previous_limit: int
     limit: int
     previous_throughput: float
--- a/bergamotdeal/admission/returns.py
+++ b/bergamotdeal/admission/returns.py
@@ -7,10 +7,11 @@
 """
 
 import collections
-import dataclasses
 import math
 import random
 
+import msgspec
+
 _RETURN_PART = 0.8
 """Part of the admitted rate that is promised to returning callers. The rest is
 for new requests, so that they needn't all wait first."""
@@ -40,8 +41,7 @@
 """Maximum pairs of service and class."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Return:
+class Return(msgspec.Struct, frozen=True, kw_only=True):
     """When a refused caller is asked to return.
 
     Attributes:
--- a/bergamotdeal/admission/window.py
+++ b/bergamotdeal/admission/window.py
@@ -1,8 +1,9 @@
 """Admission thresholds computed per control window from measured rates."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.presets import model
 
 _RECOVERY_FACTOR = 1.2
@@ -21,8 +22,7 @@
 _MS_PER_S = 1000.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _ClassCounts:
+class _ClassCounts(msgspec.Struct, kw_only=True):
     """Exponentially decaying counters of one class.
 
     Attributes:
--- a/bergamotdeal/calls/deadlines.py
+++ b/bergamotdeal/calls/deadlines.py
@@ -1,12 +1,12 @@
 """Timer queue of the call engine."""
 
-import dataclasses
 import heapq
 import itertools
 
+import msgspec
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Timer:
+
+class Timer(msgspec.Struct, kw_only=True):
     """Timer in a queue.
 
     Attributes:
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -1,8 +1,9 @@
 """State of a request whose caller waits for the answer at this node."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.calls import deadlines
 from bergamotdeal.calls import messages
 from bergamotdeal.calls import runs
@@ -12,8 +13,7 @@
 from bergamotdeal.rpc import core as rpc
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Exchange:
+class Exchange(msgspec.Struct, kw_only=True, eq=False):
     """Request of a caller or of the local backend server.
 
     Attributes:
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -1,7 +1,8 @@
 """Target side of a call: tickets, admission, the run and its answer."""
 
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from bergamotdeal.admission import core as admission
 from bergamotdeal.calls import acceptance
@@ -235,7 +236,7 @@
                 run.phase = runs.Phase.JOINED
                 self._set_timer(run, run.deadline)
             case table.Replay(answer=answer):
-                self._finish_without_run(run, dataclasses.replace(answer))
+                self._finish_without_run(run, msgspec.structs.replace(answer))
             case table.Reject(kind=kind, may_run_later=may_run_later):
                 run.call.may_have_run |= may_run_later
                 self._refuse(run, kind)
@@ -447,7 +448,7 @@
         self._runs.remove(run)
         for joined in run.joined:
             self._runs.remove(joined)
-            self._answer_call(joined, dataclasses.replace(answer))
+            self._answer_call(joined, msgspec.structs.replace(answer))
         self._answer_call(run, answer)
 
     def _answer_call(self, run: runs.Run, answer: rpc.Answer | None) -> None:
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -4,9 +4,10 @@
 tasks translate socket activity into events and carry out the effects.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.rpc import core as rpc
@@ -20,8 +21,7 @@
     EGRESS = "egress"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CallArrived:
+class CallArrived(msgspec.Struct, kw_only=True):
     """Request of a caller or of the local backend server.
 
     Attributes:
@@ -54,38 +54,33 @@
     held_s: float = 0.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CallerDisconnected:
+class CallerDisconnected(msgspec.Struct, kw_only=True):
     """Disconnect of a caller before its answer."""
 
     origin_id: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PeerCalled:
+class PeerCalled(msgspec.Struct, kw_only=True):
     """Call frame received on an incoming peer link."""
 
     link_id: int
     call: rpc.Call
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PeerCancelled:
+class PeerCancelled(msgspec.Struct, kw_only=True):
     """Cancellation of a call by its origin."""
 
     link_id: int
     number: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PeerLinkClosed:
+class PeerLinkClosed(msgspec.Struct, kw_only=True):
     """Closing of an incoming peer link; its calls can't be answered."""
 
     link_id: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PeerAnswered:
+class PeerAnswered(msgspec.Struct, kw_only=True):
     """Answer frame received for a call that this node dispatched."""
 
     host_id: str
@@ -94,8 +89,7 @@
     answer: rpc.Answer
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class DispatchFailed:
+class DispatchFailed(msgspec.Struct, kw_only=True):
     """Loss of a dispatched call that can't be answered on its link any more.
 
     Attributes:
@@ -108,8 +102,7 @@
     may_have_been_sent: bool
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class DispatchHeld:
+class DispatchHeld(msgspec.Struct, kw_only=True):
     """Start or end of the time for which a call waits for its link to open.
 
     Attributes:
@@ -122,8 +115,7 @@
     is_held: bool
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RunHeld:
+class RunHeld(msgspec.Struct, kw_only=True):
     """Start or end of the time for which a run waits for a connection.
 
     Attributes:
@@ -136,8 +128,7 @@
     is_held: bool
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RunAnswered:
+class RunAnswered(msgspec.Struct, kw_only=True):
     """Complete answer of the local backend server."""
 
     run_id: int
@@ -159,23 +150,20 @@
     TOO_LARGE = "too-large"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RunFailed:
+class RunFailed(msgspec.Struct, kw_only=True):
     """End of a run on the local backend server without an answer."""
 
     run_id: int
     failure: RunFailure
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RunOverdue:
+class RunOverdue(msgspec.Struct, kw_only=True):
     """Run without an answer at the time when it was due."""
 
     run_id: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerAnnounced:
+class ServerAnnounced(msgspec.Struct, kw_only=True):
     """Announcement of the local backend server."""
 
     service: str
@@ -183,18 +171,15 @@
     connections: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerStopped:
+class ServerStopped(msgspec.Struct, kw_only=True):
     """Crash of the local backend server: connections refused or reset."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerUnresponsive:
+class ServerUnresponsive(msgspec.Struct, kw_only=True):
     """Timeout of the local backend server's announcements."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerLeaving:
+class ServerLeaving(msgspec.Struct, kw_only=True):
     """Notice that the local backend server is leaving; its runs may finish.
 
     Attributes:
@@ -204,8 +189,7 @@
     instance: str
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerRateLimited:
+class ServerRateLimited(msgspec.Struct, kw_only=True):
     """Change of the rate limit of the local backend server.
 
     Attributes:
@@ -219,8 +203,7 @@
     is_provisional: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerSpeedReported:
+class ServerSpeedReported(msgspec.Struct, kw_only=True):
     """Report of the local backend server on its speed at this moment.
 
     Attributes:
@@ -230,8 +213,7 @@
     work_factor: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerCold:
+class ServerCold(msgspec.Struct, kw_only=True):
     """Statement of the local backend server that it has just started.
 
     Attributes:
@@ -241,8 +223,7 @@
     remaining_ms: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ServerConditionRejected:
+class ServerConditionRejected(msgspec.Struct, kw_only=True):
     """Malformed report of the local backend server about its condition.
 
     Attributes:
@@ -252,8 +233,7 @@
     reason: str
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class DrainStarted:
+class DrainStarted(msgspec.Struct, kw_only=True):
     """Start of the node's drain; calls of other nodes are refused.
 
     Attributes:
@@ -263,8 +243,7 @@
     entry_open: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class MembersChanged:
+class MembersChanged(msgspec.Struct, kw_only=True):
     """Change of the membership view.
 
     Attributes:
@@ -274,8 +253,7 @@
     members_by_id: dict[str, membership.Member]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PresetInForce:
+class PresetInForce(msgspec.Struct, kw_only=True):
     """Activation of a preset.
 
     Attributes:
@@ -287,25 +265,21 @@
     preset: model.Preset
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PresetConfirmed:
+class PresetConfirmed(msgspec.Struct, kw_only=True):
     """News that the active preset is the newest one that others know."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PeerCrashesReported:
+class PeerCrashesReported(msgspec.Struct, kw_only=True):
     """Crash reports received from other nodes."""
 
     reports: list[membership.CrashReport]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class TimePassed:
+class TimePassed(msgspec.Struct, kw_only=True):
     """Expiry of the wake-up time that the engine requested."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class QuotaGranted:
+class QuotaGranted(msgspec.Struct, kw_only=True):
     """Token of the organisation's cap for a request that waits for one.
 
     Attributes:
@@ -317,8 +291,7 @@
     expires_at: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class QuotaRefused:
+class QuotaRefused(msgspec.Struct, kw_only=True):
     """Refusal of a token for a request that waits for one.
 
     Attributes:
@@ -367,8 +340,7 @@
 )
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ReplyToCaller:
+class ReplyToCaller(msgspec.Struct, kw_only=True):
     """Final answer of an exchange; exactly one per origin id."""
 
     origin_id: int
@@ -376,24 +348,21 @@
     answer: rpc.Answer
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class SendCall:
+class SendCall(msgspec.Struct, kw_only=True):
     """Call frame to send to a host; the link is opened if there is none."""
 
     host_id: str
     call: rpc.Call
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class SendCancel:
+class SendCancel(msgspec.Struct, kw_only=True):
     """Cancellation of a call to send to its target."""
 
     host_id: str
     number: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class SendAnswer:
+class SendAnswer(msgspec.Struct, kw_only=True):
     """Answer to send for a call that arrived on an incoming peer link."""
 
     link_id: int
@@ -402,8 +371,7 @@
     answer: rpc.Answer
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class StartRun:
+class StartRun(msgspec.Struct, kw_only=True):
     """Request to send to the local backend server.
 
     Attributes:
@@ -431,8 +399,7 @@
     answer_due_ms: int = 0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CancelRun:
+class CancelRun(msgspec.Struct, kw_only=True):
     """Abort of a run on the local backend server; no event follows.
 
     Attributes:
@@ -444,15 +411,13 @@
     is_hung: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ShareCrashReports:
+class ShareCrashReports(msgspec.Struct, kw_only=True):
     """Crash reports to disseminate to the other nodes."""
 
     reports: list[membership.CrashReport]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RequestQuota:
+class RequestQuota(msgspec.Struct, kw_only=True):
     """Request for a token of an organisation's cap.
 
     ``QuotaGranted`` or ``QuotaRefused`` follows unless ``CancelQuota`` is
@@ -463,15 +428,13 @@
     organisation: str
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CancelQuota:
+class CancelQuota(msgspec.Struct, kw_only=True):
     """End of the wait for a token."""
 
     origin_id: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ReturnQuota:
+class ReturnQuota(msgspec.Struct, kw_only=True):
     """Return of the token of a request that no server received.
 
     Attributes:
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -1,10 +1,11 @@
 """Requests at their target's node and the table that holds them."""
 
 import collections
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 from bergamotdeal.calls import deadlines
 from bergamotdeal.presets import model
 from bergamotdeal.retries import allowance
@@ -23,8 +24,7 @@
     ENDED = "ended"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Run:
+class Run(msgspec.Struct, kw_only=True, eq=False):
     """Request at its target's node.
 
     Attributes:
@@ -75,7 +75,7 @@
     is_abandoned: bool = False
     repeatable: bool = True
     threshold: float = 1.0
-    child_origin_ids: set[int] = dataclasses.field(default_factory=set)
+    child_origin_ids: set[int] = msgspec.field(default_factory=set)
     calls_made: int = 0
     holds_retry_token: bool = False
     timer: deadlines.Timer | None = None
@@ -84,8 +84,8 @@
     fingerprint: str = ""
     ticket_record: tickets.TicketRecord | None = None
     awaited_record: tickets.TicketRecord | None = None
-    joined: list["Run"] = dataclasses.field(default_factory=list)
-    tickets_by_key: dict[tuple[str, str], bytes] = dataclasses.field(
+    joined: list["Run"] = msgspec.field(default_factory=list)
+    tickets_by_key: dict[tuple[str, str], bytes] = msgspec.field(
         default_factory=dict
     )
 
--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from bergamotdeal.calls import engine
@@ -158,7 +159,7 @@
     (reply,) = select_effects(outside, messages.ReplyToCaller)
     assert reply.answer.error is errors.ErrorKind.DRAINING
     assert reply.answer.retry_after_s is not None
-    other = dataclasses.replace(OWN, host_id="b")
+    other = msgspec.structs.replace(OWN, host_id="b")
     node.handle(messages.MembersChanged(members_by_id={"a": OWN, "b": other}))
     sent = [
         effect
@@ -190,7 +191,7 @@
 
 def test_calls_carry_the_progress_of_the_whole_tree():
     node = Node()
-    call = dataclasses.replace(make_call(1), prior_calls=2)
+    call = msgspec.structs.replace(make_call(1), prior_calls=2)
     node.handle(messages.PeerCalled(link_id=1, call=call))
     node.send_request(request_id="r1.1")
     node.send_request(request_id="r1.2")
--- a/bergamotdeal/calls/tests/test_keys.py
+++ b/bergamotdeal/calls/tests/test_keys.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from bergamotdeal.calls import engine
@@ -18,7 +19,7 @@
 
 _KINDS = errors.ErrorKind
 KEY = keys.digest_key("key-1")
-OTHER = dataclasses.replace(host_routes.OWN, host_id="b")
+OTHER = msgspec.structs.replace(host_routes.OWN, host_id="b")
 (ROUTE,) = host_routes.PRESET.host_routes
 
 
@@ -110,7 +111,7 @@
         )
         return self.handle(
             messages.PeerCalled(
-                link_id=3, call=dataclasses.replace(call, **changes)
+                link_id=3, call=msgspec.structs.replace(call, **changes)
             )
         )
 
--- a/bergamotdeal/calls/tests/test_known_services.py
+++ b/bergamotdeal/calls/tests/test_known_services.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import msgspec
 import pytest
 
 from bergamotdeal.calls import messages
@@ -47,7 +48,7 @@
 def withdraw_server(sim):
     """Publishes that the only server's heartbeat is missing."""
     node = sim.nodes_by_id["server"]
-    node.member = dataclasses.replace(node.member, server=None)
+    node.member = msgspec.structs.replace(node.member, server=None)
     sim.publish_members()
 
 
--- a/bergamotdeal/calls/tests/test_unsent.py
+++ b/bergamotdeal/calls/tests/test_unsent.py
@@ -1,7 +1,6 @@
 """Outcomes of requests that were certainly not handed to a backend server."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from bergamotdeal.calls import messages
@@ -66,8 +65,8 @@
 )
 def test_call_that_waits_for_its_link_has_not_run(holds, outcome):
     node = test_host_routes.Node()
-    other = dataclasses.replace(test_host_routes.OWN, host_id="b")
-    own = dataclasses.replace(test_host_routes.OWN, server=None)
+    other = msgspec.structs.replace(test_host_routes.OWN, host_id="b")
+    own = msgspec.structs.replace(test_host_routes.OWN, server=None)
     node.handle(messages.MembersChanged(members_by_id={"a": own, "b": other}))
     (sent,) = select(node.send_request(), messages.SendCall)
     for is_held in holds:
--- a/bergamotdeal/calls/ticketing.py
+++ b/bergamotdeal/calls/ticketing.py
@@ -1,6 +1,6 @@
 """Issue and use of this node's tickets by calls and their runs."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
@@ -159,4 +159,4 @@
             return
         if self._runs_by_serial.pop(record.serial, None) is not run:
             return
-        self._table.finish(record, dataclasses.replace(answer))
+        self._table.finish(record, msgspec.structs.replace(answer))
--- a/bergamotdeal/cli/node_client.py
+++ b/bergamotdeal/cli/node_client.py
@@ -154,11 +154,11 @@
         return result.Err(NodeError(kind=kind, message=f"{address}: {message}"))
 
 
-class _EpochResponse(msgspec.Struct):
+class _EpochResponse(msgspec.Struct, kw_only=True):
     epoch: int
 
 
-class _ErrorResponse(msgspec.Struct):
+class _ErrorResponse(msgspec.Struct, kw_only=True):
     error: str
     message: str
 
--- a/bergamotdeal/cli/switching.py
+++ b/bergamotdeal/cli/switching.py
@@ -67,7 +67,7 @@
     def as_json(self) -> str:
         """Returns the report as JSON for scripts."""
         document: dict[str, Any] = {"result": _get_result_name(self.outcome)}
-        for field in dataclasses.fields(self.outcome):
+        for field in msgspec.structs.fields(self.outcome):
             if field.name != "document":
                 document[field.name] = getattr(self.outcome, field.name)
         document["handed_to"] = self.handed_to
@@ -136,7 +136,7 @@
     return loaded.map(
         lambda preset: LoadedPreset(preset=preset, base_epoch=base_epoch)
     ).map_err(
-        lambda failure: dataclasses.replace(
+        lambda failure: msgspec.structs.replace(
             failure, detail=f"preset {name}: {failure.detail}"
         )
     )
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -1,8 +1,9 @@
 """Error kinds, request outcomes and the answer for each error kind."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Outcome(enum.Enum):
     """Execution states of a request, as far as the system knows."""
@@ -68,8 +69,7 @@
     CALL_NOT_DECLARED = "call-not-declared"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ErrorAnswer:
+class ErrorAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The answer for an error kind.
 
     Attributes:
--- a/bergamotdeal/fairness/gate.py
+++ b/bergamotdeal/fairness/gate.py
@@ -10,9 +10,10 @@
 
 import collections
 from collections.abc import Mapping
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.fairness import maxmin
 
 _SMOOTHING_S = 10.0
@@ -39,8 +40,7 @@
 """Maximum pairs of service and class; further ones are not shared fairly."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Demand:
+class _Demand(msgspec.Struct, kw_only=True):
     """Demand and bucket of one organisation.
 
     Attributes:
--- a/bergamotdeal/membership/core.py
+++ b/bergamotdeal/membership/core.py
@@ -1,8 +1,9 @@
 """Data types of the membership: members, their states and crash reports."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class MemberState(enum.Enum):
     """State of a member in this node's view, in order of precedence."""
@@ -13,8 +14,7 @@
     DEAD = "dead"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Server:
+class Server(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server as its node announces it.
 
     Attributes:
@@ -28,8 +28,7 @@
     connections: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True, kw_only=True):
     """The membership record of one node.
 
     Attributes:
@@ -59,8 +58,7 @@
     server: Server | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashReport:
+class CrashReport(msgspec.Struct, frozen=True, kw_only=True):
     """A report that a backend server crashed while running a request.
 
     Attributes:
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -1,6 +1,6 @@
 """A node's replica of the membership view and the rumours about changes."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.membership import core
 from bergamotdeal.membership import crashes
@@ -155,7 +155,7 @@
         self._supersede(self.own_record.state_number, now, **changes)
 
     def _supersede(self, state_number: int, now: float, **changes) -> None:
-        own = dataclasses.replace(
+        own = msgspec.structs.replace(
             self.own_record, state_number=state_number + 1, **changes
         )
         self.view.set_own_record(own, now)
--- a/bergamotdeal/membership/messages.py
+++ b/bergamotdeal/membership/messages.py
@@ -1,8 +1,9 @@
 """Messages between nodes, and events and effects of the gossip protocol."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from bergamotdeal.membership import core
 from bergamotdeal.settings import model as settings
 from bergamotdeal.telemetry import catalogue
@@ -21,8 +22,7 @@
     DEAD = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RecordRumour:
+class RecordRumour(msgspec.Struct, frozen=True, kw_only=True):
     """A rumour of a member's record.
 
     Attributes:
@@ -33,8 +33,7 @@
     member: core.Member
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VerdictRumour:
+class VerdictRumour(msgspec.Struct, frozen=True, kw_only=True):
     """A rumour that an incarnation of a member is suspect or dead.
 
     Attributes:
@@ -50,8 +49,7 @@
     health: Health
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashRumour:
+class CrashRumour(msgspec.Struct, frozen=True, kw_only=True):
     """A rumour of a backend server that crashed while running a request.
 
     Attributes:
@@ -64,8 +62,7 @@
 Rumour = RecordRumour | VerdictRumour | CrashRumour
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ping:
+class Ping(msgspec.Struct, frozen=True, kw_only=True):
     """A request for an ack.
 
     Attributes:
@@ -78,8 +75,7 @@
     host_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PingRequest:
+class PingRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request for an indirect probe.
 
     Attributes:
@@ -91,8 +87,7 @@
     host_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True, kw_only=True):
     """An answer to a ping or a ping request.
 
     Attributes:
@@ -102,16 +97,14 @@
     number: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EmptyBody:
+class EmptyBody(msgspec.Struct, frozen=True, kw_only=True):
     """The body of a datagram that carries only rumours."""
 
 
 Body = Ping | PingRequest | Ack | EmptyBody
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Datagram:
+class Datagram(msgspec.Struct, frozen=True, kw_only=True):
     """One UDP message.
 
     Attributes:
@@ -130,8 +123,7 @@
     store_era: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class KnownMember:
+class KnownMember(msgspec.Struct, frozen=True, kw_only=True):
     """One entry of a view.
 
     Attributes:
@@ -143,8 +135,7 @@
     health: Health
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SyncRequest:
+class SyncRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request for the entries of the buckets whose digests differ.
 
     Attributes:
@@ -158,8 +149,7 @@
     digests: tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SyncResponse:
+class SyncResponse(msgspec.Struct, frozen=True, kw_only=True):
     """The answer to a sync request.
 
     Attributes:
@@ -171,8 +161,7 @@
     entries: tuple[KnownMember, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SyncPush:
+class SyncPush(msgspec.Struct, frozen=True, kw_only=True):
     """The requester's entries in the buckets that differed.
 
     Attributes:
@@ -182,13 +171,11 @@
     entries: tuple[KnownMember, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SyncDone:
+class SyncDone(msgspec.Struct, frozen=True, kw_only=True):
     """The confirmation of a sync push."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PresetRequest:
+class PresetRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request for the preset in force.
 
     Attributes:
@@ -198,8 +185,7 @@
     known_digests: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Section:
+class Section(msgspec.Struct, frozen=True, kw_only=True):
     """One section of an encoded preset.
 
     Attributes:
@@ -213,8 +199,7 @@
     content: bytes | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PresetResponse:
+class PresetResponse(msgspec.Struct, frozen=True, kw_only=True):
     """The preset in force at the responder.
 
     Attributes:
@@ -239,8 +224,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DatagramArrived:
+class DatagramArrived(msgspec.Struct, frozen=True, kw_only=True):
     """An authenticated datagram arrived.
 
     Attributes:
@@ -252,8 +236,7 @@
     source: Endpoint
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SeedsFound:
+class SeedsFound(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses of other nodes were found in the settings or the registry.
 
     Attributes:
@@ -263,8 +246,7 @@
     seeds: tuple[Endpoint, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ServerChanged:
+class ServerChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The local backend server announced itself, changed or stopped.
 
     Attributes:
@@ -274,18 +256,15 @@
     server: core.Server | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NodeDraining:
+class NodeDraining(msgspec.Struct, frozen=True, kw_only=True):
     """This node started to drain and takes no new work until it restarts."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaveRequested:
+class LeaveRequested(msgspec.Struct, frozen=True, kw_only=True):
     """This node is stopping; later events are ignored."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashReportsCreated:
+class CrashReportsCreated(msgspec.Struct, frozen=True, kw_only=True):
     """This node created crash reports, which other nodes have to learn.
 
     Attributes:
@@ -295,8 +274,7 @@
     reports: tuple[core.CrashReport, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EpochChanged:
+class EpochChanged(msgspec.Struct, frozen=True, kw_only=True):
     """A preset came into force at this node.
 
     Attributes:
@@ -306,8 +284,7 @@
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreEraChanged:
+class StoreEraChanged(msgspec.Struct, frozen=True, kw_only=True):
     """This node noticed that the store was restored from a copy.
 
     Attributes:
@@ -317,8 +294,7 @@
     era: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SyncAnswered:
+class SyncAnswered(msgspec.Struct, frozen=True, kw_only=True):
     """The answer to a sync request or push arrived.
 
     Attributes:
@@ -330,8 +306,7 @@
     answer: SyncResponse | SyncDone
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SyncFailed:
+class SyncFailed(msgspec.Struct, frozen=True, kw_only=True):
     """A sync request or push got no usable answer.
 
     Attributes:
@@ -341,8 +316,7 @@
     endpoint: Endpoint
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TimePassed:
+class TimePassed(msgspec.Struct, frozen=True, kw_only=True):
     """The time that ``next_wakeup`` returned has come."""
 
 
@@ -365,8 +339,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SendDatagram:
+class SendDatagram(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to send a datagram.
 
     Attributes:
@@ -378,8 +351,7 @@
     datagram: Datagram
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SendBulk:
+class SendBulk(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to send a bulk message over TCP.
 
     The outcome is returned as ``SyncAnswered`` or ``SyncFailed``.
@@ -393,13 +365,11 @@
     bulk: SyncRequest | SyncPush
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ViewChanged:
+class ViewChanged(msgspec.Struct, frozen=True, kw_only=True):
     """A notice that the members or their states changed."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EpochAdvertised:
+class EpochAdvertised(msgspec.Struct, frozen=True, kw_only=True):
     """A notice that another node has a preset in force, not an older one.
 
     Attributes:
@@ -411,8 +381,7 @@
     host_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NoEpochAdvertised:
+class NoEpochAdvertised(msgspec.Struct, frozen=True, kw_only=True):
     """A notice that another node has no preset yet, and neither has this one.
 
     Attributes:
@@ -425,8 +394,7 @@
 EpochNotice = EpochAdvertised | NoEpochAdvertised
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreEraAdvertised:
+class StoreEraAdvertised(msgspec.Struct, frozen=True, kw_only=True):
     """A notice that the store was restored, as another node told.
 
     Attributes:
@@ -436,8 +404,7 @@
     era: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashReportsReceived:
+class CrashReportsReceived(msgspec.Struct, frozen=True, kw_only=True):
     """A notice that new crash reports arrived from other nodes.
 
     Attributes:
@@ -447,8 +414,7 @@
     reports: tuple[core.CrashReport, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EmitEvent:
+class EmitEvent(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to record an event on the timeline.
 
     Attributes:
--- a/bergamotdeal/membership/prober.py
+++ b/bergamotdeal/membership/prober.py
@@ -6,9 +6,10 @@
 member (SWIM, Das, Gupta, Motivala, 2002, section 4.3).
 """
 
-import dataclasses
 import random
 
+import msgspec
+
 from bergamotdeal.membership import messages
 from bergamotdeal.membership import partners
 from bergamotdeal.membership import view
@@ -17,8 +18,7 @@
 RELAY_LIFETIME_S = 2.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Probe:
+class Probe(msgspec.Struct, kw_only=True):
     """A probe that waits for its ack.
 
     Attributes:
@@ -38,8 +38,7 @@
     timeout_at: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Relay:
+class Relay(msgspec.Struct, kw_only=True):
     """A ping that this node sent for another node's indirect probe.
 
     Attributes:
--- a/bergamotdeal/membership/registry.py
+++ b/bergamotdeal/membership/registry.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import random
 
 import msgspec
@@ -29,8 +28,7 @@
 """Unknown hosts of other data centres to contact at once."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
     """The registry entry of one node.
 
     Attributes:
--- a/bergamotdeal/membership/rumours.py
+++ b/bergamotdeal/membership/rumours.py
@@ -5,10 +5,11 @@
 transmissions go first, the newest first among these.
 """
 
-import dataclasses
 import functools
 import math
 
+import msgspec
+
 from bergamotdeal.membership import core
 from bergamotdeal.membership import messages
 
@@ -150,8 +151,7 @@
         self._available_bytes -= size
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _QueuedRumour:
+class _QueuedRumour(msgspec.Struct, kw_only=True):
     rumour: messages.Rumour | None
     size: int
     transmissions: int = 0
--- a/bergamotdeal/membership/suspicion.py
+++ b/bergamotdeal/membership/suspicion.py
@@ -8,7 +8,8 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from bergamotdeal.membership import core
 from bergamotdeal.membership import messages
@@ -20,8 +21,7 @@
 Health = messages.Health
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Bounds:
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Timeouts and thresholds of suspicion and eviction.
 
     Attributes:
@@ -39,8 +39,7 @@
     freeze_min_members: int = 2
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Decision:
+class Decision(msgspec.Struct, kw_only=True):
     """The members whose timeouts have expired.
 
     Attributes:
@@ -48,8 +47,8 @@
       forgotten: Host ids of dead members to remove from the view.
     """
 
-    evicted: list[core.Member] = dataclasses.field(default_factory=list)
-    forgotten: list[str] = dataclasses.field(default_factory=list)
+    evicted: list[core.Member] = msgspec.field(default_factory=list)
+    forgotten: list[str] = msgspec.field(default_factory=list)
 
 
 class EvictionPolicy:
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -1,7 +1,6 @@
 """Tests of the gossip protocol in simulated fleets under an injected clock."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from bergamotdeal.membership import core
@@ -285,7 +284,7 @@
 def test_duplicate_host_id_is_refuted_at_a_bounded_rate():
     fleet = make_joined_fleet(1, size=8)
     duplicate = fleet.cores_by_id["host-7"].own_record
-    duplicate = dataclasses.replace(
+    duplicate = msgspec.structs.replace(
         duplicate, incarnation="twin", address="twin"
     )
     source = messages.Endpoint(address="twin", port=1)
@@ -295,7 +294,7 @@
         own = fleet.cores_by_id["host-7"].own_record
         if duplicate.state_number <= own.state_number:
             raised = own.state_number + 1
-            duplicate = dataclasses.replace(duplicate, state_number=raised)
+            duplicate = msgspec.structs.replace(duplicate, state_number=raised)
             raise_count += 1
         datagram = messages.Datagram(
             sender=duplicate, epoch=0, body=messages.EmptyBody()
@@ -379,7 +378,7 @@
 def test_stale_rumour_does_not_replace_own_record():
     fleet = make_joined_fleet(1, size=3)
     own = fleet.cores_by_id["host-1"].own_record
-    stale = dataclasses.replace(own, state_number=0, address="elsewhere")
+    stale = msgspec.structs.replace(own, state_number=0, address="elsewhere")
     datagram = messages.Datagram(
         sender=fleet.cores_by_id["host-0"].own_record,
         epoch=0,
--- a/bergamotdeal/membership/timing.py
+++ b/bergamotdeal/membership/timing.py
@@ -1,12 +1,11 @@
 """Intervals and fan-outs of the gossip protocol."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.membership import suspicion
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Timing:
+class Timing(msgspec.Struct, frozen=True, kw_only=True):
     """Intervals and fan-outs of the protocol.
 
     Attributes:
@@ -28,9 +27,7 @@
     gossip_fanout: int = 3
     pause_threshold_s: float = 2.5
     suspicion_check_interval_s: float = 0.5
-    bounds: suspicion.Bounds = dataclasses.field(
-        default_factory=suspicion.Bounds
-    )
+    bounds: suspicion.Bounds = msgspec.field(default_factory=suspicion.Bounds)
 
 
 DEFAULT_TIMING = Timing()
--- a/bergamotdeal/membership/view.py
+++ b/bergamotdeal/membership/view.py
@@ -8,9 +8,10 @@
 member raises it above that number as soon as it receives the older record.
 """
 
-import dataclasses
 import hashlib
 
+import msgspec
+
 from bergamotdeal.membership import core
 from bergamotdeal.membership import messages
 
@@ -20,8 +21,7 @@
 Health = messages.Health
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, kw_only=True):
     """The view's entry of one member.
 
     Attributes:
@@ -223,4 +223,4 @@
             state = core.MemberState.SUSPECT
         case _:
             return record
-    return dataclasses.replace(record, state=state)
+    return msgspec.structs.replace(record, state=state)
--- a/bergamotdeal/node/active_runs.py
+++ b/bergamotdeal/node/active_runs.py
@@ -1,16 +1,16 @@
 """Runs in progress on the connections to the backend server."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.calls import messages
 from bergamotdeal.node import server_connection
 
 _MS_PER_S = 1000
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class ActiveRun:
+class ActiveRun(msgspec.Struct, kw_only=True):
     """Run in progress.
 
     Attributes:
--- a/bergamotdeal/node/admin.py
+++ b/bergamotdeal/node/admin.py
@@ -1,7 +1,6 @@
 """HTTP and JSON interface for the operators of a node."""
 
 from collections.abc import Callable
-import dataclasses
 import hmac
 import traceback
 from typing import Protocol
@@ -55,8 +54,7 @@
         """
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EventQuery:
+class EventQuery(msgspec.Struct, frozen=True, kw_only=True):
     """Filter for the events of the time line.
 
     Attributes:
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -5,10 +5,10 @@
 and the node's messages and makes no decisions.
 """
 
-import dataclasses
 import random
 import typing
 
+import msgspec
 import result
 
 from bergamotdeal.calls import messages
@@ -67,8 +67,7 @@
         """
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Complete:
+class Complete(msgspec.Struct, frozen=True, kw_only=True):
     """Complete answer of the backend server to the run.
 
     Attributes:
@@ -78,31 +77,26 @@
     headers: rpc.Headers
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NotExecuted:
+class NotExecuted(msgspec.Struct, frozen=True, kw_only=True):
     """Statement by the backend server that it did not run the request."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Misdirected:
+class Misdirected(msgspec.Struct, frozen=True, kw_only=True):
     """Answer of a server other than the expected one at the same address."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Mismatched:
+class Mismatched(msgspec.Struct, frozen=True, kw_only=True):
     """Answer that belongs to another request."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Invalid:
+class Invalid(msgspec.Struct, frozen=True, kw_only=True):
     """Answer that can't be the complete, unaltered one of the server."""
 
 
 AnswerClass = Complete | NotExecuted | Misdirected | Mismatched | Invalid
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ServerCondition:
+class ServerCondition(msgspec.Struct, frozen=True, kw_only=True):
     """State that the backend server reports about itself with an answer.
 
     Attributes:
--- a/bergamotdeal/node/environment.py
+++ b/bergamotdeal/node/environment.py
@@ -1,9 +1,9 @@
 """Hooks through which a platform integration replaces node defaults."""
 
 from collections.abc import Callable
-import dataclasses
 import typing
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import interfaces
 
@@ -59,8 +59,7 @@
         """Returns counters and timings in the Prometheus text format."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PlatformHooks:
+class PlatformHooks(msgspec.Struct, frozen=True, kw_only=True):
     """Integration points of a platform; each default is the node's own.
 
     Attributes:
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -7,10 +7,10 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
 import http
 
 import httptools
+import msgspec
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
 
@@ -36,8 +36,7 @@
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, kw_only=True):
     """A complete HTTP request.
 
     Attributes:
--- a/bergamotdeal/node/outgoing.py
+++ b/bergamotdeal/node/outgoing.py
@@ -1,7 +1,8 @@
 """Outgoing peer links: one per called host, opened on demand."""
 
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from bergamotdeal.calls import messages as calls
 from bergamotdeal.membership import core as membership
@@ -16,8 +17,7 @@
 """Time without a call after which a link is closed, in seconds."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _OutgoingLink:
+class _OutgoingLink(msgspec.Struct, kw_only=True):
     """Outgoing link to one host with its pending calls.
 
     Attributes:
@@ -30,8 +30,8 @@
 
     host_id: str
     link: peer_link.PeerLink | None = None
-    waiting: dict[int, calls.SendCall] = dataclasses.field(default_factory=dict)
-    unanswered: set[int] = dataclasses.field(default_factory=set)
+    waiting: dict[int, calls.SendCall] = msgspec.field(default_factory=dict)
+    unanswered: set[int] = msgspec.field(default_factory=set)
     last_used_at: float = 0.0
 
     @property
--- a/bergamotdeal/node/server_life.py
+++ b/bergamotdeal/node/server_life.py
@@ -6,11 +6,10 @@
 number.
 """
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _TrackedInstance:
+class _TrackedInstance(msgspec.Struct, kw_only=True):
     """Instance that the latest information is about.
 
     Attributes:
--- a/bergamotdeal/node/startup_hold.py
+++ b/bergamotdeal/node/startup_hold.py
@@ -6,8 +6,8 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
 
+import msgspec
 from twisted.internet import task
 
 from bergamotdeal.membership import core as membership
@@ -30,8 +30,7 @@
 Handler = Callable[[http_server.Exchange, http_server.HttpRequest, float], None]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _HeldRequest:
+class _HeldRequest(msgspec.Struct, frozen=True, kw_only=True):
     exchange: http_server.Exchange
     request: http_server.HttpRequest
     arrived_at: float
--- a/bergamotdeal/node/status.py
+++ b/bergamotdeal/node/status.py
@@ -1,6 +1,5 @@
 """Status of a node, as reported to operators."""
 
-import dataclasses
 from typing import Annotated
 
 import msgspec
@@ -11,8 +10,7 @@
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MemberStatus:
+class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Member of the fleet as one node sees it.
 
     Attributes:
@@ -37,8 +35,7 @@
     service: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ServerStatus:
+class ServerStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Status of the backend server on the node's host.
 
     Attributes:
@@ -60,13 +57,10 @@
     queued: int = 0
     limit: int = 0
     work_factor: float = 1.0
-    thresholds_by_class: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
+    thresholds_by_class: dict[str, float] = msgspec.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class QuotaStatus:
+class QuotaStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Status of the caps of organisations at a node.
 
     Attributes:
@@ -86,8 +80,7 @@
     tokens_held: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NodeStatus:
+class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Data that ``bergamotdeal status`` shows about one node.
 
     Attributes:
@@ -121,8 +114,8 @@
     resident_bytes: int = 0
     server: ServerStatus | None = None
     quotas: QuotaStatus | None = None
-    members: list[MemberStatus] = dataclasses.field(default_factory=list)
-    counters_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
+    members: list[MemberStatus] = msgspec.field(default_factory=list)
+    counters_by_name: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 def encode(status: NodeStatus) -> bytes:
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -5,9 +5,9 @@
 the store or pushed by an operator's command.
 """
 
-import dataclasses
 import random
 
+import msgspec
 import result
 
 from bergamotdeal.membership import core as membership
@@ -40,8 +40,7 @@
 INITIAL_EPOCH = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EpochAdvertised:
+class EpochAdvertised(msgspec.Struct, frozen=True, kw_only=True):
     """Another node has a preset of this epoch in force.
 
     Attributes:
@@ -53,30 +52,26 @@
     host_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MembershipUpdated:
+class MembershipUpdated(msgspec.Struct, frozen=True, kw_only=True):
     """The membership view changed."""
 
     members_by_id: dict[str, membership.Member]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PullAnswered:
+class PullAnswered(msgspec.Struct, frozen=True, kw_only=True):
     """A node answered a pull."""
 
     host_id: str
     response: gossip.PresetResponse
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PullFailed:
+class PullFailed(msgspec.Struct, frozen=True, kw_only=True):
     """A pull got no usable answer."""
 
     host_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PresetPushed:
+class PresetPushed(msgspec.Struct, frozen=True, kw_only=True):
     """An operator's command pushed an accepted switch to this node.
 
     Attributes:
@@ -86,8 +81,7 @@
     document: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreRead:
+class StoreRead(msgspec.Struct, frozen=True, kw_only=True):
     """The object in force was read from the store.
 
     Attributes:
@@ -97,8 +91,7 @@
     document: bytes | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreFailed:
+class StoreFailed(msgspec.Struct, frozen=True, kw_only=True):
     """The store could not be read.
 
     Attributes:
@@ -108,8 +101,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TimePassed:
+class TimePassed(msgspec.Struct, frozen=True, kw_only=True):
     """The time that ``next_wakeup`` returned has come."""
 
 
@@ -125,8 +117,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Pull:
+class Pull(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to request the preset in force from a node.
 
     Attributes:
@@ -138,13 +129,11 @@
     known_digests: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReadStore:
+class ReadStore(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to read the object in force from the store once."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class WatchStore:
+class WatchStore(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to start or stop watching the object in force.
 
     Attributes:
@@ -154,8 +143,7 @@
     watch: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Apply:
+class Apply(msgspec.Struct, frozen=True, kw_only=True):
     """An instruction to put a preset in force at this node.
 
     Attributes:
@@ -167,8 +155,7 @@
     preset: model.Preset
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reject:
+class Reject(msgspec.Struct, frozen=True, kw_only=True):
     """A notice that a received preset was rejected.
 
     Attributes:
--- a/bergamotdeal/presets/hosts.py
+++ b/bergamotdeal/presets/hosts.py
@@ -1,12 +1,11 @@
 """Lookup of host routes by host name and path prefix."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.presets import model
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Entry:
+class _Entry(msgspec.Struct, frozen=True, kw_only=True):
     """A host route with its path prefix.
 
     Attributes:
--- a/bergamotdeal/presets/in_force.py
+++ b/bergamotdeal/presets/in_force.py
@@ -1,6 +1,5 @@
 """The stored object that holds the preset in force and recent switches."""
 
-import dataclasses
 from typing import Annotated
 
 import msgspec
@@ -22,8 +21,7 @@
 Operator = Annotated[str, msgspec.Meta(max_length=128)]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Switch:
+class Switch(msgspec.Struct, frozen=True, kw_only=True):
     """An accepted switch.
 
     Attributes:
@@ -39,8 +37,7 @@
     operator: Operator
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ActivePreset:
+class ActivePreset(msgspec.Struct, frozen=True, kw_only=True):
     """The preset in force and the switches that led to it.
 
     Attributes:
--- a/bergamotdeal/presets/parser.py
+++ b/bergamotdeal/presets/parser.py
@@ -30,6 +30,7 @@
 import re
 import typing
 
+import msgspec
 import result
 
 from bergamotdeal.presets import model
@@ -66,27 +67,26 @@
 _ROUTE_FIELD_BY_KEY = {"class": "class_name"}
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Draft:
+class _Draft(msgspec.Struct, kw_only=True):
     """The parts and problems of a preset that is being parsed."""
 
     header: Mapping[str, str] | None = None
-    services_by_name: dict[str, model.ServicePolicy] = dataclasses.field(
+    services_by_name: dict[str, model.ServicePolicy] = msgspec.field(
         default_factory=dict
     )
-    routes_by_match: dict[tuple[str, str, str], model.Route] = (
-        dataclasses.field(default_factory=dict)
+    routes_by_match: dict[tuple[str, str, str], model.Route] = msgspec.field(
+        default_factory=dict
     )
-    host_routes_by_name: dict[str, model.HostRoute] = dataclasses.field(
+    host_routes_by_name: dict[str, model.HostRoute] = msgspec.field(
         default_factory=dict
     )
-    organisations_by_name: dict[str, model.Organisation] = dataclasses.field(
+    organisations_by_name: dict[str, model.Organisation] = msgspec.field(
         default_factory=dict
     )
-    policies_by_section: dict[str, typing.Any] = dataclasses.field(
+    policies_by_section: dict[str, typing.Any] = msgspec.field(
         default_factory=dict
     )
-    problems: list[ini.Problem] = dataclasses.field(default_factory=list)
+    problems: list[ini.Problem] = msgspec.field(default_factory=list)
 
     def report(self, section: str, key: str, message: str) -> None:
         self.problems.append(
--- a/bergamotdeal/presets/sections.py
+++ b/bergamotdeal/presets/sections.py
@@ -75,7 +75,7 @@
       known_digests: Digests of the requester's sections.
     """
     return tuple(
-        dataclasses.replace(section, content=None)
+        msgspec.structs.replace(section, content=None)
         if section.digest in known_digests
         else section
         for section in sections
--- a/bergamotdeal/presets/switch.py
+++ b/bergamotdeal/presets/switch.py
@@ -6,9 +6,9 @@
 store.
 """
 
-import dataclasses
 import random
 
+import msgspec
 import result
 from twisted.internet import defer
 from twisted.internet import task
@@ -24,8 +24,7 @@
 FailureKind = store.FailureKind
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Accepted:
+class Accepted(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a switch whose preset is in force.
 
     Attributes:
@@ -39,8 +38,7 @@
     document: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Superseded:
+class Superseded(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a switch that was accepted and then replaced.
 
     Attributes:
@@ -54,8 +52,7 @@
     by: in_force.Switch
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a switch that lost the race against another one.
 
     This switch was not accepted and won't be.
@@ -69,8 +66,7 @@
     winner: in_force.Switch
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Unknown:
+class Unknown(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a switch that may or may not have been accepted.
 
     It is safe to run the switch again with the same operation id.
@@ -84,8 +80,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Failed:
+class Failed(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a switch that was not accepted.
 
     Attributes:
@@ -100,8 +95,7 @@
 Outcome = Accepted | Superseded | Conflict | Unknown | Failed
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Read:
+class Read(msgspec.Struct, frozen=True, kw_only=True):
     """A step that reads the object in force.
 
     Attributes:
@@ -111,8 +105,7 @@
     after_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True, kw_only=True):
     """A step that writes the object in force.
 
     Attributes:
@@ -124,8 +117,7 @@
     expected_version: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Finish:
+class Finish(msgspec.Struct, frozen=True, kw_only=True):
     """The final step.
 
     Attributes:
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from bergamotdeal.membership import core as membership
@@ -130,8 +131,8 @@
     push(source, 1)
     target.handle(follower.EpochAdvertised(epoch=1, host_id="a"), 0.0)
     response = source.answer_pull(gossip.PresetRequest(known_digests=()))
-    altered = dataclasses.replace(response.sections[0], content=b"{}")
-    response = dataclasses.replace(
+    altered = msgspec.structs.replace(response.sections[0], content=b"{}")
+    response = msgspec.structs.replace(
         response, sections=(altered, *response.sections[1:])
     )
     answered = follower.PullAnswered(host_id="a", response=response)
--- a/bergamotdeal/pricing/core.py
+++ b/bergamotdeal/pricing/core.py
@@ -1,6 +1,5 @@
 """Cost reports that answers carry, and their encoding."""
 
-import dataclasses
 import math
 
 import msgspec
@@ -12,8 +11,7 @@
 MAX_REPORT_BYTES = 8192
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Charge:
+class Charge(msgspec.Struct, frozen=True, kw_only=True):
     """Cost of one request at one service.
 
     Attributes:
@@ -29,8 +27,7 @@
     share: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True, kw_only=True):
     """Cost report of the node beside a backend server on one route.
 
     Attributes:
--- a/bergamotdeal/pricing/costs.py
+++ b/bergamotdeal/pricing/costs.py
@@ -5,7 +5,7 @@
 chains, and each node needs to measure only its own hop.
 """
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.pricing import intensity
 from bergamotdeal.pricing import origins
@@ -22,8 +22,7 @@
 _MAX_ROUTES = 4096
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _RouteRuns:
+class _RouteRuns(msgspec.Struct, kw_only=True):
     """Runs of one route on the local backend server.
 
     Attributes:
--- a/bergamotdeal/pricing/gate.py
+++ b/bergamotdeal/pricing/gate.py
@@ -1,9 +1,10 @@
 """Cost-based admission of user requests at an entry during overload."""
 
 import collections
-import dataclasses
 import random
 
+import msgspec
+
 from bergamotdeal.fairness import gate as fairness
 
 _RATE_WINDOW_S = 0.25
@@ -35,8 +36,7 @@
 """Maximum number of refused requests kept to recognise repeats."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _RouteState:
+class _RouteState(msgspec.Struct, kw_only=True):
     """Offered rate and admission state of one route.
 
     Attributes:
@@ -242,8 +242,7 @@
             )
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Demand:
+class _Demand(msgspec.Struct, kw_only=True):
     """Demand of one route on one service.
 
     Attributes:
--- a/bergamotdeal/pricing/intensity.py
+++ b/bergamotdeal/pricing/intensity.py
@@ -10,7 +10,7 @@
 calls take.
 """
 
-import dataclasses
+import msgspec
 
 UPDATE_INTERVAL_S = 0.5
 """Interval between updates of the rates."""
@@ -24,8 +24,7 @@
 _MAX_ROUTES = 64
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _RouteRuns:
+class _RouteRuns(msgspec.Struct, kw_only=True):
     """Decaying statistics of the runs of one route.
 
     Attributes:
@@ -39,8 +38,8 @@
     running: int = 0
     at: float = 0.0
     exposure_s: float = 0.0
-    calls_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
-    rates_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+    calls_by_route: dict[str, float] = msgspec.field(default_factory=dict)
+    rates_by_route: dict[str, float] = msgspec.field(default_factory=dict)
 
     def advance(self, now: float) -> None:
         """Accumulates the exposure up to now."""
--- a/bergamotdeal/pricing/origins.py
+++ b/bergamotdeal/pricing/origins.py
@@ -6,9 +6,10 @@
 prefers the local data centre, arrivals are expected only from its hosts.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from bergamotdeal.membership import core as membership
 
 _MAX_ARRIVALS = 2000
@@ -35,8 +36,7 @@
     SERVERS = 2
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _ArrivalCounts:
+class _ArrivalCounts(msgspec.Struct, kw_only=True):
     """Arrival counts of one route.
 
     Attributes:
@@ -45,7 +45,7 @@
       origin: Result of the latest classification.
     """
 
-    by_service: dict[str, int] = dataclasses.field(default_factory=dict)
+    by_service: dict[str, int] = msgspec.field(default_factory=dict)
     total: int = 0
     origin: Origin = Origin.UNKNOWN
 
--- a/bergamotdeal/pricing/pressure.py
+++ b/bergamotdeal/pricing/pressure.py
@@ -6,9 +6,10 @@
 where arrivals match capacity.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 WINDOW_S = 0.1
 """Minimum adjustment interval: a few runs of the bottleneck services."""
 
@@ -186,8 +187,7 @@
         self._share = min(1.0, max(_MIN_SHARE, share))
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _ReportedShare:
+class _ReportedShare(msgspec.Struct, kw_only=True):
     share: float
     at: float
 
--- a/bergamotdeal/pricing/tests/test_pricing.py
+++ b/bergamotdeal/pricing/tests/test_pricing.py
@@ -1,8 +1,8 @@
 """Tests of cost estimation, backpressure and admission at the entry."""
 
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from bergamotdeal.membership import core as membership
@@ -357,7 +357,7 @@
 def test_service_in_another_data_centre_does_not_count_as_absent():
     estimator = origins.OriginClassifier(data_centre="prai")
     far = make_member("stencilhub-0", "stencilhub")
-    far = dataclasses.replace(far, data_centre="kotoni")
+    far = msgspec.structs.replace(far, data_centre="kotoni")
     estimator.update_members(FLEET | {"stencilhub-0": far})
     rng = random.Random(2)
     hosts = [m.server.service for m in FLEET.values()]
--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -1,7 +1,8 @@
 """Detection of requests that repeatedly crash backend servers."""
 
 import collections
-import dataclasses
+
+import msgspec
 
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
@@ -13,14 +14,12 @@
 _MS_PER_S = 1000.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Death:
+class _Death(msgspec.Struct, kw_only=True):
     host_id: str
     received_at: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Evidence:
+class _Evidence(msgspec.Struct, kw_only=True):
     """Evidence for and against quarantining a fingerprint.
 
     Attributes:
@@ -29,7 +28,7 @@
       completed_runs: Runs completed at this node since the first report.
     """
 
-    deaths_by_id: dict[str, _Death] = dataclasses.field(default_factory=dict)
+    deaths_by_id: dict[str, _Death] = msgspec.field(default_factory=dict)
     completed_runs: int = 0
 
     def recent_deaths(self, now: float) -> list[_Death]:
--- a/bergamotdeal/quotas/account.py
+++ b/bergamotdeal/quotas/account.py
@@ -1,10 +1,11 @@
 """State of one organisation at an entry."""
 
 import collections
-import dataclasses
 import heapq
 import math
 
+import msgspec
+
 from bergamotdeal.quotas import core
 
 MIN_RETRY_S = 0.05
@@ -15,8 +16,7 @@
 _RATE_AVERAGE_S = 1.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Average:
+class Average(msgspec.Struct, kw_only=True):
     """Exponentially weighted rate of events per second."""
 
     updated_at: float
@@ -33,8 +33,7 @@
         return self.rate * math.exp(-age_s / _RATE_AVERAGE_S)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Fetch:
+class Fetch(msgspec.Struct, kw_only=True):
     """A request to a bucket owner for tokens of one organisation.
 
     Attributes:
@@ -52,8 +51,7 @@
     is_late: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class OwnerView:
+class OwnerView(msgspec.Struct, kw_only=True):
     """What this entry knows of one bucket of an organisation.
 
     Attributes:
--- a/bergamotdeal/quotas/cache.py
+++ b/bergamotdeal/quotas/cache.py
@@ -6,11 +6,12 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 import enum
 import heapq
 import random
 
+import msgspec
+
 from bergamotdeal.quotas import account as account_state
 from bergamotdeal.quotas import core
 from bergamotdeal.quotas import hosts
@@ -45,8 +46,7 @@
     UNREACHABLE = "unreachable"  # A bucket owner doesn't answer.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Token:
+class Token(msgspec.Struct, frozen=True, kw_only=True):
     """A token for one request.
 
     Attributes:
@@ -58,8 +58,7 @@
     expires_at: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Verdict:
+class Verdict(msgspec.Struct, frozen=True, kw_only=True):
     """Result of a request for a token.
 
     Attributes:
--- a/bergamotdeal/quotas/core.py
+++ b/bergamotdeal/quotas/core.py
@@ -8,9 +8,10 @@
 lost. ``compute_plan`` chooses the three so that this is within the bound.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 from bergamotdeal.presets import model
 from bergamotdeal.routing import rendezvous
 
@@ -36,8 +37,7 @@
 Tokens that exceed the capacity before an entry asks for them are lost."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Plan:
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
     """The buckets of one organisation and the lifetime of their tokens.
 
     Attributes:
@@ -113,7 +113,8 @@
         capacity=capacity,
         parts=max(1, parts),
         lifetime_s=lifetime_s,
-        standby=standby and dataclasses.replace(standby, lifetime_s=lifetime_s),
+        standby=standby
+        and msgspec.structs.replace(standby, lifetime_s=lifetime_s),
     )
 
 
--- a/bergamotdeal/quotas/hosts.py
+++ b/bergamotdeal/quotas/hosts.py
@@ -15,9 +15,10 @@
 """
 
 from collections.abc import Collection
-import dataclasses
 import random
 
+import msgspec
+
 from bergamotdeal.quotas import messages
 from bergamotdeal.quotas import replies
 from bergamotdeal.routing import rendezvous
@@ -46,8 +47,7 @@
 _Stage = messages.Stage
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Host:
+class _Host(msgspec.Struct, kw_only=True):
     """A counted host.
 
     Attributes:
--- a/bergamotdeal/quotas/messages.py
+++ b/bergamotdeal/quotas/messages.py
@@ -1,8 +1,9 @@
 """Messages between the entries, the bucket owners and the counted hosts."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 MAX_ITEMS = 32
 """Maximum number of organisations in one datagram."""
 
@@ -12,8 +13,7 @@
 so a host that asks all of them learns all."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Want:
+class Want(msgspec.Struct, frozen=True, kw_only=True):
     """Tokens that an entry asks for.
 
     Attributes:
@@ -25,8 +25,7 @@
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TokenRequest:
+class TokenRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Request of an entry to a bucket owner.
 
     Attributes:
@@ -38,8 +37,7 @@
     wants: tuple[Want, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True, kw_only=True):
     """Tokens that a bucket owner moves to an entry.
 
     Attributes:
@@ -59,8 +57,7 @@
     lifetime_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TokenGrant:
+class TokenGrant(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to a ``TokenRequest``.
 
     Attributes:
@@ -80,8 +77,7 @@
     ACTIVE = 2  # The host grants tokens.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Introduction:
+class Introduction(msgspec.Struct, frozen=True, kw_only=True):
     """Introduction of a process to another host.
 
     Attributes:
@@ -95,8 +91,7 @@
     stage: Stage
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class IntroductionReply:
+class IntroductionReply(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to an ``Introduction``.
 
     Attributes:
--- a/bergamotdeal/quotas/owner.py
+++ b/bergamotdeal/quotas/owner.py
@@ -1,6 +1,6 @@
 """The buckets that this host owns: grants of tokens to entries."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.quotas import core
 from bergamotdeal.quotas import hosts
@@ -19,8 +19,7 @@
 _ROUNDING_TOLERANCE = 1e-9
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Bucket:
+class _Bucket(msgspec.Struct, kw_only=True):
     """A token bucket, which starts empty.
 
     Attributes:
--- a/bergamotdeal/quotas/peers.py
+++ b/bergamotdeal/quotas/peers.py
@@ -1,6 +1,6 @@
 """Response times and reachability of bucket owners, as an entry sees them."""
 
-import dataclasses
+import msgspec
 
 TIMEOUT_S = 0.03
 MAX_TIMEOUT_S = 0.08
@@ -11,8 +11,7 @@
 _ANSWER_WEIGHT = 0.2
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Peer:
+class _Peer(msgspec.Struct, kw_only=True):
     """A bucket owner.
 
     Attributes:
--- a/bergamotdeal/quotas/replies.py
+++ b/bergamotdeal/quotas/replies.py
@@ -1,14 +1,13 @@
 """Replies of the other hosts to the introductions of this one."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.quotas import messages
 
 _Stage = messages.Stage
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Reply:
+class Reply(msgspec.Struct, kw_only=True):
     """Reply of another host in the current attempt to become active.
 
     Attributes:
--- a/bergamotdeal/routing/core.py
+++ b/bergamotdeal/routing/core.py
@@ -1,6 +1,6 @@
 """State that a node keeps about each server it can route calls to."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.membership import core as membership
 from bergamotdeal.rpc import core as rpc
@@ -32,8 +32,7 @@
 EWMA_WEIGHT = 0.1
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Target:
+class Target(msgspec.Struct, kw_only=True):
     """Routing state of one server of a service, as observed by this node.
 
     Attributes:
--- a/bergamotdeal/routing/spill.py
+++ b/bergamotdeal/routing/spill.py
@@ -6,10 +6,11 @@
 that no two data centres spill into each other.
 """
 
-import dataclasses
 import math
 import random
 
+import msgspec
+
 from bergamotdeal.routing import core
 
 INTERVAL_S = 0.05
@@ -46,8 +47,7 @@
 """Minimum time between two changes that are reported as events."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _DataCentre:
+class _DataCentre(msgspec.Struct, kw_only=True):
     """Another data centre with servers of the service.
 
     Attributes:
--- a/bergamotdeal/routing/tests/test_router.py
+++ b/bergamotdeal/routing/tests/test_router.py
@@ -1,10 +1,10 @@
 """Tests of the load balancer."""
 
 import collections
-import dataclasses
 import heapq
 import random
 
+import msgspec
 import pytest
 
 from bergamotdeal.membership import core as membership
@@ -323,8 +323,8 @@
     "answer",
     [
         *(
-            {"load": dataclasses.replace(IDLE_LOAD, **{field.name: value})}
-            for field in dataclasses.fields(rpc.Load)
+            {"load": msgspec.structs.replace(IDLE_LOAD, **{field.name: value})}
+            for field in msgspec.structs.fields(rpc.Load)
             for value in (0, 1, 1000)
         ),
         {"succeeded": False},
--- a/bergamotdeal/rpc/core.py
+++ b/bergamotdeal/rpc/core.py
@@ -1,6 +1,6 @@
 """Main data types: the request, the call, the answer and the load report."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.errors import core as errors
 
@@ -21,8 +21,7 @@
 MAX_PRIOR_CALLS = 65_535
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Request:
+class Request(msgspec.Struct, kw_only=True):
     """HTTP request as the target's backend server receives it.
 
     Attributes:
@@ -45,8 +44,7 @@
     authority: str = ""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Load:
+class Load(msgspec.Struct, kw_only=True):
     """Load of one target, as its node reports it in each answer.
 
     Attributes:
@@ -66,8 +64,7 @@
     work_factor: float = 1.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Call:
+class Call(msgspec.Struct, kw_only=True):
     """One dispatch of a request to a target's node.
 
     Attributes:
@@ -136,8 +133,7 @@
     is_internal: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, kw_only=True):
     """Answer to a call or to a caller.
 
     Attributes:
@@ -166,7 +162,7 @@
     outcome: errors.Outcome
     error: errors.ErrorKind | None = None
     status: int = 200
-    headers: Headers = dataclasses.field(default_factory=list)
+    headers: Headers = msgspec.field(default_factory=list)
     body: bytes = b""
     ticket: bytes = b""
     retry_after_s: float | None = None
--- a/bergamotdeal/store/core.py
+++ b/bergamotdeal/store/core.py
@@ -1,9 +1,9 @@
 """Protocol-independent interface of the platform's object API."""
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
 import result
 from twisted.internet import defer
 
@@ -29,8 +29,7 @@
     INVALID = "invalid"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True, kw_only=True):
     """The failure of a store call.
 
     Attributes:
@@ -48,8 +47,7 @@
     retry_after_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True, kw_only=True):
     """An object of the store.
 
     Attributes:
@@ -64,8 +62,7 @@
     value: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ListingEntry:
+class ListingEntry(msgspec.Struct, frozen=True, kw_only=True):
     """An object in a listing.
 
     Attributes:
--- a/bergamotdeal/store/http.py
+++ b/bergamotdeal/store/http.py
@@ -28,12 +28,12 @@
 FailureKind = core.FailureKind
 
 
-class _ListedObject(msgspec.Struct):
+class _ListedObject(msgspec.Struct, kw_only=True):
     key: str
     version: int
 
 
-class _Listing(msgspec.Struct):
+class _Listing(msgspec.Struct, kw_only=True):
     objects: list[_ListedObject]
 
 
--- a/bergamotdeal/store/http_connection.py
+++ b/bergamotdeal/store/http_connection.py
@@ -5,9 +5,9 @@
 """
 
 from collections.abc import Mapping
-import dataclasses
 
 import httptools
+import msgspec
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
@@ -30,8 +30,7 @@
     """The server sent bytes that are not a response of accepted size."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True, kw_only=True):
     """An HTTP request.
 
     Attributes:
@@ -51,8 +50,7 @@
     body: bytes = b""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True, kw_only=True):
     """A complete HTTP response.
 
     Attributes:
--- a/bergamotdeal/telemetry/records.py
+++ b/bergamotdeal/telemetry/records.py
@@ -1,12 +1,11 @@
 """Records of events, as the parts of a node report them."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.telemetry import catalogue
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class EventRecord:
+class EventRecord(msgspec.Struct, kw_only=True):
     """Event to add to the time line.
 
     Attributes:
@@ -18,6 +17,6 @@
 
     code: catalogue.EventCode
     user_request_id: str = ""
-    fields: dict[str, str | int | float | bool] = dataclasses.field(
+    fields: dict[str, str | int | float | bool] = msgspec.field(
         default_factory=dict
     )
--- a/bergamotdeal/telemetry/ring.py
+++ b/bergamotdeal/telemetry/ring.py
@@ -2,7 +2,8 @@
 
 import collections
 from collections.abc import Iterator
-import dataclasses
+
+import msgspec
 
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
@@ -15,8 +16,7 @@
 _StampedRecord = tuple[int, records.EventRecord]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Event:
+class Event(msgspec.Struct, kw_only=True):
     """Event of the time line.
 
     Attributes:
--- a/bergamotdeal/telemetry/timeline.py
+++ b/bergamotdeal/telemetry/timeline.py
@@ -1,7 +1,6 @@
 """Time line entries that a node sends to the command line."""
 
 from collections.abc import Iterable
-import dataclasses
 import datetime
 
 import msgspec
@@ -12,8 +11,7 @@
 from bergamotdeal.telemetry import ring
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
     """Event together with the host on which it happened.
 
     Attributes:
@@ -29,7 +27,7 @@
     stamp: int
     code: int
     request: str = ""
-    fields: dict[str, ring.FieldValue] = dataclasses.field(default_factory=dict)
+    fields: dict[str, ring.FieldValue] = msgspec.field(default_factory=dict)
 
     @property
     def name(self) -> str:
--- a/bergamotdeal/tickets/core.py
+++ b/bergamotdeal/tickets/core.py
@@ -1,9 +1,9 @@
 """Ticket data type and its encoding."""
 
-import dataclasses
 import hashlib
 import struct
 
+import msgspec
 import result
 
 from bergamotdeal.rpc import core as rpc
@@ -15,8 +15,7 @@
 _FINGERPRINT_BYTES = 16
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ticket:
+class Ticket(msgspec.Struct, frozen=True, kw_only=True):
     """Permission to run one request once, on one incarnation of one node.
 
     Attributes:
--- a/bergamotdeal/tickets/table.py
+++ b/bergamotdeal/tickets/table.py
@@ -8,10 +8,10 @@
 """
 
 import collections
-import dataclasses
 import enum
 import hashlib
 
+import msgspec
 import result
 
 from bergamotdeal.errors import core as errors
@@ -37,8 +37,7 @@
     BURNT = "burnt"  # The request was refused and never runs.
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class TicketRecord:
+class TicketRecord(msgspec.Struct, kw_only=True, eq=False):
     """Record of an issued ticket.
 
     Attributes:
@@ -64,29 +63,25 @@
     answer: rpc.Answer | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Execute:
+class Execute(msgspec.Struct, frozen=True, kw_only=True):
     """Verdict that the request may run under the ticket."""
 
     record: TicketRecord
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Join:
+class Join(msgspec.Struct, frozen=True, kw_only=True):
     """Verdict that the request is queued or running; its answer is shared."""
 
     record: TicketRecord
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Replay:
+class Replay(msgspec.Struct, frozen=True, kw_only=True):
     """Verdict that the request has run, with the answer to replay."""
 
     answer: rpc.Answer
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reject:
+class Reject(msgspec.Struct, frozen=True, kw_only=True):
     """Verdict that the request must not run under the ticket.
 
     Attributes:
--- a/bergamotdeal/utils/ini.py
+++ b/bergamotdeal/utils/ini.py
@@ -27,8 +27,7 @@
 _UNUSED_DEFAULT_SECTION = "\0"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
     """An error in an INI file.
 
     Attributes:
--- a/bergamotdeal/wire/messages.py
+++ b/bergamotdeal/wire/messages.py
@@ -1,12 +1,11 @@
 """Frames of the TCP link between two nodes."""
 
-import dataclasses
+import msgspec
 
 from bergamotdeal.rpc import core as rpc
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, kw_only=True):
     """The greeting, the first frame that each side of a link sends.
 
     Attributes:
@@ -24,8 +23,7 @@
     can_inflate: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Proof:
+class Proof(msgspec.Struct, kw_only=True):
     """The proof of the shared key, the second frame that each side sends.
 
     Attributes:
@@ -36,15 +34,13 @@
     digest: bytes
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CallFrame:
+class CallFrame(msgspec.Struct, kw_only=True):
     """A call to the receiving node."""
 
     call: rpc.Call
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class AnswerFrame:
+class AnswerFrame(msgspec.Struct, kw_only=True):
     """The answer to a call.
 
     Attributes:
@@ -58,8 +54,7 @@
     answer: rpc.Answer
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CancelFrame:
+class CancelFrame(msgspec.Struct, kw_only=True):
     """The cancellation of a call whose origin no longer waits for the answer.
 
     Attributes:
@@ -69,22 +64,19 @@
     number: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Ping:
+class Ping(msgspec.Struct, kw_only=True):
     """A heartbeat; the receiver echoes its number in a pong."""
 
     number: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Pong:
+class Pong(msgspec.Struct, kw_only=True):
     """The reply to a heartbeat, with the number of the ping."""
 
     number: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class BulkRequest:
+class BulkRequest(msgspec.Struct, kw_only=True):
     """A request in an exchange of membership or preset state.
 
     Attributes:
@@ -94,8 +86,7 @@
     payload: bytes
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class BulkResponse:
+class BulkResponse(msgspec.Struct, kw_only=True):
     """The response to a bulk request.
 
     Attributes:
--- a/bergamotdeal/wire/tests/test_codec.py
+++ b/bergamotdeal/wire/tests/test_codec.py
@@ -1,6 +1,5 @@
 """Frame codec: round trips, schema evolution and malformed input."""
 
-import dataclasses
 import random
 
 import msgspec
@@ -149,6 +148,6 @@
 
 
 def test_largest_epoch_is_encoded_without_loss():
-    call = dataclasses.replace(CALL.call, epoch=(1 << 64) - 1)
+    call = msgspec.structs.replace(CALL.call, epoch=(1 << 64) - 1)
     frame = messages.CallFrame(call=call)
     assert codec.decode(codec.encode(frame)).unwrap() == frame
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,11 +7,12 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
 import heapq
 import itertools
 import random
 
+import msgspec
+
 from bergamotdeal.calls import engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
@@ -110,7 +111,7 @@
     def start_node(self, host_id: str) -> None:
         """Starts a node with a new incarnation and publishes the members."""
         node = self.nodes_by_id[host_id]
-        node.member = dataclasses.replace(
+        node.member = msgspec.structs.replace(
             node.member,
             incarnation=f"{self.rng.getrandbits(128):032x}",
             state=membership.MemberState.ALIVE,
@@ -170,7 +171,7 @@
     def set_state(self, host_id: str, state: membership.MemberState) -> None:
         """Changes the state of a member in the views of all nodes."""
         node = self.nodes_by_id[host_id]
-        node.member = dataclasses.replace(node.member, state=state)
+        node.member = msgspec.structs.replace(node.member, state=state)
         self.publish_members()
 
     def drain(self, host_id: str) -> None:
--- a/tests/matrix/test_page.py
+++ b/tests/matrix/test_page.py
@@ -1,10 +1,11 @@
 """The page of faults matches the tables that the tests run."""
 
-import dataclasses
 import pathlib
 import re
 import typing
 
+import msgspec
+
 from bergamotdeal.calls import messages
 from tests.matrix import page
 
@@ -53,5 +54,5 @@
 def test_engine_does_not_use_the_store():
     for union in (messages.Event, messages.Effect):
         for kind in typing.get_args(union):
-            names = [f.name for f in dataclasses.fields(kind)]
+            names = [f.name for f in msgspec.structs.fields(kind)]
             assert "store" not in " ".join([kind.__name__, *names]).lower()
--- a/tests/test_conventions.py
+++ b/tests/test_conventions.py
@@ -24,6 +24,7 @@
 REACTOR_MODULES = frozenset(("twisted.internet.reactor",))
 # Twisted's HTTP channel constructs its requests with positional arguments.
 POSITIONAL_CONSTRUCTORS = frozenset(("Exchange",))
+MODEL_OPTIONS = ("array_like=", "rename=", "forbid_unknown_fields=")
 
 
 def _find_name_imports(tree):
@@ -56,6 +57,8 @@
             text = ast.unparse(decorator)
             if "dataclass" in text and "kw_only=True" not in text:
                 yield node.name
+        if _has_positional_fields(node):
+            yield node.name
         if node.name in POSITIONAL_CONSTRUCTORS:
             continue
         for member in node.body:
@@ -65,6 +68,19 @@
                     yield node.name
 
 
+def _has_positional_fields(node):
+    """Returns whether a class is a struct without keyword-only fields.
+
+    A model of a message or document is exempt: msgspec constructs it.
+    """
+    options = [ast.unparse(keyword) for keyword in node.keywords]
+    return (
+        any(ast.unparse(base) == "msgspec.Struct" for base in node.bases)
+        and "kw_only=True" not in options
+        and not any(option.startswith(MODEL_OPTIONS) for option in options)
+    )
+
+
 def _find_process_starts(tree):
     for node in ast.walk(tree):
         match node:
@@ -133,6 +149,10 @@
             _find_positional_constructors,
             "@dataclasses.dataclass\nclass A:\n  b: int",
         ),
+        (
+            _find_positional_constructors,
+            "class A(msgspec.Struct, frozen=True):\n  b: int",
+        ),
         (
             _find_positional_constructors,
             "class A:\n  def __init__(self, b):\n    pass",
