--- a/bergamotdeal/node/process.py
+++ b/bergamotdeal/node/process.py
@@ -68,7 +68,6 @@
 
 def tune_garbage_collector() -> None:
     """Configures the garbage collector for rare and short pauses."""
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     gc.enable()
