Say why the store has its own connection pool in lasting terms

Cause: the text named a share of the start, which was a guess and changes. Change: text only. Conclusion: none of behaviour.

--- a/bergamotdeal/store/http_connection.py
+++ b/bergamotdeal/store/http_connection.py
@@ -1,7 +1,7 @@
 """Pool of HTTP/1.1 connections that sends each request at most once.
 
-``twisted.web.client`` is not used because its import takes a seventh of a
-node's start.
+``twisted.web.client`` is not used: it may resend a request by itself, and its
+import lengthens the start of a node.
 """
 
 from collections.abc import Mapping
