--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -20,7 +20,6 @@
 from bergamotdeal.presets import model
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import headers as header_names
-from bergamotdeal.utils import listening
 
 ACCEPT_BATCHES = 3
 """Calls of ``doRead()`` at a stop; each accepts several connections."""
@@ -99,7 +98,7 @@
     def start(
         self, *, reactor: interfaces.IReactorTCP, address: str, port: int
     ) -> None:
-        """Starts accepting connections.
+        """Starts listening.
 
         Args:
           reactor: The reactor.
@@ -107,20 +106,9 @@
           port: TCP port to bind; zero lets the kernel choose one.
         """
         self._factory.seconds = reactor.seconds
-        open_socket = listening.claim(address, port)
-        if open_socket is None:
-            self._listener = reactor.listenTCP(
-                port,
-                self._factory,
-                interface=address,
-                backlog=listening.BACKLOG,
-            )
-        else:
-            # The reactor listens on a duplicate.
-            self._listener = reactor.adoptStreamPort(
-                open_socket.fileno(), open_socket.family, self._factory
-            )
-            open_socket.close()
+        self._listener = reactor.listenTCP(
+            port, self._factory, interface=address, backlog=1024
+        )
         self._idle_checks.clock = reactor
         self._idle_checks.start(http_server.IDLE_CHECK_INTERVAL_S, now=False)
         if self._hold is not None:
--- a/bergamotdeal/utils/__init__.py
+++ b/bergamotdeal/utils/__init__.py
@@ -1,3 +1,3 @@
 """Utilities shared by the subpackages."""
 
-__all__ = ["hashing", "headers", "ini", "listening", "log_stream"]
+__all__ = ["hashing", "headers", "ini", "log_stream"]
