Order the requests of organisations of one class by their routes

Cause: the class of an organisation takes the place of its requests' classes. Where all organisations are of one class, an entry under pressure sees one class and admits the cheapest requests first. Change: at the entry a request's rank is that of its organisation's class, and within it that of its route's class. Without organisations nothing changes.

--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -190,7 +190,9 @@
         request = exchange.request
         policy = state.preset.admission
         organisation = exchange.organisation if policy.fair_share else ""
-        rank = state.preset.get_class_rank(exchange.class_name)
+        rank = state.get_request_rank(
+            exchange.class_name, exchange.route.class_name
+        )
         exchange.fingerprint = hash(
             (request.method, request.path, exchange.organisation)
         )
--- a/bergamotdeal/calls/returns.py
+++ b/bergamotdeal/calls/returns.py
@@ -58,7 +58,7 @@
     )
     if not is_assigned:
         return draw_retry_delay(route.target_latency_ms, state.rng)
-    rank = state.preset.get_class_rank(exchange.class_name)
+    rank = state.get_request_rank(exchange.class_name, route.class_name)
     service = state.cost_model.find_bottleneck(
         route.prefix, exchange.request.service, state.now
     )
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -250,6 +250,22 @@
         """Returns whether requests of a route require a ticket."""
         return self.preset.tickets.required and not route.repeatable
 
+    def get_request_rank(self, class_name: str, route_class_name: str) -> int:
+        """Returns the rank of a user request at an entry.
+
+        The class of an organisation goes before the class of a route. Requests
+        of one organisation's class are ordered by the classes of their routes.
+
+        Args:
+          class_name: Class of the request.
+          route_class_name: Class of its route.
+        """
+        get_class_rank = self.preset.get_class_rank
+        route_ranks = len(self.preset.classes) + 1
+        return route_ranks * get_class_rank(class_name) + get_class_rank(
+            route_class_name
+        )
+
     def select_class(
         self, inherited: str, own: str, *, organisation: str = ""
     ) -> str:
