Name the class of organisations in a test by our own word

Cause: the new test of the order at an entry named a class by the platform's word for an organisation, which stays in the adapter. Change: the name of the class in the test; its assertions stay. Conclusion: found in reading the whole change.

--- a/bergamotdeal/calls/tests/test_request_order.py
+++ b/bergamotdeal/calls/tests/test_request_order.py
@@ -16,7 +16,7 @@
 from bergamotdeal.pricing import gate
 
 SERVICE = "orderline"
-CLASSES = ("internal", "urgent", "tenants", "usual")
+CLASSES = ("internal", "urgent", "organisations", "usual")
 RATE_PER_S = 200
 SHARE = 0.6
 SLOT_S_BY_ROUTE = {"booking": 0.24, "lookup": 0.12}
@@ -59,7 +59,7 @@
 
 # Guards against bookings that are refused for lookups, because the class of an
 # organisation hides that of the route and the cheaper requests go first.
-@pytest.mark.parametrize("organisation_class", ["", "tenants"])
+@pytest.mark.parametrize("organisation_class", ["", "organisations"])
 def test_urgent_routes_go_first_within_the_class_of_organisations(
     state, organisation_class
 ):
@@ -71,14 +71,14 @@
 
 def test_class_of_an_organisation_goes_before_that_of_a_route(state):
     important = state.get_request_rank("urgent", "usual")
-    usual = state.get_request_rank("tenants", "urgent")
+    usual = state.get_request_rank("organisations", "urgent")
     assert important < usual
-    assert usual < state.get_request_rank("tenants", "usual")
+    assert usual < state.get_request_rank("organisations", "usual")
 
 
 def test_unknown_classes_go_last_and_stay_within_the_class(state):
-    unknown = state.get_request_rank("tenants", "unknown")
-    assert state.get_request_rank("tenants", "usual") < unknown
+    unknown = state.get_request_rank("organisations", "unknown")
+    assert state.get_request_rank("organisations", "usual") < unknown
     assert unknown < state.get_request_rank("usual", "internal")
 
 
