--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform for the scripts in review/."""
