--- a/bergamotdeal/calls/acceptance.py
+++ b/bergamotdeal/calls/acceptance.py
@@ -47,6 +47,8 @@
             return _KINDS.NOT_READY
         if run.call.request.service != state.service:
             return _KINDS.NO_SERVER
+        if not run.has_room:
+            return _KINDS.SHED
         if not state.update_key(run.call):
             explanations.record_key_refusal(
                 state,
--- a/bergamotdeal/calls/authentication.py
+++ b/bergamotdeal/calls/authentication.py
@@ -43,7 +43,7 @@
         if event.key_digest is not None:
             self._apply_key(exchange, event.key_digest)
             return
-        parent = self._find_parent(event)
+        parent = self.find_parent(event)
         if parent is not None:
             exchange.organisation = parent.call.organisation
         elif exchange.route.public:
@@ -121,7 +121,12 @@
             key_digest=digest,
         )
 
-    def _find_parent(self, event: messages.CallArrived) -> runs.Run | None:
+    def find_parent(self, event: messages.CallArrived) -> runs.Run | None:
+        """Finds the run that made a call, or None.
+
+        Args:
+          event: Arrival of the call.
+        """
         if event.context:
             parent = self._run_table.find_by_context(event.context)
             if parent is not None:
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -30,6 +30,9 @@
 class Dispatcher:
     """Dispatcher of the calls of callers and of the local backend server.
 
+    Attributes:
+      exchange_table: Exchanges that are not answered yet.
+
     Args:
       state: State of the engine.
       intake: Opens the exchanges.
@@ -61,37 +64,18 @@
         self._targets = targets.TargetChooser(state=state, router=router)
         self._quota_gate = quotas.QuotaGate(state=state)
         self._last_number = 0
-        self._exchanges_by_origin_id: dict[int, exchanges.Exchange] = {}
+        self.exchange_table = exchanges.ExchangeTable()
         self._exchanges_by_number: dict[int, exchanges.Exchange] = {}
 
     def is_idle(self) -> bool:
         """Returns whether all callers are answered."""
-        return not self._exchanges_by_origin_id
-
-    def find_exchange(self, event: messages.Event) -> exchanges.Exchange | None:
-        """Finds the unanswered exchange that an event belongs to, or None.
-
-        For events whose handling failed; searches all exchanges.
-        """
-        match event:
-            case (
-                messages.CallArrived()
-                | messages.CallerDisconnected()
-                | messages.QuotaGranted()
-                | messages.QuotaRefused()
-            ):
-                return self._exchanges_by_origin_id.get(event.origin_id)
-            case messages.PeerAnswered() | messages.DispatchFailed():
-                for exchange in self._exchanges_by_origin_id.values():
-                    if exchange.last_number == event.number:
-                        return exchange
-        return None
+        return not self.exchange_table.exchanges_by_origin_id
 
     def handle_arrival(self, event: messages.CallArrived) -> None:
         """Opens an exchange for a request and dispatches or refuses it."""
         state = self._state
         exchange = self._intake.open(event)
-        self._exchanges_by_origin_id[event.origin_id] = exchange
+        self.exchange_table.add(exchange)
         request = exchange.request
         state.record_event(
             _CODES.CALL_ARRIVED,
@@ -113,7 +97,7 @@
         self, event: messages.QuotaGranted | messages.QuotaRefused
     ) -> None:
         """Dispatches or refuses a request that waited for a token."""
-        exchange = self._exchanges_by_origin_id.get(event.origin_id)
+        exchange = self.exchange_table.find(event.origin_id)
         if exchange is None or not exchange.is_waiting_for_quota:
             return
         match event:
@@ -131,7 +115,7 @@
 
     def handle_caller_disconnect(self, origin_id: int) -> None:
         """Cancels the exchange of a caller that has disconnected."""
-        exchange = self._exchanges_by_origin_id.get(origin_id)
+        exchange = self.exchange_table.find(origin_id)
         if exchange is not None:
             is_unsent = self._cancel_dispatch(exchange)
             self._refuse(exchange, _KINDS.CANCELLED, is_unsent=is_unsent)
@@ -154,7 +138,7 @@
 
     def fail(self, exchange: exchanges.Exchange) -> None:
         """Answers a request whose handling failed internally."""
-        if self._exchanges_by_origin_id.get(exchange.origin_id) is not exchange:
+        if self.exchange_table.find(exchange.origin_id) is not exchange:
             return
         self._exchanges_by_number.pop(exchange.number, None)
         exchange.number = 0
@@ -463,7 +447,7 @@
     def _reply(self, exchange: exchanges.Exchange, answer: rpc.Answer) -> None:
         """Sends the final answer to the caller."""
         state = self._state
-        del self._exchanges_by_origin_id[exchange.origin_id]
+        self.exchange_table.remove(exchange)
         truth.correct_outcome(answer, may_have_run=exchange.may_have_run)
         self._quota_gate.close(exchange, answer)
         may_return = answer.retry_after_s is not None
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -82,14 +82,15 @@
         )
         self._known_services = known_services.KnownServices()
         self._note_preset_services()
+        self._intake = call_intake.Intake(
+            state=state,
+            run_table=self._run_table,
+            known_services=self._known_services,
+            thresholds=self._thresholds,
+        )
         self._dispatcher = dispatch.Dispatcher(
             state=state,
-            intake=call_intake.Intake(
-                state=state,
-                run_table=self._run_table,
-                known_services=self._known_services,
-                thresholds=self._thresholds,
-            ),
+            intake=self._intake,
             router=self._router,
             thresholds=self._thresholds,
             budget=self._budget,
@@ -141,6 +142,37 @@
         """Returns whether no exchange, call or run is open."""
         return self._dispatcher.is_idle() and self._executor.is_idle()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the bodies of all requests in progress."""
+        return (
+            self._dispatcher.exchange_table.held_bytes
+            + self._run_table.held_bytes
+        )
+
+    @property
+    def class_count(self) -> int:
+        """Number of classes of requests in the active preset."""
+        return len(self._state.preset.classes)
+
+    def get_arrival_rank(self, event: messages.CallArrived) -> int:
+        """Returns the rank of the class of a request that is arriving.
+
+        Args:
+          event: The request, which may lack its body.
+        """
+        return self._intake.get_class_rank(event)
+
+    def get_call_rank(self, call: rpc.Call) -> int:
+        """Returns the rank of the class of a call that is arriving.
+
+        Args:
+          call: Call of another node.
+        """
+        if call.is_internal:
+            return 0
+        return self._state.preset.get_class_rank(call.class_name)
+
     def load(self) -> rpc.Load | None:
         """Returns the backend server's load, or None before an announcement."""
         return self._server.load()
@@ -162,7 +194,7 @@
 
     def _answer_failed_event(self, event: messages.Event) -> None:
         """Answers the call whose event raised an exception."""
-        exchange = self._dispatcher.find_exchange(event)
+        exchange = self._dispatcher.exchange_table.find_by_event(event)
         run = self._executor.find_run(event)
         if exchange is None and run is None:
             self._answer_unopened_call(event)
@@ -203,7 +235,7 @@
             case messages.CallArrived():
                 self._dispatcher.handle_arrival(event)
             case messages.PeerCalled():
-                self._executor.handle_call(event.link_id, event.call)
+                self._executor.handle_call(event)
             case messages.RunAnswered():
                 self._executor.handle_run_answer(event)
             case messages.PeerAnswered():
--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -123,3 +123,49 @@
         if self.ticket and (self.key or not self.has_own_ticket):
             return True
         return self.may_have_run
+
+
+class ExchangeTable:
+    """Table of the exchanges that are not answered yet.
+
+    Attributes:
+      exchanges_by_origin_id: The exchanges by origin id.
+      held_bytes: Bytes of the bodies of their requests.
+    """
+
+    def __init__(self) -> None:
+        self.exchanges_by_origin_id: dict[int, Exchange] = {}
+        self.held_bytes = 0
+
+    def add(self, exchange: Exchange) -> None:
+        """Adds an exchange."""
+        self.exchanges_by_origin_id[exchange.origin_id] = exchange
+        self.held_bytes += len(exchange.request.body)
+
+    def remove(self, exchange: Exchange) -> None:
+        """Removes an exchange that is answered."""
+        del self.exchanges_by_origin_id[exchange.origin_id]
+        self.held_bytes -= len(exchange.request.body)
+
+    def find(self, origin_id: int) -> Exchange | None:
+        """Returns the exchange with an origin id, or None."""
+        return self.exchanges_by_origin_id.get(origin_id)
+
+    def find_by_event(self, event: messages.Event) -> Exchange | None:
+        """Finds the unanswered exchange that an event belongs to, or None.
+
+        For events whose handling failed; searches all exchanges.
+        """
+        match event:
+            case (
+                messages.CallArrived()
+                | messages.CallerDisconnected()
+                | messages.QuotaGranted()
+                | messages.QuotaRefused()
+            ):
+                return self.find(event.origin_id)
+            case messages.PeerAnswered() | messages.DispatchFailed():
+                for exchange in self.exchanges_by_origin_id.values():
+                    if exchange.last_number == event.number:
+                        return exchange
+        return None
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -90,11 +90,13 @@
                 return self._runs.runs_by_id.get(event.run_id)
         return None
 
-    def handle_call(self, link_id: int, call: rpc.Call) -> None:
+    def handle_call(self, event: messages.PeerCalled) -> None:
         """Opens a run for a call and admits, answers or refuses it."""
+        link_id, call = event.link_id, event.call
         if (link_id, call.number) in self._runs.runs_by_call:
             return
         run = self._open(link_id, call)
+        run.has_room = event.has_room
         self._runs.add(run)
         self._acceptance.record_arrival(call)
         if call.ticket:
--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -64,6 +64,8 @@
 
 def explain_target_shed(server: local_server.LocalServer, run: runs.Run) -> str:
     """Describes why a target node shed a call."""
+    if not run.has_room:
+        return f"no memory for its body of {len(run.call.request.body)} bytes"
     threshold = server.threshold(run.class_name)
     load = server.load()
     waiting = f"{load.running} running, {load.queued} queued" if load else ""
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -165,6 +165,25 @@
             return self._entry_refusal(exchange)
         return self._egress_refusal(exchange)
 
+    def get_class_rank(self, event: messages.CallArrived) -> int:
+        """Returns the rank of the class of a request that is arriving.
+
+        Calls of the local backend server rank first, since the work above them
+        is lost without them.
+
+        Args:
+          event: The request, which may lack its body.
+        """
+        state = self._state
+        if self._authenticator.find_parent(event) is not None:
+            return 0
+        class_name = state.find_class(event.request)
+        if event.key_digest:
+            organisation = state.key_table.find(event.key_digest)
+            if organisation is not None and organisation.class_name:
+                class_name = organisation.class_name
+        return state.preset.get_class_rank(class_name)
+
     def _may_pass_drain(self, exchange: exchanges.Exchange) -> bool:
         """Returns whether a draining node still accepts a request.
 
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -62,10 +62,17 @@
 
 
 class PeerCalled(msgspec.Struct, kw_only=True):
-    """Call frame received on an incoming peer link."""
+    """Call frame received on an incoming peer link.
+
+    Attributes:
+      link_id: Number of the link.
+      call: The call.
+      has_room: Whether the node has memory for the call's body.
+    """
 
     link_id: int
     call: rpc.Call
+    has_room: bool = True
 
 
 class PeerCancelled(msgspec.Struct, kw_only=True):
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -54,6 +54,7 @@
       is_held: Whether the request waits for a connection to the backend server;
         no byte of it was sent then.
       fingerprint: Digest of the request.
+      has_room: Whether the node has memory for the request's body.
       ticket_record: Record of the presented ticket, or None.
       awaited_record: Record of the ticket whose run this call waits for, or
         None.
@@ -82,6 +83,7 @@
     started_at: float = 0.0
     is_held: bool = False
     fingerprint: str = ""
+    has_room: bool = True
     ticket_record: tickets.TicketRecord | None = None
     awaited_record: tickets.TicketRecord | None = None
     joined: list["Run"] = msgspec.field(default_factory=list)
@@ -133,7 +135,13 @@
 
 
 class RunTable:
-    """Table of runs, indexed by run id, call, request id and context."""
+    """Table of runs, indexed by run id, call, request id and context.
+
+    Attributes:
+      runs_by_id: Runs by run id.
+      runs_by_call: Unanswered runs by link id and number of the call.
+      held_bytes: Bytes of the bodies of all runs.
+    """
 
     def __init__(self, *, incarnation: str):
         self._incarnation = incarnation
@@ -142,6 +150,7 @@
         self.runs_by_call: dict[tuple[int, int], Run] = {}
         self._runs_by_request_id: dict[str, Run] = {}
         self._repeat_count = 0
+        self.held_bytes = 0
         self._ended_request_ids: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -161,6 +170,7 @@
     def add(self, run: Run) -> None:
         """Adds a run."""
         self._repeat_count += run.call.is_repeat
+        self.held_bytes += len(run.call.request.body)
         self.runs_by_id[run.run_id] = run
         self.runs_by_call[run.link_id, run.call.number] = run
         self._runs_by_request_id[run.call.user_request_id] = run
@@ -181,6 +191,7 @@
         run.phase = Phase.ENDED
         if self.runs_by_id.pop(run.run_id, None) is not None:
             self._repeat_count -= run.call.is_repeat
+            self.held_bytes -= len(run.call.request.body)
         request_id = run.call.user_request_id
         if self._runs_by_request_id.get(request_id) is run:
             del self._runs_by_request_id[request_id]
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -137,6 +137,17 @@
             self._routes_by_destination[key] = route
         return route
 
+    def find_class(self, request: rpc.Request) -> str:
+        """Returns the class of a request's route, or empty without a route.
+
+        Args:
+          request: Request of a caller; it is not changed.
+        """
+        if not request.authority:
+            return self.route_for(request).class_name
+        found = self._hosts.find(request.authority, request.path)
+        return found.class_name if found is not None else ""
+
     def find_call_route(self, call: rpc.Call) -> model.Route:
         """Returns the route of a call that was selected by its origin.
 
--- a/bergamotdeal/calls/tests/test_host_routes.py
+++ b/bergamotdeal/calls/tests/test_host_routes.py
@@ -267,7 +267,7 @@
     )
     dispatcher = node.engine._dispatcher
     effects = node.send_request(request_id="r2")
-    (exchange,) = dispatcher._exchanges_by_origin_id.values()
+    (exchange,) = dispatcher.exchange_table.exchanges_by_origin_id.values()
     answer = rpc.Answer(outcome=errors.Outcome.COMPLETED, report=b"\xc1")
     effects = node.handle(
         messages.PeerAnswered(
--- a/bergamotdeal/cli/status.py
+++ b/bergamotdeal/cli/status.py
@@ -137,7 +137,7 @@
         f"ready       {readiness}",
         f"preset      {node.preset_name or '-'}, epoch {node.epoch}",
         f"server      {_format_server(node.server)}",
-        f"memory      {node.resident_bytes / BYTES_PER_MB:.1f} MB resident",
+        f"memory      {_format_memory(node)}",
         f"uptime      {node.uptime_s:.0f} s",
     ]
     lines += _format_fleet(node.members)
@@ -156,6 +156,21 @@
     return lines
 
 
+def _format_memory(node: node_status.NodeStatus) -> str:
+    resident_mb, body_mb, capacity_mb = (
+        size / BYTES_PER_MB
+        for size in (
+            node.resident_bytes,
+            node.body_bytes,
+            node.body_capacity_bytes,
+        )
+    )
+    return (
+        f"{resident_mb:.1f} MB resident, {body_mb:.1f} of {capacity_mb:.1f} MB "
+        "for bodies"
+    )
+
+
 def _format_server(server: node_status.ServerStatus | None) -> str:
     if server is None:
         return "none announced"
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -44,6 +44,7 @@
     NOT_READY = "not-ready"
     NO_SERVER = "no-server"
     QUARANTINED = "quarantined"
+    MEMORY_EXHAUSTED = "memory-exhausted"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
 
@@ -163,6 +164,9 @@
     ErrorKind.QUARANTINED: _build_not_run(
         503, "The request is quarantined after crashes.", 30
     ),
+    ErrorKind.MEMORY_EXHAUSTED: _build_not_run(
+        503, "The node has no memory for the request.", 1
+    ),
     ErrorKind.DEADLINE_EXCEEDED: _build_unknown(
         504, "The deadline has passed."
     ),
--- a/bergamotdeal/node/admin.py
+++ b/bergamotdeal/node/admin.py
@@ -11,6 +11,7 @@
 from twisted.internet import interfaces
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import http_exchange
 from bergamotdeal.node import http_server
 from bergamotdeal.node import status as node_status
 from bergamotdeal.rpc import core as rpc
@@ -128,7 +129,9 @@
             self._listener.stopListening()
 
     def _handle_request(
-        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+        self,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
     ) -> None:
         try:
             answer = self._route_request(request)
@@ -142,7 +145,7 @@
             answer = _build_error_answer(errors.ErrorKind.INTERNAL)
         exchange.respond(answer, http_server.build_answer_headers(answer, ""))
 
-    def _route_request(self, request: http_server.HttpRequest) -> rpc.Answer:
+    def _route_request(self, request: http_exchange.HttpRequest) -> rpc.Answer:
         if not self._is_authorized(request):
             return _build_error_answer(errors.ErrorKind.UNAUTHORIZED)
         path, _, query = request.target.partition("?")
@@ -165,7 +168,7 @@
             errors.ErrorKind.NOT_FOUND, "No such path or method."
         )
 
-    def _is_authorized(self, request: http_server.HttpRequest) -> bool:
+    def _is_authorized(self, request: http_exchange.HttpRequest) -> bool:
         # Browsers send Origin; a web page must not reach a listener on the
         # loopback address.
         if request.header("origin"):
--- a/bergamotdeal/node/announcements.py
+++ b/bergamotdeal/node/announcements.py
@@ -7,6 +7,7 @@
 import result
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import http_exchange
 from bergamotdeal.node import http_server
 from bergamotdeal.node import server_report
 from bergamotdeal.rpc import core as rpc
@@ -51,7 +52,9 @@
         self._on_drain = on_drain
 
     def handle_request(
-        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+        self,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
     ) -> None:
         """Answers one request.
 
@@ -62,7 +65,7 @@
         answer = self._route_request(request)
         exchange.respond(answer, http_server.build_answer_headers(answer, ""))
 
-    def _route_request(self, request: http_server.HttpRequest) -> rpc.Answer:
+    def _route_request(self, request: http_exchange.HttpRequest) -> rpc.Answer:
         match request.method, request.target:
             case "PUT", target if target == ANNOUNCE_TARGET:
                 return self._answer_announcement(request.body)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -5,17 +5,18 @@
 import secrets
 
 import result
-from twisted.internet import task
 
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.node import admin
 from bergamotdeal.node import announcements
+from bergamotdeal.node import body_admission
 from bergamotdeal.node import bulk_server
 from bergamotdeal.node import drain
 from bergamotdeal.node import environment
 from bergamotdeal.node import faces
 from bergamotdeal.node import failure_observer
+from bergamotdeal.node import gauges
 from bergamotdeal.node import hub
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import observation
@@ -28,6 +29,7 @@
 from bergamotdeal.node import server_link
 from bergamotdeal.node import server_publisher
 from bergamotdeal.node import server_report
+from bergamotdeal.node import settings_watch
 from bergamotdeal.node import startup_hold
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
@@ -42,9 +44,6 @@
 from bergamotdeal.telemetry import records
 
 INCARNATION_BYTES = 16
-SETTINGS_CHECK_INTERVAL_S = 2.0
-"""Interval at which the settings file is checked for changes."""
-
 MS_PER_S = 1000
 
 
@@ -87,6 +86,12 @@
         self._engine = timed_engine.build_engine(
             settings=settings, incarnation=self._incarnation, rng=self._rng
         )
+        self._bodies = body_admission.build(
+            settings=settings,
+            engine=self._engine,
+            reactor=reactor,
+            record=self._record,
+        )
         self._dispatcher = hub.EventDispatcher(
             reactor=reactor,
             engine=timed_engine.TimedEngine(
@@ -100,6 +105,7 @@
             post=lambda event: self._publisher.handle_event(event),
             dialect=platform_hooks.server_dialect,
             announcement_timeout_s=platform_hooks.server_timeout_s,
+            buffers=self._bodies.buffers,
         )
         self._inquiry = server_inquiry.ServerInquiry(
             platform_hooks=platform_hooks,
@@ -128,6 +134,8 @@
             membership=self._membership, presets=self._presets
         )
         self._entry, self._egress = self._build_faces()
+        for face in (self._entry, self._egress):
+            self._bodies.memory.add_holder(lambda face=face: face.held_bytes)
         self._admin = admin.AdminListener(
             node=self,
             host_id=settings.node.host_id,
@@ -136,8 +144,14 @@
             record=self._record,
         )
         self._flush_s = settings.drain.flush_ms / MS_PER_S
-        self._settings_poll = task.LoopingCall(self.poll_settings)
-        self._settings_poll.clock = reactor
+        self._settings_watch = settings_watch.SettingsWatch(
+            platform_hooks=platform_hooks,
+            reactor=reactor,
+            host_id=settings.node.host_id,
+            emit=self._emit,
+        )
+        self.reload_settings = self._settings_watch.reload
+        self.poll_settings = self._settings_watch.poll
         self._platform_listeners: list[environment.PlatformListener] = []
         if platform_hooks.build_listeners is not None:
             self._platform_listeners = platform_hooks.build_listeners(self)
@@ -205,8 +219,7 @@
         self._publisher.start()
         for listener in self._platform_listeners:
             listener.start(self._reactor)
-        if self._platform_hooks.has_settings_changed is not None:
-            self._settings_poll.start(SETTINGS_CHECK_INTERVAL_S, now=False)
+        self._settings_watch.start()
         self._presets.start()
         if self._registry is not None:
             self._registry.start()
@@ -221,25 +234,6 @@
         """Starts a graceful shutdown; later calls have no effect."""
         self._drain.start()
 
-    def reload_settings(self) -> None:
-        """Reads the settings again; invalid ones leave the old ones active."""
-        reload_hook = self._platform_hooks.reload_settings
-        if reload_hook is None:
-            return
-        source = self._settings.node.host_id
-        problem = reload_hook()
-        if problem is None:
-            code, fields = catalogue.EventCode.SETTINGS_RELOADED, {}
-        else:
-            code = catalogue.EventCode.SETTINGS_REJECTED
-            fields = {"reason": problem}
-        self._emit(code, source=source, **fields)
-
-    def poll_settings(self) -> None:
-        """Reads the settings again if they have changed."""
-        if self._platform_hooks.has_settings_changed():
-            self.reload_settings()
-
     # Called by the platform's listeners.
 
     def register_server(self, announcement: server_report.Announcement) -> None:
@@ -256,7 +250,10 @@
         self._emit(catalogue.EventCode.ANNOUNCEMENT_REJECTED, reason=reason)
 
     def metrics_text(self) -> bytes:
-        """Returns counters and timings in the Prometheus text format."""
+        """Returns all metrics in the Prometheus text format."""
+        gauges.set_gauges(
+            self._recorder.metrics, self.status(with_members=True)
+        )
         return self._recorder.metrics.render_exposition()
 
     def status(self, *, with_members: bool) -> node_status.NodeStatus:
@@ -265,30 +262,19 @@
         Args:
           with_members: Whether to include the members of the fleet.
         """
-        node = self._settings.node
-        members_by_id = self._membership.routed_by_id() if with_members else {}
-        preset = self._presets.preset
-        return node_status.NodeStatus(
-            host_id=node.host_id,
+        return status_report.build_node_status(
+            node=self._settings.node,
             incarnation=self._incarnation,
-            data_centre=node.data_centre,
-            region=node.region,
-            ready=self.is_ready,
-            not_ready_reason=self._presets.not_ready_reason() or "",
-            draining=self._drain.is_draining,
-            epoch=max(0, self._presets.epoch),
-            preset_name=preset.name if preset else "",
             uptime_s=self._reactor.seconds() - self._started_at,
-            resident_bytes=status_report.measure_resident_bytes(),
-            server=status_report.build_server_status(
-                self._engine, server=self._publisher.announcement, preset=preset
-            ),
+            is_ready=self.is_ready,
+            is_draining=self._drain.is_draining,
+            presets=self._presets,
+            server=self._publisher.announcement,
+            engine=self._engine,
+            body_memory=self._bodies.memory,
             quotas=self._quotas.build_status(),
-            members=[
-                status_report.build_member_status(member)
-                for member in members_by_id.values()
-            ],
-            counters_by_name=self._recorder.metrics.get_totals(),
+            members=self._membership.routed_by_id() if with_members else {},
+            node_metrics=self._recorder.metrics,
         )
 
     def offer_in_force(self, data: bytes) -> result.Result[int, str]:
@@ -317,6 +303,8 @@
             record=self._record,
             on_bulk_request=lambda payload: self._bulk_handler.answer(payload),
             hybrid_clock=self._recorder.clock,
+            has_room=self._bodies.has_room_for_call,
+            buffers=self._bodies.buffers,
         )
 
     def _build_membership(self) -> membership_task.MembershipTask:
@@ -413,6 +401,8 @@
                 handle_node_request=handle_node_request,
                 dialect=self._platform_hooks.caller_dialect,
                 hold=hold,
+                admission=self._bodies,
+                buffers=self._bodies.buffers,
             )
             for face, handle_node_request, hold in (
                 (messages.Face.ENTRY, None, entry_hold),
@@ -489,8 +479,8 @@
             listener.stop()
         for each in (self._presets, self._quotas, self._membership, self._peer):
             each.stop()
-        if self._settings_poll.running:
-            self._settings_poll.stop()
+        self._settings_watch.stop()
+        self._bodies.buffers.stop()
         drain.stop_when_flushed(
             reactor=self._reactor, entry=self._entry, flush_s=self._flush_s
         )
--- a/bergamotdeal/node/dialect.py
+++ b/bergamotdeal/node/dialect.py
@@ -13,7 +13,7 @@
 
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
-from bergamotdeal.node import http_server
+from bergamotdeal.node import http_exchange
 from bergamotdeal.rpc import core as rpc
 
 
@@ -30,7 +30,7 @@
 
     def read_call(
         self,
-        request: http_server.HttpRequest,
+        request: http_exchange.HttpRequest,
         *,
         origin_id: int,
         rng: random.Random,
@@ -46,7 +46,7 @@
           The event for the call engine, or what is wrong with the request.
         """
 
-    def is_retry(self, request: http_server.HttpRequest) -> bool:
+    def is_retry(self, request: http_exchange.HttpRequest) -> bool:
         """Returns whether an earlier attempt of the request may have run.
 
         Args:
--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -13,7 +13,10 @@
 
 from bergamotdeal.calls import messages
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import body_admission
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import dialect as dialects
+from bergamotdeal.node import http_exchange
 from bergamotdeal.node import http_server
 from bergamotdeal.node import startup_hold
 from bergamotdeal.organisations import keys
@@ -29,6 +32,14 @@
 MAX_ATTEMPT = 65_535
 MAX_PATH_CHARS = 8192
 MAX_CONTEXT_CHARS = 128
+MAX_RETRY_DELAY_S = 1.0
+"""Longest time after which a caller returns that was refused for want of
+memory. Bodies are held for about the time of a call."""
+
+RETRY_DELAY_SHARE = 1 / 3
+"""Part of the time to its deadline for which a caller waits at most."""
+
+_NO_ORIGIN_ID = 0
 _REQUEST_ID_BYTES = 12
 _MS_PER_S = 1000
 
@@ -50,6 +61,8 @@
       dialect: Headers and statuses that callers use; the node's native
         dialect by default.
       hold: Holds requests while the node starts; None refuses them at once.
+      admission: Refuses requests for want of memory; None refuses none.
+      buffers: Counts the bytes that the connections buffer; None counts none.
     """
 
     def __init__(
@@ -61,11 +74,13 @@
         rng: random.Random,
         origin_ids: "itertools.count[int]",
         handle_node_request: Callable[
-            [http_server.Exchange, http_server.HttpRequest], None
+            [http_exchange.Exchange, http_exchange.HttpRequest], None
         ]
         | None = None,
         dialect: dialects.CallerDialect | None = None,
         hold: startup_hold.StartupHold | None = None,
+        admission: body_admission.BodyAdmission | None = None,
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
         self._face = face
         self._hold = hold
@@ -75,7 +90,7 @@
         self._rng = rng
         self._origin_ids = origin_ids
         self._handle_own = handle_node_request
-        self._exchanges_by_origin_id: dict[int, http_server.Exchange] = {}
+        self._exchanges_by_origin_id: dict[int, http_exchange.Exchange] = {}
         self._listener: interfaces.IListeningPort | None = None
         self._idle_checks = task.LoopingCall(self._enforce_idle_timeout)
         self._factory = http_server.Factory(
@@ -83,7 +98,10 @@
             build_error_headers=lambda answer: self._dialect.finalize_answer(
                 answer, ""
             ),
+            has_room=None if admission is None else self._has_room,
+            buffers=buffers,
         )
+        self._admission = admission
 
     @property
     def port(self) -> int:
@@ -95,6 +113,14 @@
         """Number of open connections."""
         return len(self._factory.channels)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the bodies of requests that are received or held."""
+        held_bytes = self._factory.held_bytes
+        if self._hold is not None:
+            held_bytes += self._hold.held_bytes
+        return held_bytes
+
     def start(
         self, *, reactor: interfaces.IReactorTCP, address: str, port: int
     ) -> None:
@@ -176,8 +202,14 @@
         return True
 
     def _handle_request(
-        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+        self,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
     ) -> None:
+        if request.is_refused:
+            kind = errors.ErrorKind.MEMORY_EXHAUSTED
+            self._refuse_request(exchange, request, kind)
+            return
         if self._handle_own is not None and request.target.startswith("/v1/"):
             self._handle_own(exchange, request)
             return
@@ -186,8 +218,8 @@
 
     def _process_request(
         self,
-        exchange: http_server.Exchange,
-        request: http_server.HttpRequest,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
         held_s: float = 0.0,
     ) -> None:
         origin_id = next(self._origin_ids)
@@ -208,14 +240,41 @@
 
     def _refuse_request(
         self,
-        exchange: http_server.Exchange,
-        request: http_server.HttpRequest,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
         kind: errors.ErrorKind,
     ) -> None:
         may_have_run = self._dialect.is_retry(request)
         answer = rpc.build_error_answer(kind, may_have_run=may_have_run)
+        if kind is errors.ErrorKind.MEMORY_EXHAUSTED:
+            answer.retry_after_s = self._choose_retry_delay(request)
         exchange.respond(answer, self._dialect.finalize_answer(answer, ""))
 
+    def _has_room(
+        self,
+        size_bytes: int,
+        build_request: Callable[[], http_exchange.HttpRequest],
+    ) -> bool:
+        return self._admission.has_room_for_request(
+            size_bytes, lambda: self._read_arrival(build_request())
+        )
+
+    def _read_arrival(
+        self, request: http_exchange.HttpRequest
+    ) -> messages.CallArrived | None:
+        return self._dialect.read_call(
+            request, origin_id=_NO_ORIGIN_ID, rng=self._rng
+        ).unwrap_or(None)
+
+    def _choose_retry_delay(self, request: http_exchange.HttpRequest) -> float:
+        """Returns the seconds after which a refused caller may return."""
+        longest_s = MAX_RETRY_DELAY_S
+        arrival = self._read_arrival(request)
+        if arrival is not None and arrival.deadline_ms is not None:
+            left_s = arrival.deadline_ms / _MS_PER_S
+            longest_s = min(longest_s, RETRY_DELAY_SHARE * left_s)
+        return self._rng.uniform(longest_s / 2, longest_s)
+
     def _enforce_idle_timeout(self) -> None:
         self._factory.enforce_idle_timeout()
 
@@ -237,7 +296,7 @@
 
     def read_call(
         self,
-        request: http_server.HttpRequest,
+        request: http_exchange.HttpRequest,
         *,
         origin_id: int,
         rng: random.Random,
@@ -251,7 +310,7 @@
             call.key_digest = keys.extract_digest(call.request.headers)
         return parsed
 
-    def is_retry(self, request: http_server.HttpRequest) -> bool:
+    def is_retry(self, request: http_exchange.HttpRequest) -> bool:
         """Returns whether an earlier attempt of the request may have run."""
         # A malformed attempt or ticket header still indicates a retry.
         attempt = request.header(header_names.ATTEMPT)
@@ -281,7 +340,7 @@
 
 
 def parse_call(
-    request: http_server.HttpRequest,
+    request: http_exchange.HttpRequest,
     *,
     face: messages.Face,
     origin_id: int,
--- a/bergamotdeal/node/gauges.py
+++ b/bergamotdeal/node/gauges.py
@@ -25,6 +25,10 @@
     """
     node_metrics.set_gauge(metrics.Gauge.EPOCH, status.epoch)
     node_metrics.set_gauge(metrics.Gauge.RESIDENT_BYTES, status.resident_bytes)
+    node_metrics.set_gauge(metrics.Gauge.BODY_BYTES, status.body_bytes)
+    node_metrics.set_gauge(
+        metrics.Gauge.BODY_CAPACITY_BYTES, status.body_capacity_bytes
+    )
     member_counts_by_state = collections.Counter(
         member.state for member in status.members
     )
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 
 import httptools
-import msgspec
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import connection_buffers
+from bergamotdeal.node import http_exchange
 from bergamotdeal.node import http_message
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import framing
@@ -33,96 +34,6 @@
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class HttpRequest(msgspec.Struct, kw_only=True):
-    """A complete HTTP request.
-
-    Attributes:
-      method: HTTP method.
-      target: Path and query string.
-      headers: Pairs of lower-case name and value.
-      body: Complete body.
-      keep_alive: Whether the client may reuse the connection.
-    """
-
-    method: str
-    target: str
-    headers: rpc.Headers
-    body: bytes
-    keep_alive: bool = True
-
-    def header(self, name: str, default: str = "") -> str:
-        """Returns the first value of a header.
-
-        Args:
-          name: Header name in lower case.
-          default: Value to return when the header is missing.
-        """
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return default
-
-
-class Exchange:
-    """One request and its response on a channel.
-
-    Attributes:
-      on_disconnect: Called when the client disconnects before the response.
-
-    Args:
-      channel: Connection that carries the exchange.
-      method: HTTP method of the request.
-      keep_alive: Whether the connection stays open after the response.
-    """
-
-    __slots__ = (
-        "_channel",
-        "_keep_alive",
-        "_method",
-        "_responded",
-        "on_disconnect",
-    )
-
-    def __init__(
-        self, *, channel: "Channel", method: str, keep_alive: bool
-    ) -> None:
-        self.on_disconnect: Callable[[], None] | None = None
-        self._channel = channel
-        self._method = method
-        self._keep_alive = keep_alive
-        self._responded = False
-
-    @property
-    def is_answered(self) -> bool:
-        """Whether the response was written or the client disconnected."""
-        return self._responded
-
-    def respond(self, answer: rpc.Answer, headers: rpc.Headers) -> None:
-        """Writes the response; later calls do nothing.
-
-        Args:
-          answer: Status, end-to-end headers and body.
-          headers: Headers that the node adds.
-        """
-        if self._responded:
-            return
-        self._responded = True
-        channel = self._channel
-        close = channel.factory.is_draining or not self._keep_alive
-        data = http_message.render_response(
-            answer, headers, close=close, is_head=self._method == "HEAD"
-        )
-        channel.send_response(data, close=close)
-
-    def lost(self) -> None:
-        """Reports that the client disconnected before the response."""
-        if self._responded:
-            return
-        self._responded = True
-        if self.on_disconnect is not None:
-            self.on_disconnect()
-
-
 class Channel(protocol.Protocol):
     """The server side of a connection; answers bad input with an ErrorKind."""
 
@@ -130,12 +41,15 @@
 
     def __init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
-        self._exchange: Exchange | None = None
-        self._pipelined: collections.deque[HttpRequest] = collections.deque()
+        self._exchange: http_exchange.Exchange | None = None
+        self._pipelined: collections.deque[http_exchange.HttpRequest] = (
+            collections.deque()
+        )
         self._ignores_input = False
         self._close_after_response = False
         self._is_reading_paused = False
         self._last_activity_at = 0.0
+        self._held_bytes = 0
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -145,7 +59,15 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._request_bytes = 0
+        self._declared_bytes = 0
         self._is_reading_head = True
+        self._is_skipping_body = False
+        self._is_answered_early = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the connection closes after its next response."""
+        return self.factory.is_draining
 
     @property
     def is_idle(self) -> bool:
@@ -202,6 +124,7 @@
         del reason
         self.factory.channels.discard(self)
         self._pipelined.clear()
+        self._release(self._held_bytes)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.lost()
@@ -265,13 +188,19 @@
         if size > rpc.MAX_HEADER_BYTES:
             self.reject_request(errors.ErrorKind.HEADERS_TOO_LARGE)
             return
+        expects_continue = False
         for name, value in self._headers:
-            if name == "content-length" and int(value) > (
-                self.factory.max_body_bytes
-            ):
-                self.reject_request(errors.ErrorKind.BODY_TOO_LARGE)
+            if name == "content-length":
+                self._declared_bytes = int(value)
             elif name == "expect" and value.lower() == "100-continue":
-                self._send_continue()
+                expects_continue = True
+        if self._declared_bytes > self.factory.max_body_bytes:
+            self.reject_request(errors.ErrorKind.BODY_TOO_LARGE)
+            return
+        # A request without a body has an answer that may be large.
+        self._take_in(self._declared_bytes)
+        if expects_continue:
+            self._answer_expectation()
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
@@ -280,19 +209,21 @@
             self._body_parts.clear()
             self.reject_request(errors.ErrorKind.BODY_TOO_LARGE)
             return
-        self._body_parts.append(body)
+        if not self._declared_bytes and not self._is_skipping_body:
+            self._take_in(len(body))
+        if not self._is_skipping_body:
+            self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Dispatches the request, or queues it behind the current one."""
         if self._ignores_input or self._parser.should_upgrade():
             return
-        request = HttpRequest(
-            method=self._parser.get_method().decode("latin-1"),
-            target=b"".join(self._target).decode("latin-1"),
-            headers=self._headers,
-            body=b"".join(self._body_parts),
-            keep_alive=self._parser.should_keep_alive(),
-        )
+        if self._is_answered_early:
+            self._reset_request()
+            if self._close_after_response:
+                self._close()
+            return
+        request = self._build_request()
         self._reset_request()
         if self._exchange is None:
             self._dispatch_request(request)
@@ -305,6 +236,51 @@
             self._is_reading_paused = True
             self.transport.pauseProducing()
 
+    def _build_request(self) -> http_exchange.HttpRequest:
+        """Builds the request from what has been received of it."""
+        return http_exchange.HttpRequest(
+            method=self._parser.get_method().decode("latin-1"),
+            target=b"".join(self._target).decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body_parts),
+            keep_alive=self._parser.should_keep_alive(),
+            is_refused=self._is_skipping_body,
+        )
+
+    # Memory for the body.
+
+    def _take_in(self, size_bytes: int) -> None:
+        """Holds memory for the body or a part of it, or refuses the request."""
+        if self._ignores_input:
+            return
+        if self.factory.has_room(size_bytes, self._build_request):
+            self._held_bytes += size_bytes
+            self.factory.held_bytes += size_bytes
+            return
+        # The client may go on sending; closing the connection before it ends
+        # would reset it and could destroy the answer.
+        self._is_skipping_body = True
+        self._release(sum(map(len, self._body_parts)))
+        self._body_parts.clear()
+        if self._exchange is None:
+            self._is_answered_early = True
+            self._dispatch_request(self._build_request())
+
+    def _release(self, size_bytes: int) -> None:
+        self._held_bytes -= size_bytes
+        self.factory.held_bytes -= size_bytes
+
+    def _answer_expectation(self) -> None:
+        if self._is_answered_early:
+            # The client won't send the body.
+            self._close()
+        elif not self._ignores_input and self._exchange is None:
+            self.transport.write(_CONTINUE_RESPONSE)
+
+    def _close(self) -> None:
+        self._ignores_input = True
+        self.transport.loseConnection()
+
     # Called by the exchange and the factory.
 
     def send_response(self, data: bytes, *, close: bool) -> None:
@@ -317,12 +293,15 @@
         self._exchange = None
         self._last_activity_at = self.factory.seconds()
         transport.write_now(self.transport, data)
-        if self._pipelined and not close:
+        if self.factory.buffers is not None:
+            self.factory.buffers.watch_output(self.transport)
+        if self._is_answered_early:
+            self._close_after_response |= close
+        elif self._pipelined and not close:
             self._dispatch_request(self._pipelined.popleft())
         elif close or self._close_after_response:
             self._pipelined.clear()
-            self._ignores_input = True
-            self.transport.loseConnection()
+            self._close()
         elif self._is_reading_paused:
             self._is_reading_paused = False
             self.transport.resumeProducing()
@@ -335,6 +314,9 @@
         """
         if self._ignores_input:
             return
+        if self._is_answered_early:
+            self._close()
+            return
         self._ignores_input = True
         if self._exchange is not None:
             # An earlier valid request is still in progress; its response is
@@ -348,8 +330,9 @@
         )
         self.transport.loseConnection()
 
-    def _dispatch_request(self, request: HttpRequest) -> None:
-        exchange = Exchange(
+    def _dispatch_request(self, request: http_exchange.HttpRequest) -> None:
+        self._release(len(request.body))
+        exchange = http_exchange.Exchange(
             channel=self,
             method=request.method,
             keep_alive=request.keep_alive and not self._close_after_response,
@@ -357,10 +340,6 @@
         self._exchange = exchange
         self.factory.handler(exchange, request)
 
-    def _send_continue(self) -> None:
-        if not self._ignores_input and self._exchange is None:
-            self.transport.write(_CONTINUE_RESPONSE)
-
     def _reject_unparsable(self) -> None:
         is_head_too_long = (
             self._is_reading_head and self._head_bytes > rpc.MAX_HEADER_BYTES
@@ -384,12 +363,18 @@
       idle_timeout_s: Idle time in seconds after which a connection is closed.
       channels: Open connections.
       is_draining: Whether each connection closes after its next response.
+      has_room: Returns whether there is memory for a number of bytes of a
+        request; the second argument builds what is known of it.
+      held_bytes: Bytes of the bodies that are being received or queued.
+      buffers: Counts the bytes that the connections buffer; None counts none.
 
     Args:
       handler: See the attribute.
       seconds: See the attribute; without it the clock stands at zero.
       build_error_headers: See the attribute; without it the node's native
         headers are used.
+      has_room: See the attribute; without it there always is.
+      buffers: See the attribute.
     """
 
     noisy = False
@@ -397,11 +382,19 @@
     def __init__(
         self,
         *,
-        handler: Callable[[Exchange, HttpRequest], None],
+        handler: Callable[
+            [http_exchange.Exchange, http_exchange.HttpRequest], None
+        ],
         seconds: Callable[[], float] | None = None,
         build_error_headers: Callable[[rpc.Answer], rpc.Headers] | None = None,
+        has_room: Callable[[int, Callable[[], http_exchange.HttpRequest]], bool]
+        | None = None,
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
         self.handler = handler
+        self.has_room = has_room or _has_always_room
+        self.held_bytes = 0
+        self.buffers = buffers
         self.seconds = seconds or _get_zero_seconds
         self.build_error_headers = build_error_headers or _build_native_headers
         self.max_body_bytes = rpc.MAX_BODY_BYTES
@@ -465,5 +458,12 @@
     return build_answer_headers(answer, "")
 
 
+def _has_always_room(
+    size_bytes: int, build_request: Callable[[], http_exchange.HttpRequest]
+) -> bool:
+    del size_bytes, build_request
+    return True
+
+
 def _get_zero_seconds() -> float:
     return 0.0
--- a/bergamotdeal/node/peer.py
+++ b/bergamotdeal/node/peer.py
@@ -15,8 +15,10 @@
 
 from bergamotdeal.calls import messages as calls
 from bergamotdeal.node import bulk
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import outgoing
 from bergamotdeal.node import peer_link
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import clock
 from bergamotdeal.telemetry import records
@@ -41,6 +43,9 @@
       record: Takes events for the event log.
       on_bulk_request: Returns the response to a bulk request's payload.
       hybrid_clock: Stamps calls and answers and is advanced by received stamps.
+      has_room: Returns whether there is memory for the body of a call; without
+        it there always is.
+      buffers: Counts the bytes that the links buffer; None counts none.
 
     Attributes:
       outgoing: Links on which this node calls others.
@@ -60,6 +65,8 @@
         on_bulk_request: Callable[[bytes], bytes],
         hybrid_clock: clock.HybridLogicalClock,
         data_centre: str = "",
+        has_room: Callable[[rpc.Call], bool] | None = None,
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
         self._reactor = reactor
         self._post = post
@@ -74,7 +81,9 @@
             rng=rng,
             clock=reactor.seconds,
             data_centre=data_centre,
+            buffers=buffers,
         )
+        self._has_room = has_room or (lambda _: True)
         self.outgoing = outgoing.OutgoingLinks(
             reactor=reactor,
             builder=self._builder,
@@ -207,7 +216,13 @@
             case messages.CallFrame():
                 self._clock.observe(frame.call.stamp)
                 self._on_peer_epoch(frame.call.epoch, link.peer_hello.host_id)
-                self._post(calls.PeerCalled(link_id=link_id, call=frame.call))
+                self._post(
+                    calls.PeerCalled(
+                        link_id=link_id,
+                        call=frame.call,
+                        has_room=self._has_room(frame.call),
+                    )
+                )
             case messages.CancelFrame():
                 self._post(
                     calls.PeerCancelled(link_id=link_id, number=frame.number)
--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -9,6 +9,7 @@
 from twisted.protocols import basic
 from twisted.python import failure as twisted_failure
 
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import handshake
 from bergamotdeal.utils import transport
 from bergamotdeal.wire import codec
@@ -57,6 +58,7 @@
       on_open: Called once when the link is open.
       on_frame: Called with each frame of an open link.
       on_closed: Called once when the link is closed.
+      buffers: Counts the bytes that the link buffers; None counts none.
     """
 
     MAX_LENGTH = MAX_HANDSHAKE_FRAME_BYTES
@@ -72,8 +74,14 @@
         on_open: Callable[["PeerLink"], None],
         on_frame: Callable[["PeerLink", messages.Frame], None],
         on_closed: Callable[["PeerLink"], None],
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
         self.state = LinkState.AWAITING_HELLO
+        self._buffers = buffers
+        # Parts of a frame after the one in the base class's buffer.
+        self._frame_parts: list[bytes] = []
+        self._frame_parts_bytes = 0
+        self._missing_bytes = 0
         self.peer_hello: messages.Hello | None = None
         self.last_received_at = clock()
         self.close_reason = "closed by the other side"
@@ -109,6 +117,8 @@
             data = self._compressor.compress(data)
         prefix = len(data).to_bytes(self.prefixLength, "big")
         transport.write_now(self.transport, prefix + data)
+        if self._buffers is not None:
+            self._buffers.watch_output(self.transport)
 
     def close(self, reason: str, *, flush: bool = False) -> None:
         """Closes the link.
@@ -134,6 +144,11 @@
           now: Current time in monotonic seconds.
           has_pending_calls: Whether calls on the link await answers.
         """
+        if self._is_paused():
+            # The other side can't be heard but must not take this for silence.
+            self.last_received_at = now
+            self.send(messages.Pong(number=0))
+            return
         silent_s = now - self.last_received_at
         if self.state is not LinkState.OPEN:
             if silent_s > HANDSHAKE_TIMEOUT_S:
@@ -156,8 +171,50 @@
         self._last_ping_at = now
         self.send(messages.Ping(number=self._last_ping_number))
 
+    def _is_paused(self) -> bool:
+        """Returns whether the link isn't read for want of memory."""
+        return (
+            self.state is LinkState.OPEN
+            and self._buffers is not None
+            and self._buffers.is_input_paused(self.transport)
+        )
+
     # Called by Twisted.
 
+    def dataReceived(self, data: bytes) -> None:
+        """Collects the parts of a large frame and parses complete ones.
+
+        The base class would copy what it has of a frame with each part.
+
+        Args:
+          data: Received bytes.
+        """
+        self._missing_bytes -= len(data)
+        if self._missing_bytes > 0:
+            self._frame_parts.append(data)
+            self._frame_parts_bytes += len(data)
+        else:
+            received = b"".join((*self._frame_parts, data))
+            self._clear_frame_parts()
+            super().dataReceived(received)
+            self._missing_bytes = self._count_missing_bytes()
+        if self._buffers is not None and self.state is LinkState.OPEN:
+            self._buffers.update_input(
+                self.transport, len(self._unprocessed) + self._frame_parts_bytes
+            )
+
+    def _clear_frame_parts(self) -> None:
+        self._frame_parts.clear()
+        self._frame_parts_bytes = 0
+
+    def _count_missing_bytes(self) -> int:
+        """Returns how many bytes the frame in the base class's buffer lacks."""
+        start = self._unprocessed[: self.prefixLength]
+        if len(start) < self.prefixLength:
+            return 0
+        length = int.from_bytes(start, "big")
+        return self.prefixLength + length - len(self._unprocessed)
+
     def stringReceived(self, string: bytes) -> None:
         """Decodes and handles a frame.
 
@@ -197,6 +254,10 @@
           reason: Why it ended.
         """
         del reason
+        self._clear_frame_parts()
+        self._unprocessed = b""
+        if self._buffers is not None:
+            self._buffers.discard_input(self.transport)
         self.close(self.close_reason)
 
     def _handle_frame(self, frame: messages.Frame) -> None:
@@ -279,6 +340,7 @@
       key: Key that all nodes share.
       rng: Source of nonces, which must be a system source outside of tests.
       clock: Returns monotonic seconds.
+      buffers: Counts the bytes that the links buffer; None counts none.
     """
 
     def __init__(
@@ -290,7 +352,9 @@
         rng: random.Random,
         clock: Callable[[], float],
         data_centre: str = "",
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
+        self._buffers = buffers
         self._host_id = host_id
         self._data_centre = data_centre
         self._incarnation = incarnation
@@ -332,6 +396,7 @@
             on_open=on_open,
             on_frame=on_frame,
             on_closed=on_closed,
+            buffers=self._buffers,
         )
 
 
--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -16,6 +16,7 @@
 from twisted.python import failure as twisted_failure
 
 from bergamotdeal.calls import messages
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import http_message
 from bergamotdeal.rpc import core as rpc
@@ -52,6 +53,7 @@
         server reports with its answer, or what is wrong with the report.
       dialect: Headers that the server uses; the node's native dialect by
         default.
+      buffers: Counts the bytes that the connection buffers; None counts none.
     """
 
     def __init__(
@@ -62,8 +64,10 @@
         post: Callable[[messages.Event], None],
         on_condition: Callable[[int, ConditionResult], None] | None = None,
         dialect: dialects.ServerDialect | None = None,
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
         self.run: messages.StartRun | None = None
+        self._buffers = buffers
         self.completed_runs = 0
         self.connected_at = 0.0
         self.is_lost = False
@@ -112,6 +116,8 @@
         self._reset_answer()
         request = self._dialect.render_request(run, server_id)
         transport.write_now(self.transport, request)
+        if self._buffers is not None:
+            self._buffers.watch_output(self.transport)
 
     def _reset_answer(self) -> None:
         self._headers: rpc.Headers = []
@@ -166,6 +172,8 @@
             self._finish_run()
         elif framing.exceeds_limit(self._received_bytes, self._body_bytes):
             self.fail_run(messages.RunFailure.TOO_LARGE)
+        elif self._buffers is not None:
+            self._buffers.update_input(self.transport, self._body_bytes)
 
     def connectionLost(
         self, reason: twisted_failure.Failure = protocol.connectionDone
@@ -281,6 +289,7 @@
             return
         run = self.run
         self.run = None
+        self._discard_input()
         self.completed_runs += 1
         if isinstance(self._answer_class, dialects.NotExecuted):
             self._has_refused = True
@@ -358,9 +367,14 @@
         self._is_closed = True
         # The transport keeps this object until the next garbage collection.
         self._body_parts.clear()
+        self._discard_input()
         self.transport.abortConnection()
         self._on_closed(self)
 
+    def _discard_input(self) -> None:
+        if self._buffers is not None:
+            self._buffers.discard_input(self.transport)
+
 
 class NativeDialect:
     """Native dialect for backend servers, as described in docs/callers.md."""
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -14,6 +14,7 @@
 from bergamotdeal.calls import messages
 from bergamotdeal.node import active_runs
 from bergamotdeal.node import connect_guard
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import server_condition
 from bergamotdeal.node import server_connection
@@ -49,6 +50,7 @@
         default.
       announcement_timeout_s: Time in seconds without an announcement after
         which the server counts as silent.
+      buffers: Counts the bytes that the connections buffer; None counts none.
     """
 
     def __init__(
@@ -58,7 +60,9 @@
         post: Callable[[messages.Event], None],
         dialect: dialects.ServerDialect | None = None,
         announcement_timeout_s: float = ANNOUNCEMENT_TIMEOUT_S,
+        buffers: connection_buffers.ConnectionBuffers | None = None,
     ) -> None:
+        self._buffers = buffers
         self._reactor = reactor
         self._post = post
         self._dialect = dialect
@@ -251,6 +255,7 @@
             post=self._post_run_event,
             on_condition=self._handle_condition,
             dialect=self._dialect,
+            buffers=self._buffers,
         )
         self._reactor.connectTCP(
             self._announcement.address,
--- a/bergamotdeal/node/side_face.py
+++ b/bergamotdeal/node/side_face.py
@@ -7,6 +7,7 @@
 from twisted.internet import task
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.node import http_exchange
 from bergamotdeal.node import http_server
 from bergamotdeal.rpc import core as rpc
 
@@ -26,7 +27,7 @@
         *,
         address: str,
         port: int,
-        handler: Callable[[http_server.HttpRequest], rpc.Answer],
+        handler: Callable[[http_exchange.HttpRequest], rpc.Answer],
         path: str = "",
     ) -> None:
         self._path = path
@@ -60,7 +61,9 @@
             self._listener.stopListening()
 
     def _handle_request(
-        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+        self,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
     ) -> None:
         if self._path in ("", request.target.partition("?")[0]):
             exchange.respond(self._handler(request), [])
--- a/bergamotdeal/node/startup_hold.py
+++ b/bergamotdeal/node/startup_hold.py
@@ -11,7 +11,7 @@
 from twisted.internet import task
 
 from bergamotdeal.membership import core as membership
-from bergamotdeal.node import http_server
+from bergamotdeal.node import http_exchange
 from bergamotdeal.presets import model
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
@@ -27,12 +27,14 @@
 MAX_HELD_BYTES = 4 * 1024 * 1024
 _MS_PER_S = 1000
 
-Handler = Callable[[http_server.Exchange, http_server.HttpRequest, float], None]
+Handler = Callable[
+    [http_exchange.Exchange, http_exchange.HttpRequest, float], None
+]
 
 
 class _HeldRequest(msgspec.Struct, frozen=True, kw_only=True):
-    exchange: http_server.Exchange
-    request: http_server.HttpRequest
+    exchange: http_exchange.Exchange
+    request: http_exchange.HttpRequest
     arrived_at: float
 
 
@@ -85,6 +87,11 @@
         self._checks = task.LoopingCall(self._check)
         self._checks.clock = reactor
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the bodies of the requests that are held."""
+        return self._held_bytes
+
     def start(self, handle: Handler) -> None:
         """Starts to hold requests.
 
@@ -111,7 +118,9 @@
             self._record(records.EventRecord(code=code, fields=fields))
 
     def add(
-        self, exchange: http_server.Exchange, request: http_server.HttpRequest
+        self,
+        exchange: http_exchange.Exchange,
+        request: http_exchange.HttpRequest,
     ) -> bool:
         """Holds a request.
 
--- a/bergamotdeal/node/status.py
+++ b/bergamotdeal/node/status.py
@@ -95,6 +95,8 @@
       preset_name: Name of the preset in force on this node, or empty.
       uptime_s: Seconds since the process started.
       resident_bytes: Resident memory in bytes.
+      body_bytes: Bytes of bodies that the node holds.
+      body_capacity_bytes: Bytes of bodies that the node may hold.
       server: Backend server, or None before its first announcement.
       quotas: Caps of organisations, or None without caps.
       members: Members of the fleet as this node sees them.
@@ -112,6 +114,8 @@
     preset_name: str = ""
     uptime_s: float = 0.0
     resident_bytes: int = 0
+    body_bytes: int = 0
+    body_capacity_bytes: int = 0
     server: ServerStatus | None = None
     quotas: QuotaStatus | None = None
     members: list[MemberStatus] = msgspec.field(default_factory=list)
--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -1,14 +1,18 @@
 """Builders for the parts of a node's status."""
 
+from collections.abc import Mapping
 import resource
 import sys
 
 from bergamotdeal.calls import engine as call_engine
 from bergamotdeal.calls import messages
 from bergamotdeal.membership import core as membership
+from bergamotdeal.memory import core as memory
+from bergamotdeal.node import presets as preset_task
 from bergamotdeal.node import status
 from bergamotdeal.presets import model as preset_model
 from bergamotdeal.settings import model as settings_model
+from bergamotdeal.telemetry import metrics
 
 _PAGE_BYTES = resource.getpagesize()
 _STATM_RESIDENT_FIELD = 1
@@ -33,6 +37,59 @@
         )
 
 
+def build_node_status(
+    *,
+    node: settings_model.NodeSection,
+    incarnation: str,
+    uptime_s: float,
+    is_ready: bool,
+    is_draining: bool,
+    presets: preset_task.PresetTask,
+    server: messages.ServerAnnounced | None,
+    engine: call_engine.Engine,
+    body_memory: memory.BodyMemory,
+    quotas: status.QuotaStatus | None,
+    members: Mapping[str, membership.Member],
+    node_metrics: metrics.Metrics,
+) -> status.NodeStatus:
+    """Builds the status of a node.
+
+    Args:
+      node: Identity and location of the node.
+      incarnation: Incarnation of the process.
+      uptime_s: Seconds since the process started.
+      is_ready: Whether the node serves calls.
+      is_draining: Whether the node is draining.
+      presets: Task that knows the preset in force.
+      server: Announced backend server, or None.
+      engine: Call engine, which knows the load and the thresholds.
+      body_memory: Memory for bodies.
+      quotas: Caps of organisations, or None without caps.
+      members: Members to report, by host id.
+      node_metrics: Metrics of the node.
+    """
+    preset = presets.preset
+    return status.NodeStatus(
+        host_id=node.host_id,
+        incarnation=incarnation,
+        data_centre=node.data_centre,
+        region=node.region,
+        ready=is_ready,
+        not_ready_reason=presets.not_ready_reason() or "",
+        draining=is_draining,
+        epoch=max(0, presets.epoch),
+        preset_name=preset.name if preset else "",
+        uptime_s=uptime_s,
+        resident_bytes=measure_resident_bytes(),
+        body_bytes=body_memory.used_bytes,
+        body_capacity_bytes=body_memory.capacity_bytes,
+        server=build_server_status(engine, server=server, preset=preset),
+        quotas=quotas,
+        members=[build_member_status(member) for member in members.values()],
+        counters_by_name=node_metrics.get_totals(),
+    )
+
+
 def build_server_status(
     engine: call_engine.Engine,
     *,
--- a/bergamotdeal/node/tests/test_faces.py
+++ b/bergamotdeal/node/tests/test_faces.py
@@ -17,7 +17,7 @@
 
 
 class Harness:
-    def __init__(self, face=messages.Face.ENTRY, ready=True):
+    def __init__(self, face=messages.Face.ENTRY, ready=True, admission=None):
         self.events = []
         self.listener = faces.CallListener(
             face=face,
@@ -25,6 +25,7 @@
             is_ready=lambda: ready,
             rng=random.Random(1),
             origin_ids=itertools.count(1),
+            admission=admission,
         )
         self.reactor = testing.MemoryReactorClock()
         self.listener.start(
@@ -285,3 +286,49 @@
     assert before.key_digest is None
     assert during.request.headers == []
     assert during.key_digest == keys.digest_key("k-1")
+
+
+class FullMemory:
+    """Admission of a node without memory."""
+
+    def __init__(self):
+        self.arrivals = []
+
+    def has_room_for_request(self, size_bytes, read_arrival):
+        self.arrivals.append(read_arrival())
+        return False
+
+
+# Guards against callers who are told that a request did not run although an
+# earlier attempt of it may have.
+@pytest.mark.parametrize(
+    ("attempt", "outcome"), [("0", "not-run"), ("1", "unknown")]
+)
+def test_request_without_memory_is_refused_truthfully(attempt, outcome):
+    admission = FullMemory()
+    harness = Harness(admission=admission)
+    status, headers_by_name, _ = harness.send(
+        request(
+            method="POST",
+            headers="Bergamot-Deadline-Ms: 600\r\nContent-Length: 2\r\n"
+            f"Bergamot-Attempt: {attempt}\r\n",
+            body=b"{}",
+        )
+    )
+    assert (status, headers_by_name["bergamot-outcome"]) == (503, outcome)
+    assert headers_by_name["bergamot-error"] == "memory-exhausted"
+    assert 0 < float(headers_by_name["retry-after"]) <= 0.2
+    assert harness.events == []
+    assert admission.arrivals[0].request.path == "/kits"
+    assert harness.listener.held_bytes == 0
+
+
+def test_malformed_request_without_memory_is_refused():
+    admission = FullMemory()
+    harness = Harness(admission=admission)
+    status, headers_by_name, _ = harness.send(
+        request(headers="Bergamot-Deadline-Ms: x\r\n")
+    )
+    assert status == 503
+    assert 0 < float(headers_by_name["retry-after"]) <= faces.MAX_RETRY_DELAY_S
+    assert admission.arrivals == [None]
--- a/bergamotdeal/node/tests/test_http_server.py
+++ b/bergamotdeal/node/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server: a request is dispatched as it was sent."""
 
+import re
+
 import pytest
 from twisted.internet import testing
 
@@ -107,3 +109,159 @@
     )
     assert harness.requests == []
     assert harness.transport.value().startswith(b"HTTP/1.1 400 ")
+
+
+class MemoryHarness:
+    """Channel of a node whose memory has room or has not."""
+
+    def __init__(self):
+        self.has_room = True
+        self.requests = []
+        self.exchanges = []
+        self.asked = []
+        self.factory = http_server.Factory(
+            handler=self._handle, has_room=self._has_room
+        )
+        self.channel = self.factory.buildProtocol(None)
+        self.transport = testing.StringTransport()
+        self.channel.makeConnection(self.transport)
+
+    def _has_room(self, size_bytes, build_request):
+        self.asked.append((size_bytes, build_request().target))
+        return self.has_room
+
+    def _handle(self, exchange, request):
+        self.requests.append(request)
+        self.exchanges.append(exchange)
+        if request.is_refused:
+            kind = errors.ErrorKind.MEMORY_EXHAUSTED
+            exchange.respond(rpc.build_error_answer(kind), [])
+
+    def send(self, data, step=1):
+        for start in range(0, len(data), step):
+            self.channel.dataReceived(data[start : start + step])
+
+    def respond(self):
+        answer = rpc.Answer(
+            outcome=errors.Outcome.COMPLETED, status=200, body=b"ok"
+        )
+        self.exchanges[-1].respond(answer, [])
+
+    def read_statuses(self):
+        return re.findall(rb"HTTP/1\.1 (\d{3}) ", self.transport.value())
+
+
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [(LENGTH, BODY), (CHUNKED, CHUNKED_BODY)],
+    ids=["length", "chunked"],
+)
+def test_body_is_held_until_the_request_is_dispatched(framing, body, step):
+    harness = MemoryHarness()
+    request = build_request(framing, body)
+    harness.send(request[:-2], step)
+    if framing is LENGTH:
+        assert harness.factory.held_bytes == len(BODY)
+    harness.send(request[-2:], step)
+    assert harness.factory.held_bytes == 0
+    harness.send(request, step)  # Waits behind the first one.
+    assert harness.factory.held_bytes == len(BODY)
+    harness.respond()
+    assert harness.factory.held_bytes == 0
+    assert [each.body for each in harness.requests] == [BODY, BODY]
+
+
+def test_body_of_a_lost_connection_is_not_held():
+    harness = MemoryHarness()
+    harness.send(build_request(LENGTH, BODY)[:-1])
+    harness.channel.connectionLost()
+    assert harness.factory.held_bytes == 0
+
+
+# Guards against an answer that is destroyed by the reset of a connection which
+# is closed while the client still sends the body.
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [(LENGTH, BODY), (CHUNKED, CHUNKED_BODY)],
+    ids=["length", "chunked"],
+)
+def test_request_without_memory_is_refused_at_once_and_its_body_skipped(
+    framing, body, step
+):
+    harness = MemoryHarness()
+    harness.has_room = False
+    request = build_request(framing, body)
+    head_bytes = request.index(b"\r\n\r\n") + 4
+    harness.send(request[: head_bytes + 1], step)
+    if framing is LENGTH:
+        assert harness.read_statuses() == [b"503"]
+    harness.send(request[head_bytes + 1 :], step)
+    assert harness.read_statuses() == [b"503"]
+    assert harness.factory.held_bytes == 0
+    assert not harness.transport.disconnecting
+    harness.has_room = True
+    harness.send(request, step)
+    assert harness.requests[-1].body == BODY
+    harness.respond()
+    assert harness.read_statuses() == [b"503", b"200"]
+
+
+def test_memory_that_ends_within_a_chunked_body_refuses_it():
+    harness = MemoryHarness()
+    request = build_request(CHUNKED, CHUNKED_BODY)
+    harness.send(request[: request.index(b"3\r\nllo")])
+    assert harness.factory.held_bytes == 2
+    harness.has_room = False
+    harness.send(request[request.index(b"3\r\nllo") :])
+    assert harness.factory.held_bytes == 0
+    assert harness.read_statuses() == [b"503"]
+    assert [each.is_refused for each in harness.requests] == [True]
+
+
+def test_refusal_behind_another_request_waits_for_its_turn():
+    harness = MemoryHarness()
+    harness.send(SECOND)
+    harness.has_room = False
+    harness.send(build_request(LENGTH, BODY))
+    assert harness.read_statuses() == []
+    harness.respond()
+    assert harness.read_statuses() == [b"200", b"503"]
+
+
+def test_refused_client_that_waits_to_continue_is_closed():
+    harness = MemoryHarness()
+    harness.has_room = False
+    headers = b"Expect: 100-continue\r\n" + LENGTH
+    harness.send(build_request(headers, b""))
+    assert harness.read_statuses() == [b"503"]
+    assert b"Continue" not in harness.transport.value()
+    assert harness.transport.disconnecting
+
+
+def test_refused_connection_that_is_to_close_is_read_to_the_end_of_the_body():
+    harness = MemoryHarness()
+    harness.has_room = False
+    request = build_request(b"Connection: close\r\n" + LENGTH, BODY)
+    harness.send(request[:-1])
+    assert harness.read_statuses() == [b"503"]
+    assert not harness.transport.disconnecting
+    harness.send(request[-1:])
+    assert harness.transport.disconnecting
+
+
+def test_malformed_rest_of_a_refused_body_gets_no_second_answer():
+    harness = MemoryHarness()
+    harness.has_room = False
+    harness.send(build_request(CHUNKED, b"5\r\nhello\r\nx\r\n"))
+    assert harness.read_statuses() == [b"503"]
+    assert harness.transport.disconnecting
+
+
+def test_request_without_a_body_is_refused_too():
+    harness = MemoryHarness()
+    harness.has_room = False
+    harness.send(SECOND + SECOND)
+    assert harness.asked == [(0, "/second")] * 2
+    assert harness.read_statuses() == [b"503", b"503"]
--- a/bergamotdeal/node/tests/test_metrics_sources.py
+++ b/bergamotdeal/node/tests/test_metrics_sources.py
@@ -139,6 +139,8 @@
             ready=True,
             epoch=3,
             resident_bytes=5,
+            body_bytes=6,
+            body_capacity_bytes=8,
             members=members,
             server=status.ServerStatus(
                 service="kitview",
@@ -156,6 +158,8 @@
     assert client.sent == {
         "presets.epoch": 3,
         "process.resident_bytes": 5,
+        "memory.body_bytes": 6,
+        "memory.body_capacity_bytes": 8,
         "membership.alive": 2,
         "membership.suspect": 0,
         "membership.draining": 1,
--- a/bergamotdeal/node/tests/test_peer_link.py
+++ b/bergamotdeal/node/tests/test_peer_link.py
@@ -3,9 +3,12 @@
 import random
 
 import pytest
+from twisted.internet import task
 from twisted.internet import testing
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.memory import core as memory
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import peer_link
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.wire import codec
@@ -23,6 +26,7 @@
         key=KEY,
         expected_host_id=None,
         data_centre="",
+        buffers=None,
     ):
         self.now = 0.0
         self.open_count = 0
@@ -35,6 +39,7 @@
             rng=random.Random(host_id),
             clock=lambda: self.now,
             data_centre=data_centre,
+            buffers=buffers,
         )
         self.link = builder.build(
             is_dialer=is_dialer,
@@ -254,3 +259,66 @@
     listener.link.dataReceived((3).to_bytes(4, "big") + b"\x01\xff\xff")
     assert listener.close_count == 1
     assert listener.link.has_malformed_input
+
+
+def build_large_frame(number, size):
+    return messages.AnswerFrame(
+        number=number,
+        user_request_id="r-1",
+        answer=rpc.Answer(
+            outcome=errors.Outcome.COMPLETED, status=200, body=b"x" * size
+        ),
+    )
+
+
+@pytest.mark.parametrize("step", [1, 3, 1000, 65_536, 10**6])
+def test_large_frames_arrive_whole_in_parts_of_any_size(step):
+    dialer, _ = connect_sides()
+    sizes = [0, 2000, 5, 4096, 1] if step < 1000 else [0, 200_000, 5, 90_000, 1]
+    sent = [build_large_frame(n, size) for n, size in enumerate(sizes)]
+    data = b"".join(map(encode_frame, sent))
+    for start in range(0, len(data), step):
+        dialer.link.dataReceived(data[start : start + step])
+    assert dialer.frames == sent
+
+
+class TestFullMemory:
+    """Guards against links that a node without memory reads on or loses."""
+
+    def connect(self):
+        body_memory = memory.BodyMemory(capacity_bytes=100_000)
+        self.buffers = connection_buffers.ConnectionBuffers(
+            reactor=task.Clock(), body_memory=body_memory
+        )
+        self.memory = body_memory
+        return connect_sides(buffers=self.buffers)
+
+    def test_unfinished_frame_counts_until_it_is_complete(self):
+        _, listener = self.connect()
+        data = encode_frame(build_large_frame(1, 80_000))
+        listener.link.dataReceived(data[:50_000])
+        assert self.memory.used_bytes == 50_000
+        listener.link.dataReceived(data[50_000:])
+        assert self.memory.used_bytes == 0
+        assert len(listener.frames) == 1
+
+    def test_unfinished_frame_of_a_lost_link_does_not_count(self):
+        _, listener = self.connect()
+        data = encode_frame(build_large_frame(1, 80_000))
+        listener.link.dataReceived(data[:50_000])
+        listener.link.connectionLost()
+        assert self.memory.used_bytes == 0
+
+    def test_link_that_is_not_read_is_not_taken_for_silent(self):
+        dialer, listener = self.connect()
+        data = encode_frame(build_large_frame(1, 300_000))
+        listener.link.dataReceived(data[:150_000])
+        assert listener.transport.producerState == "paused"
+        for now in range(1, 40):
+            dialer.now = listener.now = now / 2
+            # The listener reads nothing of what the dialer sends.
+            dialer.link.check(dialer.now, has_pending_calls=True)
+            dialer.take_sent_bytes()
+            listener.link.check(listener.now, has_pending_calls=False)
+            dialer.link.dataReceived(listener.take_sent_bytes())
+        assert dialer.is_open and listener.is_open
--- a/bergamotdeal/node/tests/test_server_connection.py
+++ b/bergamotdeal/node/tests/test_server_connection.py
@@ -4,10 +4,13 @@
 from hypothesis import strategies
 import pytest
 from twisted.internet import error
+from twisted.internet import task
 from twisted.internet import testing
 from twisted.python import failure
 
 from bergamotdeal.calls import messages
+from bergamotdeal.memory import core as memory
+from bergamotdeal.node import connection_buffers
 from bergamotdeal.node import dialect as dialects
 from bergamotdeal.node import server_connection
 from bergamotdeal.rpc import core as rpc
@@ -23,7 +26,7 @@
 
 
 class Harness:
-    def __init__(self, method="GET", dialect=None):
+    def __init__(self, method="GET", dialect=None, buffers=None):
         self.events = []
         self.idle = []
         self.closed = []
@@ -34,6 +37,7 @@
             post=self.events.append,
             dialect=dialect,
             on_condition=lambda _, reported: self.conditions.append(reported),
+            buffers=buffers,
         )
         self._method = method
         self.transport = testing.StringTransport()
@@ -418,3 +422,42 @@
         b"Content-Length: 0\r\n\r\n"
     )
     assert harness.connection.keep_alive_timeout_s == 7
+
+
+# Guards against answers that are dropped, or held without a bound, while a node
+# has no memory for them.
+def test_large_answer_is_read_in_turn_and_completes():
+    clock = task.Clock()
+    body_memory = memory.BodyMemory(capacity_bytes=100_000)
+    buffers = connection_buffers.ConnectionBuffers(
+        reactor=clock, body_memory=body_memory
+    )
+    harness = Harness(buffers=buffers)
+    body = b"x" * 300_000
+    harness.connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    )
+    for start in range(0, len(body), 60_000):
+        if harness.transport.producerState == "paused":
+            clock.advance(connection_buffers.CHECK_INTERVAL_S)
+        assert harness.transport.producerState == "producing"
+        harness.connection.dataReceived(body[start : start + 60_000])
+    (answered,) = harness.events
+    assert answered.body == body
+    assert harness.idle == [harness.connection]
+    assert harness.transport.producerState == "producing"
+    assert body_memory.used_bytes == 0
+
+
+def test_unfinished_answer_of_an_aborted_run_is_not_held():
+    body_memory = memory.BodyMemory(capacity_bytes=100_000)
+    buffers = connection_buffers.ConnectionBuffers(
+        reactor=task.Clock(), body_memory=body_memory
+    )
+    harness = Harness(buffers=buffers)
+    harness.connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"x" * 50_000
+    )
+    assert body_memory.used_bytes == 50_000
+    harness.connection.abort()
+    assert body_memory.used_bytes == 0
--- a/bergamotdeal/node/tests/test_startup_hold.py
+++ b/bergamotdeal/node/tests/test_startup_hold.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import task
 
-from bergamotdeal.node import http_server
+from bergamotdeal.node import http_exchange
 from bergamotdeal.node import startup_hold
 from bergamotdeal.telemetry import catalogue
 
@@ -31,7 +31,7 @@
 
     def add(self, body=b""):
         exchange = FakeExchange()
-        request = http_server.HttpRequest(
+        request = http_exchange.HttpRequest(
             method="GET", target="/", headers=[], body=body, keep_alive=True
         )
         return exchange if self.hold.add(exchange, request) else None
--- a/bergamotdeal/settings/model.py
+++ b/bergamotdeal/settings/model.py
@@ -164,6 +164,18 @@
     file: str = ""
 
 
+class MemorySection(msgspec.Struct, frozen=True, kw_only=True):
+    """``[memory]``: the memory of the process.
+
+    Attributes:
+      limit_mb: Memory that the process may take, in megabytes. A part of it
+        holds the bodies of requests and answers; requests are refused while
+        that part is in use.
+    """
+
+    limit_mb: Annotated[int, msgspec.Meta(ge=64, le=1_048_576)] = 512
+
+
 class StatsdSection(msgspec.Struct, frozen=True, kw_only=True):
     """``[statsd]``: the StatsD server for metrics.
 
@@ -203,6 +215,7 @@
     revocation: RevocationSection = msgspec.field(
         default_factory=RevocationSection
     )
+    memory: MemorySection = msgspec.field(default_factory=MemorySection)
     preset: PresetSection = msgspec.field(default_factory=PresetSection)
     statsd: StatsdSection = msgspec.field(default_factory=StatsdSection)
     telemetry: TelemetrySection = msgspec.field(
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -81,6 +81,7 @@
     STARTUP_HOLD_ENDED = 918
     SERVER_CHECKED = 919
     SERVER_UNCONFIRMED = 920
+    BODY_REFUSED = 921
     PEER_LINK_OPENED = 906
     PEER_LINK_CLOSED = 907
     PEER_REJECTED = 908
@@ -189,6 +190,10 @@
     EventCode.SERVER_UNCONFIRMED: (
         "announcement of backend server {server} not accepted: {reason}"
     ),
+    EventCode.BODY_REFUSED: (
+        "no memory at {place} for a body of {size} bytes; {used} of at most "
+        "{limit} bytes are in use"
+    ),
     EventCode.PEER_LINK_OPENED: "link to {host} opened",
     EventCode.PEER_LINK_CLOSED: "link to {host} closed: {reason}",
     EventCode.PEER_REJECTED: "peer {address} rejected: {reason}",
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -81,6 +81,7 @@
     ORGANISATIONS_KEYS_UNKNOWN = "organisations.keys_unknown"
     ORGANISATIONS_KEYS_REVOKED = "organisations.keys_revoked"
     ORGANISATIONS_KEYS_OUTDATED = "organisations.keys_outdated"
+    MEMORY_BODIES_REFUSED = "memory.bodies_refused"
 
 
 for _slot, _counter in enumerate(Counter):
@@ -101,6 +102,8 @@
     MEMBERS_DRAINING = "membership.draining"
     MEMBERS_DEAD = "membership.dead"
     RESIDENT_BYTES = "process.resident_bytes"
+    BODY_BYTES = "memory.body_bytes"
+    BODY_CAPACITY_BYTES = "memory.body_capacity_bytes"
     QUOTA_COUNTED_HOSTS = "quotas.counted_hosts"
     QUOTA_TOKENS_HELD = "quotas.tokens_held"
     QUOTA_USE = "quotas.use"
@@ -153,6 +156,7 @@
     catalogue.EventCode.PEER_LINK_CLOSED: Counter.PEER_LINKS_CLOSED,
     catalogue.EventCode.PEER_REJECTED: Counter.PEER_REJECTED,
     catalogue.EventCode.FRAME_MALFORMED: Counter.PEER_MALFORMED,
+    catalogue.EventCode.BODY_REFUSED: Counter.MEMORY_BODIES_REFUSED,
 }
 
 
@@ -306,12 +310,13 @@
         }
 
     def render_exposition(self) -> bytes:
-        """Renders counters and timings in the Prometheus text format."""
+        """Renders all metrics in the Prometheus text format."""
         # Imported late: the library is large and few processes are scraped.
         from bergamotdeal.telemetry import exposition
 
         return exposition.render(
             self.get_totals(),
+            self._gauges_by_name,
             {
                 timing.value: latencies
                 for timing, latencies in self._histograms_by_timing.items()
--- a/bergamotdeal/utils/transport.py
+++ b/bergamotdeal/utils/transport.py
@@ -76,9 +76,18 @@
     Args:
       transport: A connected transport; False unless it is a TCP connection.
     """
-    if not isinstance(transport, tcp.Connection):
-        return False
-    return bool(transport.dataBuffer or transport._tempDataBuffer)
+    return get_unsent_bytes(transport) > 0
+
+
+def get_unsent_bytes(transport: interfaces.ITransport) -> int:
+    """Returns the number of written bytes that the process still buffers.
+
+    Args:
+      transport: A transport; zero unless it is an open TCP connection.
+    """
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return 0
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
 
 
 def disable_nagle(transport: interfaces.ITransport) -> None:
