Find live hosts among dead registry entries; remove these

Cause: a node contacted eight unknown hosts after each listing, drawn evenly, and listed again after 1, 2, 4 s and so on. The membership kept the last 64 addresses and contacted only these, so that more contacts did not help. Nothing removed an entry.

Change: while fewer than half of the contacted hosts become known, twice as many are contacted 0.15 s later without another listing, a quarter of them with recent entries. Entries are removed half an hour after the first of three contacts without an answer, by the live member that rendezvous hashing selects, conditional on their version, and never by a node that may be the one cut off. A host that was isolated, paused or suspended for ten minutes writes its entry again within 1.5 s. The store interface has a conditional delete; revisions of deleted objects are not given out again. A host of the version before neither removes nor minds a removal.

No further store calls.

A trial with a sync at the first answer was dropped: it delayed the sync that delivers rumours.

--- a/bergamotdeal/membership/contacts.py
+++ b/bergamotdeal/membership/contacts.py
@@ -54,34 +54,41 @@
         self.next_sync_at = now + SYNC_INTERVAL_MIN_S
 
     def add_seeds(
-        self, seeds: tuple[messages.Endpoint, ...], now: float
-    ) -> None:
-        """Adds seed addresses and makes seed contact due immediately.
+        self,
+        seeds: tuple[messages.Endpoint, ...],
+        own_record: core.Member,
+        now: float,
+    ) -> tuple[messages.Endpoint, ...]:
+        """Adds seed addresses, which are to be contacted immediately.
 
         Args:
           seeds: Addresses to add.
+          own_record: This node's record.
           now: Current time in monotonic seconds.
+
+        Returns:
+          The addresses to contact, which are those of other nodes.
         """
-        merged = tuple(dict.fromkeys(self._seeds + seeds))
+        own_endpoint = get_peer_endpoint(own_record)
+        others = tuple(seed for seed in seeds if seed != own_endpoint)
+        merged = tuple(dict.fromkeys(self._seeds + others))
         self._seeds = merged[-MAX_SEEDS:]
-        self._next_seed_contact_at = now
+        self._next_seed_contact_at = now + SEED_INTERVAL_S
+        return others
 
-    def take_due_seeds(
-        self, own_record: core.Member, now: float
-    ) -> tuple[messages.Endpoint, ...]:
+    def take_due_seeds(self, now: float) -> tuple[messages.Endpoint, ...]:
         """Returns the seeds to contact now and schedules the next contact.
 
         Args:
-          own_record: This node's record.
           now: Current time in monotonic seconds.
 
         Returns:
-          All seeds but this node itself, or nothing before the contact is due.
+          All seeds, or nothing before the contact is due.
         """
         if now < self._next_seed_contact_at:
             return ()
         self._next_seed_contact_at = now + SEED_INTERVAL_S
-        return self._list_other_seeds(own_record)
+        return self._seeds
 
     def take_due_sync(self, now: float) -> bool:
         """Returns whether a sync is due and, if so, schedules the next one.
@@ -158,7 +165,7 @@
             for e in own_view.list_others(worst=Health.DEAD)
             if e.health is not Health.ALIVE
         ]
-        non_live = list(self._list_other_seeds(own_view.own_record))
+        non_live = list(self._seeds)
         non_live.extend(get_peer_endpoint(record) for record in suspect_or_dead)
         picks_non_live = self._rng.random() < _NON_LIVE_SYNC_SHARE
         if non_live and (picks_non_live or not (local or remote)):
@@ -171,12 +178,6 @@
             get_peer_endpoint(self._rng.choice(live).record) if live else None
         )
 
-    def _list_other_seeds(
-        self, own_record: core.Member
-    ) -> tuple[messages.Endpoint, ...]:
-        own_endpoint = get_peer_endpoint(own_record)
-        return tuple(seed for seed in self._seeds if seed != own_endpoint)
-
 
 def get_peer_endpoint(member: core.Member) -> messages.Endpoint:
     """Returns the address of a member's peer interface."""
--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -131,8 +131,7 @@
             case messages.SyncFailed():
                 self._contacts.handle_sync_failure(now)
             case messages.SeedsFound(seeds=seeds):
-                self._contacts.add_seeds(seeds, now)
-                self._contact_due_seeds(now)
+                self._add_seeds(seeds, now)
             case messages.TimePassed():
                 self._advance(now)
             case _:
@@ -212,7 +211,8 @@
             self._next_probe_at = now + self._timing.probe_interval_s
             self._start_probe(now)
             self._ping_recently_dead(now)
-            self._contact_seeds_if_alone(now)
+            if not self.joined():
+                self._contact(self._contacts.take_due_seeds(now))
         if self._contacts.take_due_sync(now):
             self._start_sync()
         if len(self._replica.rumour_queue) and now >= self._next_gossip_at:
@@ -445,19 +445,19 @@
             )
         self._has_left = True
 
-    def _contact_seeds_if_alone(self, now: float) -> None:
-        if not self.joined():
-            self._contact_due_seeds(now)
-
-    def _contact_due_seeds(self, now: float) -> None:
-        """Contacts the due seeds even if other members are already known.
+    def _add_seeds(
+        self, seeds: tuple[messages.Endpoint, ...], now: float
+    ) -> None:
+        """Contacts seeds even if other members are already known.
 
         Two separate groups merge only if a member of one contacts the other.
         """
-        seeds = self._contacts.take_due_seeds(self.own_record, now)
+        self._contact(self._contacts.add_seeds(seeds, self.own_record, now))
+
+    def _contact(self, seeds: tuple[messages.Endpoint, ...]) -> None:
         for seed in seeds:
-            number = self._prober.number()
-            self._send(seed, messages.Ping(number=number, host_id=""))
+            ping = messages.Ping(number=self._prober.number(), host_id="")
+            self._send(seed, ping)
         if seeds:
             self._start_sync()
 
--- a/bergamotdeal/membership/registry.py
+++ b/bergamotdeal/membership/registry.py
@@ -2,11 +2,13 @@
 
 Each node writes only its own entry. By listing all entries a node finds the
 members that it doesn't know, so that nodes that start at the same time can't
-remain in separate groups.
+remain in separate groups. The entry of a host that is gone for good is removed
+by another node.
 """
 
 from collections.abc import Iterable
-import random
+from collections.abc import Mapping
+import math
 
 import msgspec
 import result
@@ -21,12 +23,9 @@
 MAX_CONTACT_ATTEMPTS = 3
 """Contact attempts per version of an entry before the node counts as gone."""
 
-MAX_LOCAL_CONTACTS = 5
-"""Unknown hosts of this data centre to contact at once. Each one introduces all
-the members that it knows."""
-
-MAX_REMOTE_CONTACTS = 3
-"""Unknown hosts of other data centres to contact at once."""
+GONE_AFTER_S = 1800.0
+"""Time without an answer after which the entry of a host may be removed. A
+member that died is forgotten, and becomes unknown, well before."""
 
 
 class Entry(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,39 +84,27 @@
     return json_data.decode(data, Entry)
 
 
-def choose_contacts(
-    entries_by_host: dict[str, Entry], data_centre: str, rng: random.Random
-) -> list[str]:
-    """Chooses a few of the unknown hosts to contact now.
-
-    Args:
-      entries_by_host: Entries of the unknown hosts.
-      data_centre: Data centre of this node.
-      rng: Random source.
+class _Attempts(msgspec.Struct, kw_only=True):
+    """Attempts to contact a host.
 
-    Returns:
-      Host ids.
+    Attributes:
+      count: Number of attempts.
+      first_at: Time of the first attempt, in monotonic seconds.
     """
-    host_ids = list(entries_by_host)
-    rng.shuffle(host_ids)
-    local = [
-        host_id
-        for host_id in host_ids
-        if entries_by_host[host_id].data_centre == data_centre
-    ]
-    remote = [host_id for host_id in host_ids if host_id not in set(local)]
-    return local[:MAX_LOCAL_CONTACTS] + remote[:MAX_REMOTE_CONTACTS]
+
+    count: int = 0
+    first_at: float = math.inf
 
 
 class ContactTracker:
     """A counter of contact attempts to listed nodes that are not members."""
 
     def __init__(self) -> None:
-        self._attempts_by_entry: dict[tuple[str, int], int] = {}
+        self._attempts_by_entry: dict[tuple[str, int], _Attempts] = {}
 
     def list_unknown_hosts(
         self,
-        versions_by_host: dict[str, int],
+        versions_by_host: Mapping[str, int],
         known_ids: Iterable[str],
         own_id: str,
     ) -> list[str]:
@@ -129,25 +116,46 @@
           own_id: This node's host id.
         """
         known = set(known_ids) | {own_id}
-        attempts_by_entry: dict[tuple[str, int], int] = {}
-        for host_id, version in versions_by_host.items():
-            if host_id not in known:
-                key = (host_id, version)
-                attempts_by_entry[key] = self._attempts_by_entry.get(key, 0)
-        self._attempts_by_entry = attempts_by_entry
+        self._attempts_by_entry = {
+            entry: self._attempts_by_entry.get(entry) or _Attempts()
+            for entry in versions_by_host.items()
+            if entry[0] not in known
+        }
         return [
             host_id
-            for (host_id, _), attempts in attempts_by_entry.items()
-            if attempts < MAX_CONTACT_ATTEMPTS
+            for (host_id, _), attempts in self._attempts_by_entry.items()
+            if attempts.count < MAX_CONTACT_ATTEMPTS
         ]
 
-    def record_attempt(self, host_id: str, version: int) -> None:
+    def record_attempt(self, host_id: str, version: int, now: float) -> None:
         """Counts an attempt to contact a host that was listed as unknown.
 
         Args:
           host_id: Id of the host.
           version: Version of its entry.
+          now: Current time in monotonic seconds.
         """
         # Another poll may have listed in between, to which it is known.
-        key = (host_id, version)
-        self._attempts_by_entry[key] = self._attempts_by_entry.get(key, 0) + 1
+        attempts = self._attempts_by_entry.setdefault(
+            (host_id, version), _Attempts()
+        )
+        attempts.count += 1
+        attempts.first_at = min(attempts.first_at, now)
+
+    def list_gone_hosts(self, now: float) -> dict[str, int]:
+        """Returns the versions of the entries whose hosts are gone.
+
+        These hosts are no members and have not answered for a long time.
+
+        Args:
+          now: Current time in monotonic seconds.
+
+        Returns:
+          Versions by host id.
+        """
+        return {
+            host_id: version
+            for (host_id, version), attempts in self._attempts_by_entry.items()
+            if attempts.count >= MAX_CONTACT_ATTEMPTS
+            and now - attempts.first_at >= GONE_AFTER_S
+        }
--- a/bergamotdeal/membership/tests/test_common_start.py
+++ b/bergamotdeal/membership/tests/test_common_start.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bergamotdeal.membership import contact_search
 from bergamotdeal.membership import messages
 from bergamotdeal.membership import registry
 from standins import gossip_fleet
@@ -39,18 +40,27 @@
             fleet.add_node(host_id, seeds=())
             continue
         data_centre = fleet.cores_by_id[host_id].own_record.data_centre
-        entries_by_host = {
-            other: registry.Entry(
-                address=other,
-                port=1,
-                data_centre=_DATA_CENTRES[index % len(_DATA_CENTRES)],
+        candidates_by_host = {
+            other: contact_search.Candidate(
+                entry=registry.Entry(
+                    address=other,
+                    port=1,
+                    data_centre=_DATA_CENTRES[index % len(_DATA_CENTRES)],
+                ),
+                version=index + 1,
             )
             for index, other in enumerate(host_ids)
             if other != host_id
         }
-        chosen = registry.choose_contacts(entries_by_host, data_centre, rng)
+        search = contact_search.ContactSearch(
+            candidates_by_host=candidates_by_host,
+            data_centre=data_centre,
+            rng=rng,
+        )
+        # Only the first batch; the others come later.
         seeds = tuple(
-            messages.Endpoint(address=other, port=1) for other in chosen
+            messages.Endpoint(address=other, port=1)
+            for other in search.next_batch(set())
         )
         fleet.send_event(host_id, messages.SeedsFound(seeds=seeds))
     return fleet, started_at_by_id
--- a/bergamotdeal/membership/tests/test_registry.py
+++ b/bergamotdeal/membership/tests/test_registry.py
@@ -1,7 +1,5 @@
 """Tests of registry entries and of the choice of hosts to contact."""
 
-import random
-
 import pytest
 
 from bergamotdeal.membership import registry
@@ -39,22 +37,39 @@
     tracker = registry.ContactTracker()
     for _ in range(registry.MAX_CONTACT_ATTEMPTS):
         assert tracker.list_unknown_hosts({"c": 1}, [], "a") == ["c"]
-        tracker.record_attempt("c", 1)
+        tracker.record_attempt("c", 1, 0.0)
     assert tracker.list_unknown_hosts({"c": 1}, [], "a") == []
     assert tracker.list_unknown_hosts({"c": 2}, [], "a") == ["c"]
 
 
-def test_contacts_are_few_and_mostly_in_the_own_data_centre():
-    """Guards against a start of 196 nodes in which each one pings all."""
-    entries_by_host = {
-        f"host-{i}": registry.Entry(
-            address="10.1.0.8",
-            port=7620,
-            data_centre="prai" if i % 5 == 0 else "kulim",
-        )
-        for i in range(196)
-    }
-    chosen = registry.choose_contacts(entries_by_host, "prai", random.Random(1))
-    centres = [entries_by_host[host_id].data_centre for host_id in chosen]
-    assert centres.count("prai") == registry.MAX_LOCAL_CONTACTS
-    assert centres.count("kulim") == registry.MAX_REMOTE_CONTACTS
+def exhaust_attempts(tracker, host_id, version, now):
+    tracker.list_unknown_hosts({host_id: version}, [], "a")
+    for _ in range(registry.MAX_CONTACT_ATTEMPTS):
+        tracker.record_attempt(host_id, version, now)
+
+
+def test_host_is_gone_after_a_long_silence():
+    tracker = registry.ContactTracker()
+    exhaust_attempts(tracker, "c", 7, now=100.0)
+    gone_at = 100.0 + registry.GONE_AFTER_S
+    assert tracker.list_gone_hosts(gone_at - 1) == {}
+    assert tracker.list_gone_hosts(gone_at) == {"c": 7}
+
+
+def test_host_that_was_not_contacted_often_enough_is_not_gone():
+    tracker = registry.ContactTracker()
+    tracker.list_unknown_hosts({"c": 7}, [], "a")
+    tracker.record_attempt("c", 7, 100.0)
+    assert tracker.list_gone_hosts(100.0 + 10 * registry.GONE_AFTER_S) == {}
+
+
+@pytest.mark.parametrize(
+    ("listed", "known"),
+    [({"c": 8}, []), ({"c": 7}, ["c"]), ({}, [])],
+    ids=["entry changed", "host is known", "entry is gone"],
+)
+def test_host_that_shows_a_sign_is_not_gone(listed, known):
+    tracker = registry.ContactTracker()
+    exhaust_attempts(tracker, "c", 7, now=100.0)
+    tracker.list_unknown_hosts(listed, known, "a")
+    assert tracker.list_gone_hosts(100.0 + registry.GONE_AFTER_S) == {}
--- a/bergamotdeal/node/quotas.py
+++ b/bergamotdeal/node/quotas.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import random
-import time
 
 import result
 from twisted.internet import task
@@ -23,6 +22,7 @@
 from bergamotdeal.telemetry import metrics
 from bergamotdeal.telemetry import recorder as event_recorder
 from bergamotdeal.telemetry import records
+from bergamotdeal.utils import clocks
 from bergamotdeal.wire import quotas as codec
 
 TICK_S = 0.1
@@ -34,12 +34,6 @@
 _MAX_OPEN_BATCHES = 4096
 
 
-def read_boot_clock() -> float:
-    """Returns seconds since boot, including suspended time."""
-    clock_id = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-    return time.clock_gettime(clock_id)
-
-
 class QuotaTask:
     """Task that owns the token buckets and tokens of a node.
 
@@ -68,7 +62,7 @@
         record: Callable[[records.EventRecord], None],
         node_metrics: metrics.Metrics,
         may_be_alone: bool = False,
-        clock: Callable[[], float] = read_boot_clock,
+        clock: Callable[[], float] = clocks.read_suspend_clock,
     ) -> None:
         self._host_id = host_id
         self._key = key
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -6,16 +6,21 @@
 
 import result
 from twisted.internet import defer
+from twisted.internet import task
 from twisted.python import failure as twisted_failure
 from twisted.python import log
 
+from bergamotdeal.membership import contact_search
+from bergamotdeal.membership import core
 from bergamotdeal.membership import registry
 from bergamotdeal.node import membership as membership_task
+from bergamotdeal.routing import rendezvous
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import backoff
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
+from bergamotdeal.utils import clocks
 
 START_JITTER_S = 0.2
 """Upper bound of the random delay before the first poll, which spreads the
@@ -36,11 +41,50 @@
 """Age above which an entry is in the copy from which the store was restored,
 which is some seconds old."""
 
+SEARCH_INTERVAL_S = 0.15
+"""Time for contacted hosts to become known before more are contacted."""
+
+MAX_REMOVALS_PER_POLL = 20
+"""Entries of hosts that are gone which one node removes after one listing."""
+
+ISOLATION_CHECK_INTERVAL_S = 0.5
+LONG_ISOLATION_S = 600.0
+"""Isolation after which others may have removed this node's entry."""
+
+RETURN_JITTER_S = 1.0
+"""Upper bound of the delay that spreads the polls after an isolation."""
+
 MAX_ENTRY_READS_PER_POLL = 3
 """Entries read in one poll of a store that lists keys without values. Few are
 needed, as each contacted node introduces all the members that it knows."""
 
 _KINDS = store_core.FailureKind
+_REMOVED_KINDS = frozenset((_KINDS.CONFLICT, _KINDS.NOT_FOUND))
+
+
+class IsolationDetector:
+    """Detector of the end of a long isolation or pause of this node.
+
+    Args:
+      is_isolated: Returns whether this node seems to be cut off.
+      now: Seconds on a clock that counts suspended time.
+    """
+
+    def __init__(self, *, is_isolated: Callable[[], bool], now: float) -> None:
+        self._is_isolated = is_isolated
+        self._connected_at = now
+
+    def has_ended(self, now: float) -> bool:
+        """Returns whether a long isolation has ended since the last call.
+
+        Args:
+          now: Seconds on a clock that counts suspended time.
+        """
+        if self._is_isolated():
+            return False
+        isolated_s = now - self._connected_at
+        self._connected_at = now
+        return isolated_s >= LONG_ISOLATION_S
 
 
 class RegistryTask:
@@ -54,6 +98,7 @@
       membership: The membership task.
       record: Takes events for the event log.
       on_listed: Called after each listing with the ids of the listed hosts.
+      suspend_clock: Returns seconds on a clock that counts suspended time.
     """
 
     def __init__(
@@ -66,6 +111,7 @@
         membership: membership_task.MembershipTask,
         record: Callable[[records.EventRecord], None],
         on_listed: Callable[[Collection[str]], None] | None = None,
+        suspend_clock: Callable[[], float] = clocks.read_suspend_clock,
     ) -> None:
         self._host_id = settings.node.host_id
         self._data_centre = settings.node.data_centre
@@ -77,6 +123,7 @@
         self._record = record
         self._on_listed = on_listed
         self._introductions = registry.ContactTracker()
+        self._search_timer = None
         self._backoff = backoff.ExponentialBackoff(
             rng=rng,
             initial_s=MIN_POLL_INTERVAL_S,
@@ -85,17 +132,27 @@
         self._poll_timer = None
         self._written_at: float | None = None
         self._running = False
+        self._isolation = IsolationDetector(
+            is_isolated=membership.is_eviction_frozen, now=suspend_clock()
+        )
+        self._suspend_clock = suspend_clock
+        self._isolation_checks = task.LoopingCall(self._check_isolation)
+        self._isolation_checks.clock = reactor
 
     def start(self) -> None:
         """Starts polling the registry."""
         self._running = True
         self._schedule_poll(START_JITTER_S * self._rng.random())
+        self._isolation_checks.start(ISOLATION_CHECK_INTERVAL_S, now=False)
 
     def stop(self) -> None:
         """Stops polling; the entry stays for the next start of the node."""
         self._running = False
-        if self._poll_timer is not None and self._poll_timer.active():
-            self._poll_timer.cancel()
+        if self._isolation_checks.running:
+            self._isolation_checks.stop()
+        for timer in (self._poll_timer, self._search_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     def handle_store_restored(self) -> None:
         """Polls again soon if the restored copy may lack this node's entry."""
@@ -105,6 +162,12 @@
             self._backoff.reset()
             self._schedule_poll(RESTORE_JITTER_S * self._rng.random())
 
+    def _check_isolation(self) -> None:
+        """Polls soon after an isolation in which the entry may have gone."""
+        if self._isolation.has_ended(self._suspend_clock()):
+            self._backoff.reset()
+            self._schedule_poll(RETURN_JITTER_S * self._rng.random())
+
     def _schedule_poll(self, delay_s: float) -> None:
         if self._poll_timer is not None and self._poll_timer.active():
             self._poll_timer.cancel()
@@ -150,6 +213,7 @@
             listed_by_host_id.get(self._host_id)
         )
         yield self._contact_unknown_hosts(listed_by_host_id)
+        yield self._remove_gone_hosts()
         return has_entry
 
     @defer.inlineCallbacks
@@ -203,7 +267,7 @@
             versions_by_host, self._membership.members_by_id(), self._host_id
         )
         self._rng.shuffle(unknown_host_ids)
-        entries_by_host: dict[str, registry.Entry] = {}
+        candidates_by_host: dict[str, contact_search.Candidate] = {}
         read_count = 0
         for host_id in unknown_host_ids:
             value = listed_by_host_id[host_id].value
@@ -214,25 +278,99 @@
                 value = yield self._read_entry(host_id)
                 if value is None:
                     continue
+            version = versions_by_host[host_id]
             match registry.decode(value):
                 case result.Ok(entry):
-                    entries_by_host[host_id] = entry
+                    candidates_by_host[host_id] = contact_search.Candidate(
+                        entry=entry, version=version
+                    )
                 case result.Err(reason):
                     self._introductions.record_attempt(
-                        host_id, versions_by_host[host_id]
+                        host_id, version, self._reactor.seconds()
                     )
                     self._record_failure("entry of " + host_id, reason)
-        chosen = registry.choose_contacts(
-            entries_by_host, self._data_centre, self._rng
+        self._start_search(candidates_by_host)
+
+    def _start_search(
+        self, candidates_by_host: dict[str, contact_search.Candidate]
+    ) -> None:
+        search = contact_search.ContactSearch(
+            candidates_by_host=candidates_by_host,
+            data_centre=self._data_centre,
+            rng=self._rng,
+        )
+        if self._search_timer is not None and self._search_timer.active():
+            self._search_timer.cancel()
+        self._continue_search(search, candidates_by_host)
+
+    def _continue_search(
+        self,
+        search: contact_search.ContactSearch,
+        candidates_by_host: dict[str, contact_search.Candidate],
+    ) -> None:
+        """Contacts the next hosts, and more later if few of them answer."""
+        host_ids = search.next_batch(set(self._membership.members_by_id()))
+        if not host_ids or not self._running:
+            return
+        now = self._reactor.seconds()
+        chosen = [candidates_by_host[host_id] for host_id in host_ids]
+        for host_id, candidate in zip(host_ids, chosen, strict=True):
+            self._introductions.record_attempt(host_id, candidate.version, now)
+        self._membership.add_seeds(
+            tuple(candidate.entry.endpoint() for candidate in chosen)
+        )
+        self._search_timer = self._reactor.callLater(
+            SEARCH_INTERVAL_S, self._continue_search, search, candidates_by_host
+        )
+
+    @defer.inlineCallbacks
+    def _remove_gone_hosts(self):
+        """Removes entries of hosts that are gone for which this node is chosen.
+
+        The members agree on the node that removes an entry as far as their
+        views agree; a second removal changes nothing.
+        """
+        if self._membership.is_eviction_frozen():
+            # Hosts that don't answer may only be cut off from this node.
+            return
+        gone_by_host = self._introductions.list_gone_hosts(
+            self._reactor.seconds()
         )
-        for host_id in chosen:
-            self._introductions.record_attempt(
-                host_id, versions_by_host[host_id]
+        digests_by_member = {
+            host_id: rendezvous.digest(host_id)
+            for host_id, member in self._membership.members_by_id().items()
+            if gone_by_host and member.state is core.MemberState.ALIVE
+        }
+        removal_count = 0
+        for host_id, version in gone_by_host.items():
+            remover = rendezvous.select_name(host_id, digests_by_member)
+            if remover != self._host_id:
+                continue
+            if not self._running or removal_count >= MAX_REMOVALS_PER_POLL:
+                return
+            removal_count += 1
+            outcome = yield self._store.delete(
+                registry.build_key(host_id), expected_version=version
             )
-        if chosen and self._running:
-            self._membership.add_seeds(
-                tuple(entries_by_host[host_id].endpoint() for host_id in chosen)
+            match outcome:
+                case result.Ok(_):
+                    self._emit_removal(host_id)
+                case result.Err(failure) if failure.kind in _REMOVED_KINDS:
+                    # Another node removed it, or its host has come back.
+                    continue
+                case result.Err(failure):
+                    self._record_store_failure(
+                        "removal of the entry of " + host_id, failure
+                    )
+                    return
+
+    def _emit_removal(self, host_id: str) -> None:
+        self._record(
+            records.EventRecord(
+                code=catalogue.EventCode.REGISTRY_ENTRY_REMOVED,
+                fields={"host": host_id},
             )
+        )
 
     @defer.inlineCallbacks
     def _read_entry(self, host_id: str):
--- a/bergamotdeal/node/tests/test_registry.py
+++ b/bergamotdeal/node/tests/test_registry.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 import result
 from twisted.internet import defer
 from twisted.internet import task
@@ -54,6 +55,16 @@
         self.objects_by_key[key] = (version + 1, value)
         return defer.succeed(result.Ok(version + 1))
 
+    def delete(self, key, *, expected_version):
+        self.calls.append("delete")
+        version, _ = self.objects_by_key.get(key, (0, b""))
+        if not version:
+            return self._fail(FailureKind.NOT_FOUND)
+        if version != expected_version:
+            return self._fail(FailureKind.CONFLICT)
+        del self.objects_by_key[key]
+        return defer.succeed(result.Ok(None))
+
     def list(self, prefix):
         self.calls.append("list")
         if self.is_unavailable:
@@ -81,11 +92,16 @@
 
 
 class FakeMembership:
-    """Membership task that knows every seed at once."""
+    """Membership task that knows each live seed at once."""
 
     def __init__(self):
         self.members_by_host_id = {OWN: make_member(OWN)}
         self.seeds = []
+        self.gone_addresses = set()
+        self.is_frozen = False
+
+    def is_eviction_frozen(self):
+        return self.is_frozen
 
     def members_by_id(self):
         return self.members_by_host_id
@@ -93,7 +109,10 @@
     def add_seeds(self, seeds):
         for seed in seeds:
             self.seeds.append(seed.address)
-            self.members_by_host_id[seed.address] = make_member(seed.address)
+            if seed.address not in self.gone_addresses:
+                self.members_by_host_id[seed.address] = make_member(
+                    seed.address
+                )
 
 
 class Harness:
@@ -103,6 +122,7 @@
         self.membership = FakeMembership()
         self.records = []
         self.listings = []
+        self.suspended_s = 0.0
         self.task = registry_task.RegistryTask(
             settings=settings.Settings(
                 node=settings.NodeSection(host_id=OWN, data_centre="prai"),
@@ -114,11 +134,23 @@
             membership=self.membership,
             record=self.records.append,
             on_listed=lambda host_ids: self.listings.append(set(host_ids)),
+            suspend_clock=lambda: self.clock.seconds() + self.suspended_s,
         )
 
     def run(self, seconds):
         self.clock.pump([0.1] * round(seconds * 10))
 
+    def run_long(self, seconds):
+        self.clock.pump([10.0] * round(seconds / 10))
+
+    def write_gone_hosts(self, count):
+        for index in range(count):
+            self.store.write_entry(f"gone-{index}")
+            self.membership.gone_addresses.add(f"gone-{index}")
+
+    def list_entries(self):
+        return set(self.store.objects_by_key)
+
 
 def test_start_without_entry_writes_entry_once():
     harness = Harness()
@@ -265,3 +297,117 @@
     harness.task.start()
     harness.run(5)
     assert "host-2" in harness.membership.seeds
+
+
+# Entries of hosts that are gone.
+
+
+def test_live_host_is_found_among_many_that_are_gone():
+    """Guards against a start that takes minutes beside dead entries."""
+    harness = Harness()
+    harness.write_gone_hosts(1000)
+    harness.store.write_entry("host-2")
+    harness.task.start()
+    harness.run(2)
+    assert "host-2" in harness.membership.members_by_host_id
+
+
+def test_search_among_entries_costs_no_store_calls():
+    calls = []
+    for count in (0, 1000):
+        harness = Harness()
+        harness.write_gone_hosts(count)
+        harness.task.start()
+        harness.run(30)
+        calls.append(len(harness.store.calls))
+    assert calls[0] == calls[1]
+
+
+def test_entries_of_gone_hosts_are_removed_after_a_long_silence():
+    harness = Harness()
+    harness.write_gone_hosts(3)
+    harness.store.write_entry("host-2")
+    harness.task.start()
+    harness.run_long(registry.GONE_AFTER_S - 60)
+    assert len(harness.list_entries()) == 5
+    # Another node has the same view and removes its part of them.
+    other = Harness()
+    other.store = other.task._store = harness.store
+    other.task._host_id = "host-2"
+    other.membership.members_by_host_id = harness.membership.members_by_host_id
+    other.membership.gone_addresses = harness.membership.gone_addresses
+    other.task.start()
+    for _ in range(400):
+        harness.run_long(10)
+        other.run_long(10)
+    assert harness.list_entries() == {
+        registry.build_key(OWN),
+        registry.build_key("host-2"),
+    }
+    assert harness.store.calls.count("delete") == 3
+
+
+def test_node_that_may_be_cut_off_removes_nothing():
+    harness = Harness()
+    harness.write_gone_hosts(3)
+    harness.membership.is_frozen = True
+    harness.task.start()
+    harness.run_long(3 * registry.GONE_AFTER_S)
+    assert "delete" not in harness.store.calls
+
+
+def test_entry_that_its_host_wrote_again_is_not_removed():
+    harness = Harness()
+    harness.write_gone_hosts(1)
+    harness.task.start()
+    harness.run_long(registry.GONE_AFTER_S - 60)
+    list_entries = harness.store.list
+
+    def list_stale(prefix):
+        listed = list_entries(prefix)
+        harness.store.write_entry("gone-0")
+        return listed
+
+    harness.store.list = list_stale
+    harness.run_long(2 * registry_task.MAX_POLL_INTERVAL_S)
+    assert registry.build_key("gone-0") in harness.list_entries()
+
+
+def test_many_removals_are_spread_over_several_polls():
+    harness = Harness()
+    harness.write_gone_hosts(100)
+    harness.task.start()
+    harness.run_long(registry.GONE_AFTER_S + 60)
+    harness.run_long(1.5 * registry_task.MAX_POLL_INTERVAL_S)
+    deletes = harness.store.calls.count("delete")
+    assert 0 < deletes <= 3 * registry_task.MAX_REMOVALS_PER_POLL
+
+
+# Guards against a living host whose entry was removed while it was cut off and
+# which is not found by hosts that start after its return.
+@pytest.mark.parametrize("is_suspended", [False, True])
+def test_removed_entry_is_back_within_two_seconds_of_the_return(is_suspended):
+    harness = Harness()
+    harness.task.start()
+    harness.run(10)
+    if is_suspended:
+        harness.suspended_s = registry_task.LONG_ISOLATION_S
+    else:
+        harness.membership.is_frozen = True
+        harness.run_long(registry_task.LONG_ISOLATION_S)
+    del harness.store.objects_by_key[registry.build_key(OWN)]
+    harness.membership.is_frozen = False
+    harness.run(2)
+    assert registry.build_key(OWN) in harness.list_entries()
+
+
+def test_short_isolation_costs_no_store_call():
+    harness = Harness()
+    harness.task.start()
+    harness.run(1000)
+    calls = len(harness.store.calls)
+    harness.membership.is_frozen = True
+    harness.run(10)
+    harness.membership.is_frozen = False
+    harness.run(2)
+    assert len(harness.store.calls) - calls <= 1
--- /dev/null
+++ b/bergamotdeal/settings/derived.py
@@ -0,0 +1,48 @@
+"""Settings that follow from properties of a deployment."""
+
+import math
+
+from bergamotdeal.settings import model
+
+WATCHERS = 10
+"""Nodes that watch the preset in force, so that some of them reach a store that
+refuses a third of the hosts."""
+
+MIN_WATCHERS_PER_DATA_CENTRE = 2
+"""Watchers of a data centre that is cut off from the others."""
+
+FLUSH_MS = 400
+"""Time to send the last answers, which are small, over short links."""
+
+EXIT_MARGIN_MS = 500
+"""Part of the grace period reserved for the exit itself."""
+
+
+def compute_watchers(data_centre_count: int) -> int:
+    """Returns the number of nodes of a data centre that watch the store.
+
+    Args:
+      data_centre_count: Number of data centres, zero if unknown.
+    """
+    return max(
+        MIN_WATCHERS_PER_DATA_CENTRE,
+        math.ceil(WATCHERS / max(1, data_centre_count)),
+    )
+
+
+def build_drain_section(
+    *, grace_ms: int, detection_ms: int
+) -> model.DrainSection:
+    """Builds the settings of a graceful shutdown.
+
+    Args:
+      grace_ms: Time after which a node that was told to stop is killed, in
+        milliseconds.
+      detection_ms: Time until callers notice that a node isn't ready, in
+        milliseconds.
+    """
+    return model.DrainSection(
+        entry_open_ms=min(detection_ms, grace_ms // 2),
+        longest_ms=max(1, grace_ms - FLUSH_MS - EXIT_MARGIN_MS),
+        flush_ms=FLUSH_MS,
+    )
--- /dev/null
+++ b/bergamotdeal/settings/tests/test_derived.py
@@ -0,0 +1,24 @@
+"""Tests of the settings that follow from properties of a deployment."""
+
+import pytest
+
+from bergamotdeal.settings import derived
+
+
+@pytest.mark.parametrize(
+    ("data_centres", "watchers"), [(0, 10), (3, 4), (8, 2)]
+)
+def test_each_data_centre_has_watchers(data_centres, watchers):
+    assert derived.compute_watchers(data_centres) == watchers
+
+
+def test_drain_ends_within_the_grace_period():
+    drain = derived.build_drain_section(grace_ms=6000, detection_ms=2500)
+    assert drain.entry_open_ms == 2500
+    assert drain.longest_ms + drain.flush_ms < 6000
+
+
+def test_drain_within_a_short_grace_period_leaves_time_to_end():
+    drain = derived.build_drain_section(grace_ms=800, detection_ms=2500)
+    assert drain.entry_open_ms == 400
+    assert drain.longest_ms == 1
--- a/bergamotdeal/store/core.py
+++ b/bergamotdeal/store/core.py
@@ -108,6 +108,19 @@
           The new version, or ``CONFLICT`` among other failures.
         """
 
+    def delete(
+        self, key: str, *, expected_version: int
+    ) -> DeferredResult[None]:
+        """Deletes an object if it still has the expected version.
+
+        Args:
+          key: Key of the object.
+          expected_version: Version that it must have.
+
+        Returns:
+          None, or ``CONFLICT`` or ``NOT_FOUND`` among other failures.
+        """
+
     def list(self, prefix: str) -> DeferredResult[list[ListingEntry]]:
         """Lists the objects whose keys start with a prefix.
 
--- a/bergamotdeal/store/http.py
+++ b/bergamotdeal/store/http.py
@@ -103,6 +103,20 @@
             )
         )
 
+    def delete(
+        self, key: str, *, expected_version: int
+    ) -> core.DeferredResult[None]:
+        """Deletes an object if it still has the expected version."""
+        if self.eras.is_outdated(expected_version):
+            return defer.succeed(http_calls.build_conflict())
+        revision = eras.get_revision(expected_version)
+        pending_response = self._call(
+            "DELETE",
+            f"/objects/{_quote(key)}",
+            headers_by_name={_EXPECTED_VERSION_HEADER: str(revision)},
+        )
+        return pending_response.addCallback(_map_ok(lambda _: result.Ok(None)))
+
     def list(self, prefix: str) -> core.DeferredResult[list[core.ListingEntry]]:
         """Lists the objects whose keys start with a prefix."""
         query = urllib.parse.urlencode({"prefix": prefix})
--- a/bergamotdeal/store/tests/test_http.py
+++ b/bergamotdeal/store/tests/test_http.py
@@ -204,3 +204,27 @@
     written = wait(client.put("k", b"mine again", expected_version=first))
     assert failure_kind(written) is Kind.CONFLICT
     assert wait(client.get("k")).unwrap().value == b"other"
+
+
+def test_delete_removes_only_the_expected_version(store_server):
+    store = store_server.client()
+    put = wait(store.put("nodes/a", b"1", expected_version=core.NO_VERSION))
+    version = put.unwrap()
+    stale = wait(store.delete("nodes/a", expected_version=version + 1))
+    assert stale.err_value.kind is Kind.CONFLICT
+    assert wait(store.delete("nodes/a", expected_version=version)).is_ok()
+    for outcome in (
+        wait(store.get("nodes/a")),
+        wait(store.delete("nodes/a", expected_version=version)),
+    ):
+        assert outcome.err_value.kind is Kind.NOT_FOUND
+
+
+def test_version_of_a_deleted_object_is_not_given_out_again(store_server):
+    store = store_server.client()
+    first = wait(store.put("nodes/a", b"1", expected_version=core.NO_VERSION))
+    wait(store.delete("nodes/a", expected_version=first.unwrap()))
+    again = wait(store.put("nodes/a", b"2", expected_version=core.NO_VERSION))
+    assert again.unwrap() > first.unwrap()
+    deleted = wait(store.delete("nodes/a", expected_version=first.unwrap()))
+    assert deleted.err_value.kind is Kind.CONFLICT
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -63,6 +63,7 @@
     REGISTRY_FAILED = 802
     STORE_OBJECT_REJECTED = 803
     STORE_RESTORED = 804
+    REGISTRY_ENTRY_REMOVED = 805
 
     # 900 node
     NODE_STARTED = 900
@@ -161,6 +162,9 @@
     EventCode.STORE_OBJECT_REJECTED: (
         "object in the store can't be read: {reason}"
     ),
+    EventCode.REGISTRY_ENTRY_REMOVED: (
+        "registry: entry of {host} removed, the host is gone"
+    ),
     EventCode.STORE_RESTORED: "store restored from a copy, era {era}",
     EventCode.NODE_STARTED: "node {host} started, incarnation {incarnation}",
     EventCode.NODE_READY: "node ready",
--- a/standins/store.py
+++ b/standins/store.py
@@ -84,6 +84,8 @@
         self._token = token
         self._values_by_key: dict[str, tuple[int, bytes]] = {}
         self._copied_values_by_key: dict[str, tuple[int, bytes]] = {}
+        # A key that is created again goes on from its last version.
+        self._deleted_versions_by_key: dict[str, int] = {}
         self._watches_by_key: dict[str, list[Watch]] = {}
         self.era = 1
         self._second = 0
@@ -205,7 +207,7 @@
         if int(expected) != version:
             self.answer(request, http.HTTPStatus.CONFLICT, version=version)
             return
-        version += 1
+        version = max(version, self._deleted_versions_by_key.get(key, 0)) + 1
         self._values_by_key[key] = (version, value)
         self.writes_by_key[key] = self.writes_by_key.get(key, 0) + 1
         if is_fault_target and self.behaviour.lose_writes > 0:
@@ -219,6 +221,18 @@
             watch.timer.cancel()
             self.answer(watch.request, http.HTTPStatus.OK, value, version)
 
+    def delete(self, request: server.Request, key: str) -> None:
+        """Deletes an object if the expected version is the stored one."""
+        version, _ = self._values_by_key.get(key, (0, b""))
+        if version == 0:
+            self.answer(request, http.HTTPStatus.NOT_FOUND)
+        elif request.getHeader("Expected-Version") != str(version):
+            self.answer(request, http.HTTPStatus.CONFLICT, version=version)
+        else:
+            del self._values_by_key[key]
+            self._deleted_versions_by_key[key] = version
+            self.answer(request, http.HTTPStatus.NO_CONTENT)
+
     def _answer_after_watches(
         self, request: server.Request, version: int
     ) -> None:
@@ -300,12 +314,10 @@
                 if self._store.admit(request, "list"):
                     prefix = request.args.get(b"prefix", [b""])[0].decode()
                     self._store.list(request, prefix)
-            case "GET", ["v1", "objects", key]:
-                if self._store.admit(request, "get"):
-                    self._store.get(request, key)
-            case "PUT", ["v1", "objects", key]:
-                if self._store.admit(request, "put"):
-                    self._store.put(request, key)
+            case "GET" | "PUT" | "DELETE", ["v1", "objects", key]:
+                operation = method.lower()
+                if self._store.admit(request, operation):
+                    getattr(self._store, operation)(request, key)
             case "GET", ["v1", "watch", key]:
                 if self._store.admit(request, "watch"):
                     self._watch(request, key)
