--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -388,7 +388,9 @@
             ]
         if self._preset:
             path = self.folder / "preset.ini"
-            path.write_text(self._preset)
+            if not path.exists():
+                # Another node may be reading the file.
+                path.write_text(self._preset)
             lines += ["[preset]", f"file = {path}"]
         return "\n".join(lines) + "\n"
 
