Pull only the changed routes of a configuration; show a node that is behind

Cause: the host routes of a preset are one section of a pull, and so are the organisations. A node knew of a newer epoch, or of an invalid object in the store, and told neither when.

Change: both are split into chunks of 64 items on average, which end at items whose name has a certain hash, so that a change alters its own chunk and the order is kept. A node that can join chunks says so by a digest that no section has, which hosts of the version before ignore; they are sent whole fields, and theirs are joined as before. presets.behind_s and the status tell for how long a newer preset is known that is not in force. The events and effects of the follower moved to presets/messages.

--- a/bergamotdeal/cli/status.py
+++ b/bergamotdeal/cli/status.py
@@ -135,7 +135,7 @@
         f"host        {node.host_id} in {node.data_centre} ({node.region})",
         f"incarnation {node.incarnation}",
         f"ready       {readiness}",
-        f"preset      {node.preset_name or '-'}, epoch {node.epoch}",
+        f"preset      {_format_preset(node)}",
         f"server      {_format_server(node.server)}",
         f"memory      {_format_memory(node)}",
         f"uptime      {node.uptime_s:.0f} s",
@@ -156,6 +156,13 @@
     return lines
 
 
+def _format_preset(node: node_status.NodeStatus) -> str:
+    line = f"{node.preset_name or '-'}, epoch {node.epoch}"
+    if node.preset_behind_s:
+        line += f"; a newer one is known for {node.preset_behind_s:.0f} s"
+    return line
+
+
 def _format_memory(node: node_status.NodeStatus) -> str:
     resident_mb, body_mb, capacity_mb = (
         size / BYTES_PER_MB
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -36,7 +36,7 @@
 from bergamotdeal.node import store_setup
 from bergamotdeal.node import timed_engine
 from bergamotdeal.presets import files as preset_files
-from bergamotdeal.presets import follower
+from bergamotdeal.presets import messages as preset_messages
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import core as store_core
 from bergamotdeal.telemetry import catalogue
@@ -423,7 +423,7 @@
     def _handle_peer_epoch(self, epoch: int, host_id: str) -> None:
         if epoch > self._presets.epoch:
             self._presets.deliver(
-                follower.EpochAdvertised(epoch=epoch, host_id=host_id)
+                preset_messages.EpochAdvertised(epoch=epoch, host_id=host_id)
             )
 
     def _handle_store_era(self, era: int) -> None:
--- a/bergamotdeal/node/gauges.py
+++ b/bergamotdeal/node/gauges.py
@@ -24,6 +24,7 @@
       status: The node's status, with its members.
     """
     node_metrics.set_gauge(metrics.Gauge.EPOCH, status.epoch)
+    node_metrics.set_gauge(metrics.Gauge.BEHIND_S, status.preset_behind_s)
     node_metrics.set_gauge(metrics.Gauge.RESIDENT_BYTES, status.resident_bytes)
     node_metrics.set_gauge(metrics.Gauge.BODY_BYTES, status.body_bytes)
     node_metrics.set_gauge(
--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -19,6 +19,7 @@
 from bergamotdeal.presets import epoch_wait
 from bergamotdeal.presets import follower
 from bergamotdeal.presets import in_force
+from bergamotdeal.presets import messages as preset_messages
 from bergamotdeal.presets import model
 from bergamotdeal.settings import model as settings_model
 from bergamotdeal.store import core as store_core
@@ -26,7 +27,7 @@
 from bergamotdeal.telemetry import records
 from bergamotdeal.wire import gossip as codec
 
-PresetPushed = follower.PresetPushed
+PresetPushed = preset_messages.PresetPushed
 
 _MS_PER_S = 1000
 
@@ -76,7 +77,7 @@
         self._wakeup_timer = None
         self._on_organisations_expected = on_organisations_expected
         self._epoch_wait = epoch_wait.EpochWait(now=clock())
-        self._held_event: follower.StoreRead | None = None
+        self._held_event: preset_messages.StoreRead | None = None
         self._held_event_timer = None
         self._running = False
         self._follower = follower.Follower(
@@ -119,6 +120,12 @@
         """Active preset of this node, or None."""
         return self._follower.preset
 
+    @property
+    def behind_s(self) -> float:
+        """Seconds for which a newer preset is known but not applied."""
+        since = self._follower.behind_since
+        return 0.0 if since is None else self._clock() - since
+
     @property
     def is_watching(self) -> bool:
         """Whether this node watches the store on behalf of its data centre."""
@@ -133,7 +140,7 @@
         self._running = True
         self._epoch_wait = epoch_wait.EpochWait(now=self._clock())
         self._news.start()
-        self._handle(follower.TimePassed())
+        self._handle(preset_messages.TimePassed())
 
     def stop(self) -> None:
         """Stops the watch and the timer."""
@@ -164,7 +171,9 @@
                     self._news.record()
                     return
                 self._handle(
-                    follower.EpochAdvertised(epoch=epoch, host_id=host_id)
+                    preset_messages.EpochAdvertised(
+                        epoch=epoch, host_id=host_id
+                    )
                 )
                 self._epoch_wait.finish()
                 self._schedule_held_event()
@@ -179,9 +188,14 @@
                 self._schedule_held_event()
             case calls.MembersChanged(members_by_id=members_by_id):
                 self._handle(
-                    follower.MembershipUpdated(members_by_id=members_by_id)
+                    preset_messages.MembershipUpdated(
+                        members_by_id=members_by_id
+                    )
                 )
-            case follower.EpochAdvertised() | follower.PresetPushed():
+            case (
+                preset_messages.EpochAdvertised()
+                | preset_messages.PresetPushed()
+            ):
                 self._handle(message)
 
     def apply_document(self, document: bytes) -> result.Result[int, str]:
@@ -196,7 +210,7 @@
         decoded = in_force.decode(document)
         if isinstance(decoded, result.Err):
             return decoded
-        self._handle(follower.PresetPushed(document=document))
+        self._handle(preset_messages.PresetPushed(document=document))
         return result.Ok(self.epoch)
 
     def answer_pull(
@@ -214,7 +228,7 @@
 
     # Events and timers.
 
-    def _handle(self, event: follower.Event) -> None:
+    def _handle(self, event: preset_messages.Event) -> None:
         if not self._running:
             return
         try:
@@ -233,24 +247,24 @@
         if wakeup is not None and self._running:
             delay_s = max(0.0, wakeup - self._clock())
             self._wakeup_timer = self._reactor.callLater(
-                delay_s, self._handle, follower.TimePassed()
+                delay_s, self._handle, preset_messages.TimePassed()
             )
 
     # Effects.
 
-    def _execute_effect(self, effect: follower.Effect) -> None:
+    def _execute_effect(self, effect: preset_messages.Effect) -> None:
         match effect:
-            case follower.Apply(epoch=epoch, preset=preset):
+            case preset_messages.Apply(epoch=epoch, preset=preset):
                 self._apply_preset(epoch, preset)
-            case follower.Pull():
+            case preset_messages.Pull():
                 self._send_pull(effect)
-            case follower.ReadStore():
+            case preset_messages.ReadStore():
                 self._read_store()
-            case follower.WatchStore(watch=True):
+            case preset_messages.WatchStore(watch=True):
                 self._watch.start()
-            case follower.WatchStore():
+            case preset_messages.WatchStore():
                 self._watch.stop()
-            case follower.Reject(epoch=epoch, reason=reason):
+            case preset_messages.Reject(epoch=epoch, reason=reason):
                 fields = {"epoch": epoch, "reason": reason}
                 code = catalogue.EventCode.PRESET_REJECTED
                 self._record(records.EventRecord(code=code, fields=fields))
@@ -262,10 +276,10 @@
         code = catalogue.EventCode.PRESET_IN_FORCE
         self._record(records.EventRecord(code=code, fields=fields))
 
-    def _send_pull(self, effect: follower.Pull) -> None:
+    def _send_pull(self, effect: preset_messages.Pull) -> None:
         member = self._membership.members_by_id().get(effect.host_id)
         if member is None:
-            failed = follower.PullFailed(host_id=effect.host_id)
+            failed = preset_messages.PullFailed(host_id=effect.host_id)
             self._reactor.callLater(0, self._handle, failed)
             return
         request = gossip.PresetRequest(known_digests=effect.known_digests)
@@ -276,17 +290,19 @@
         )
         pending_answer.addCallback(self._handle_pull_answer, effect.host_id)
         pending_answer.addErrback(
-            lambda _: self._handle(follower.PullFailed(host_id=effect.host_id))
+            lambda _: self._handle(
+                preset_messages.PullFailed(host_id=effect.host_id)
+            )
         )
 
     def _handle_pull_answer(self, payload: bytes, host_id: str) -> None:
         match codec.decode_bulk(payload):
             case result.Ok(gossip.PresetResponse() as response):
-                event = follower.PullAnswered(
+                event = preset_messages.PullAnswered(
                     host_id=host_id, response=response
                 )
             case _:
-                event = follower.PullFailed(host_id=host_id)
+                event = preset_messages.PullFailed(host_id=host_id)
         self._handle(event)
 
     # The store.
@@ -302,13 +318,13 @@
     ) -> None:
         match outcome:
             case result.Ok(stored):
-                event = follower.StoreRead(document=stored.value)
+                event = preset_messages.StoreRead(document=stored.value)
             case result.Err(failure) if (
                 failure.kind is store_core.FailureKind.NOT_FOUND
             ):
-                event = follower.StoreRead(document=None)
+                event = preset_messages.StoreRead(document=None)
             case result.Err(failure):
-                event = follower.StoreFailed(reason=failure.detail)
+                event = preset_messages.StoreFailed(reason=failure.detail)
         if self._is_held_back(event):
             self._held_event = event
             self._schedule_held_event()
@@ -316,10 +332,10 @@
                 self._on_organisations_expected()
             return
         self._handle(event)
-        if not isinstance(event, follower.StoreFailed):
+        if not isinstance(event, preset_messages.StoreFailed):
             self._news.record()
 
-    def _is_held_back(self, event: follower.Event) -> bool:
+    def _is_held_back(self, event: preset_messages.Event) -> bool:
         """Returns whether an event waits for the epochs of other nodes."""
         is_waiting = self._epoch_wait.remaining_s(self._clock()) > 0.0
         return is_waiting and _has_organisations(event)
@@ -343,7 +359,7 @@
     def _handle_stored(self, stored: store_core.StoredObject) -> None:
         # A large preset takes the event loop for tens of milliseconds; other
         # events are handled between its translation and its application.
-        event = follower.StoreRead(document=stored.value)
+        event = preset_messages.StoreRead(document=stored.value)
         self._reactor.callLater(0, self._handle, event)
 
     def _record_store_availability(self, problem: str | None) -> None:
@@ -355,9 +371,9 @@
         self._record(records.EventRecord(code=code, fields=fields))
 
 
-def _has_organisations(event: follower.Event) -> bool:
+def _has_organisations(event: preset_messages.Event) -> bool:
     match event:
-        case follower.StoreRead(document=bytes() as document):
+        case preset_messages.StoreRead(document=bytes() as document):
             decoded = in_force.decode(document)
             return decoded.is_ok() and bool(
                 decoded.ok_value.preset.organisations
--- a/bergamotdeal/node/status.py
+++ b/bergamotdeal/node/status.py
@@ -93,6 +93,8 @@
       draining: Whether the node is draining.
       epoch: Epoch of the preset in force on this node.
       preset_name: Name of the preset in force on this node, or empty.
+      preset_behind_s: Seconds for which a newer preset is known that this node
+        hasn't applied, zero if there is none.
       uptime_s: Seconds since the process started.
       resident_bytes: Resident memory in bytes.
       body_bytes: Bytes of bodies that the node holds.
@@ -112,6 +114,7 @@
     draining: bool = False
     epoch: int = 0
     preset_name: str = ""
+    preset_behind_s: float = 0.0
     uptime_s: float = 0.0
     resident_bytes: int = 0
     body_bytes: int = 0
--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -79,6 +79,7 @@
         draining=is_draining,
         epoch=max(0, presets.epoch),
         preset_name=preset.name if preset else "",
+        preset_behind_s=presets.behind_s,
         uptime_s=uptime_s,
         resident_bytes=measure_resident_bytes(),
         body_bytes=body_memory.used_bytes,
--- a/bergamotdeal/node/tests/test_metrics_sources.py
+++ b/bergamotdeal/node/tests/test_metrics_sources.py
@@ -138,6 +138,7 @@
             region="penang",
             ready=True,
             epoch=3,
+            preset_behind_s=1.5,
             resident_bytes=5,
             body_bytes=6,
             body_capacity_bytes=8,
@@ -157,6 +158,7 @@
     node_metrics.flush(client)
     assert client.sent == {
         "presets.epoch": 3,
+        "presets.behind_s": 1.5,
         "process.resident_bytes": 5,
         "memory.body_bytes": 6,
         "memory.body_capacity_bytes": 8,
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -7,12 +7,12 @@
 
 import random
 
-import msgspec
 import result
 
 from bergamotdeal.membership import core as membership
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.presets import in_force
+from bergamotdeal.presets import messages
 from bergamotdeal.presets import model
 from bergamotdeal.presets import sections as preset_sections
 from bergamotdeal.presets import watchers
@@ -40,136 +40,6 @@
 INITIAL_EPOCH = 0
 
 
-class EpochAdvertised(msgspec.Struct, frozen=True, kw_only=True):
-    """Another node has a preset of this epoch in force.
-
-    Attributes:
-      epoch: Epoch at the other node.
-      host_id: Host id of the other node.
-    """
-
-    epoch: int
-    host_id: str
-
-
-class MembershipUpdated(msgspec.Struct, frozen=True, kw_only=True):
-    """The membership view changed."""
-
-    members_by_id: dict[str, membership.Member]
-
-
-class PullAnswered(msgspec.Struct, frozen=True, kw_only=True):
-    """A node answered a pull."""
-
-    host_id: str
-    response: gossip.PresetResponse
-
-
-class PullFailed(msgspec.Struct, frozen=True, kw_only=True):
-    """A pull got no usable answer."""
-
-    host_id: str
-
-
-class PresetPushed(msgspec.Struct, frozen=True, kw_only=True):
-    """An operator's command pushed an accepted switch to this node.
-
-    Attributes:
-      document: The object in force as accepted by the store.
-    """
-
-    document: bytes
-
-
-class StoreRead(msgspec.Struct, frozen=True, kw_only=True):
-    """The object in force was read from the store.
-
-    Attributes:
-      document: The object in force, or None if there is none yet.
-    """
-
-    document: bytes | None
-
-
-class StoreFailed(msgspec.Struct, frozen=True, kw_only=True):
-    """The store could not be read.
-
-    Attributes:
-      reason: Description of the failure.
-    """
-
-    reason: str
-
-
-class TimePassed(msgspec.Struct, frozen=True, kw_only=True):
-    """The time that ``next_wakeup`` returned has come."""
-
-
-Event = (
-    EpochAdvertised
-    | MembershipUpdated
-    | PullAnswered
-    | PullFailed
-    | PresetPushed
-    | StoreRead
-    | StoreFailed
-    | TimePassed
-)
-
-
-class Pull(msgspec.Struct, frozen=True, kw_only=True):
-    """An instruction to request the preset in force from a node.
-
-    Attributes:
-      host_id: Host id of the node.
-      known_digests: Digests of the sections that this node already has.
-    """
-
-    host_id: str
-    known_digests: tuple[bytes, ...]
-
-
-class ReadStore(msgspec.Struct, frozen=True, kw_only=True):
-    """An instruction to read the object in force from the store once."""
-
-
-class WatchStore(msgspec.Struct, frozen=True, kw_only=True):
-    """An instruction to start or stop watching the object in force.
-
-    Attributes:
-      watch: Whether to start (true) or stop (false).
-    """
-
-    watch: bool
-
-
-class Apply(msgspec.Struct, frozen=True, kw_only=True):
-    """An instruction to put a preset in force at this node.
-
-    Attributes:
-      epoch: Epoch of the preset.
-      preset: The preset.
-    """
-
-    epoch: int
-    preset: model.Preset
-
-
-class Reject(msgspec.Struct, frozen=True, kw_only=True):
-    """A notice that a received preset was rejected.
-
-    Attributes:
-      epoch: Epoch of the preset, or the current epoch if it is unknown.
-      reason: Why the preset was rejected.
-    """
-
-    epoch: int
-    reason: str
-
-
-Effect = Pull | ReadStore | WatchStore | Apply | Reject
-
-
 class Follower:
     """A state machine that keeps a node at the preset in force.
 
@@ -187,6 +57,8 @@
     Attributes:
       epoch: Epoch of the preset in force at this node, or ``NO_EPOCH``.
       preset: Preset in force at this node, or None.
+      behind_since: Time since when a newer preset is known that this node
+        hasn't applied, in monotonic seconds, or None.
     """
 
     def __init__(
@@ -229,9 +101,11 @@
         )
         self._now = now
         self._store_problem = ""
-        self._effects: list[Effect] = []
+        self._effects: list[messages.Effect] = []
+        self._newest_heard = NO_EPOCH
         self.epoch = NO_EPOCH
         self.preset: model.Preset | None = None
+        self.behind_since: float | None = None
 
     @property
     def is_watching(self) -> bool:
@@ -266,7 +140,9 @@
             times.append(self._watch_at)
         return min(times, default=None)
 
-    def handle(self, event: Event, now: float) -> list[Effect]:
+    def handle(
+        self, event: messages.Event, now: float
+    ) -> list[messages.Effect]:
         """Handles one event.
 
         Args:
@@ -279,24 +155,24 @@
         self._effects = []
         self._now = now
         match event:
-            case EpochAdvertised():
+            case messages.EpochAdvertised():
                 self._record_epoch(event)
-            case MembershipUpdated(members_by_id=members_by_id):
+            case messages.MembershipUpdated(members_by_id=members_by_id):
                 self._members_by_id = members_by_id
                 self._update_watch(now)
-            case PullAnswered():
+            case messages.PullAnswered():
                 self._pull_times_by_host.pop(event.host_id, None)
                 self._on_pull_response(event.host_id, event.response, now)
-            case PullFailed(host_id=host_id):
+            case messages.PullFailed(host_id=host_id):
                 self._pull_times_by_host.pop(host_id, None)
                 self._epochs_by_source.pop(host_id, None)
-            case PresetPushed(document=document):
+            case messages.PresetPushed(document=document):
                 self._on_document(document)
-            case StoreRead(document=document):
+            case messages.StoreRead(document=document):
                 self._on_store_read(document, now)
-            case StoreFailed(reason=reason):
+            case messages.StoreFailed(reason=reason):
                 self._on_store_failed(f"is not available: {reason}", now)
-            case TimePassed():
+            case messages.TimePassed():
                 self._advance(now)
         self._start_pull_if_behind(now)
         return self._effects
@@ -310,20 +186,29 @@
           request: The pull, with the digests of the requester's sections.
         """
         known = frozenset(request.known_digests)
+        sections = self._sections
+        if self.preset is not None and preset_sections.CHUNKS_MARK not in known:
+            sections = preset_sections.split(self.preset, in_chunks=False)
         return gossip.PresetResponse(
             epoch=max(self.epoch, INITIAL_EPOCH),
             operation_id=self._operation_id,
-            sections=preset_sections.omit_known_content(self._sections, known),
+            sections=preset_sections.omit_known_content(sections, known),
         )
 
-    def _record_epoch(self, event: EpochAdvertised) -> None:
+    def _record_epoch(self, event: messages.EpochAdvertised) -> None:
         if event.epoch <= max(self.epoch, INITIAL_EPOCH):
             return
+        self._newest_heard = max(self._newest_heard, event.epoch)
+        self._record_behind()
         self._epochs_by_source.pop(event.host_id, None)
         self._epochs_by_source[event.host_id] = event.epoch
         while len(self._epochs_by_source) > MAX_PULL_SOURCES:
             del self._epochs_by_source[next(iter(self._epochs_by_source))]
 
+    def _record_behind(self) -> None:
+        if self.behind_since is None:
+            self.behind_since = self._now
+
     def _start_pull_if_behind(self, now: float) -> None:
         """Pulls from one source, and from another one if the first is slow."""
         if now < self._next_pull_at:
@@ -343,8 +228,11 @@
         best = [h for h in candidates if self._epochs_by_source[h] == newest]
         host_id = self._rng.choice(best)
         self._pull_times_by_host[host_id] = now
-        digests = tuple(section.digest for section in self._sections)
-        self._effects.append(Pull(host_id=host_id, known_digests=digests))
+        digests = [section.digest for section in self._sections]
+        digests.append(preset_sections.CHUNKS_MARK)
+        self._effects.append(
+            messages.Pull(host_id=host_id, known_digests=tuple(digests))
+        )
 
     def _on_pull_response(
         self, host_id: str, response: gossip.PresetResponse, now: float
@@ -357,7 +245,7 @@
                 self._apply(response.epoch, preset, response.operation_id)
             case result.Err(reason):
                 epoch = response.epoch if advertised is None else advertised
-                self._effects.append(Reject(epoch=epoch, reason=reason))
+                self._reject(epoch, reason)
                 self._back_off_pulls(now)
 
     def _back_off_pulls(self, now: float) -> None:
@@ -369,7 +257,7 @@
     def _on_document(self, document: bytes) -> None:
         match in_force.decode(document):
             case result.Err(reason):
-                self._effects.append(Reject(epoch=self.epoch, reason=reason))
+                self._reject(self.epoch, reason)
             case result.Ok(offered):
                 newest = max(self._epochs_by_source.values(), default=0)
                 if offered.epoch < newest:
@@ -380,9 +268,13 @@
                     )
                 elif self._is_conflicting(offered):
                     reason = "another preset is in force under this epoch"
-                    self._effects.append(
-                        Reject(epoch=offered.epoch, reason=reason)
-                    )
+                    self._reject(offered.epoch, reason)
+                elif offered.epoch >= self._newest_heard:
+                    self.behind_since = None
+
+    def _reject(self, epoch: int, reason: str) -> None:
+        self._record_behind()
+        self._effects.append(messages.Reject(epoch=epoch, reason=reason))
 
     def _is_conflicting(self, offered: in_force.ActivePreset) -> bool:
         same_epoch = offered.epoch == self.epoch
@@ -414,7 +306,7 @@
         if self._watch_at is not None and now >= self._watch_at:
             self._watch_at = None
             self._is_watching = True
-            self._effects.append(WatchStore(watch=True))
+            self._effects.append(messages.WatchStore(watch=True))
         if (
             self.epoch > NO_EPOCH
             or self._is_reading
@@ -425,7 +317,7 @@
             return
         if self._has_store:
             self._is_reading = True
-            self._effects.append(ReadStore())
+            self._effects.append(messages.ReadStore())
             return
         self._next_read_at = now + STORE_READ_DELAY_S
         is_alone = len(self._members_by_id) <= 1
@@ -469,13 +361,15 @@
         self._watch_at = None
         if self._is_watching:
             self._is_watching = False
-            self._effects.append(WatchStore(watch=False))
+            self._effects.append(messages.WatchStore(watch=False))
 
     def _apply(
         self, epoch: int, preset: model.Preset, operation_id: str
     ) -> None:
         self.epoch = epoch
         self.preset = preset
+        if epoch >= self._newest_heard:
+            self.behind_since = None
         self._operation_id = operation_id
         self._sections = preset_sections.split(preset)
         self._pull_backoff_s = PULL_BACKOFF_MIN_S
@@ -484,4 +378,4 @@
             for host_id, advertised in self._epochs_by_source.items()
             if advertised > epoch
         }
-        self._effects.append(Apply(epoch=epoch, preset=preset))
+        self._effects.append(messages.Apply(epoch=epoch, preset=preset))
--- a/bergamotdeal/presets/sections.py
+++ b/bergamotdeal/presets/sections.py
@@ -1,10 +1,18 @@
 """Splitting of presets into sections, so that nodes pull only what changed.
 
 The routes of each service are a section of their own. In a fleet with many
-services, a switch that changes one service transfers only that section.
+services, a switch that changes one service transfers only that section. The
+host routes and the organisations, of which there may be thousands, are split
+into chunks that end at items with certain names. An item that is added, changed
+or removed alters only its own chunk, and the order is kept.
+
+Nodes that know only whole fields are answered with these; see ``CHUNKS_MARK``.
 """
 
+from collections.abc import Iterator
+from collections.abc import Sequence
 import typing
+import zlib
 
 import msgspec
 import result
@@ -29,14 +37,26 @@
     "organisations",
     "quotas",
 )
+_CHUNKED_FIELDS = ("host_routes", "organisations")
+_CHUNK_SEPARATOR = "/"
+_MEAN_CHUNK_ITEMS = 64
+_MAX_CHUNK_ITEMS = 256
+
+CHUNKS_MARK = codec.digest(b"sections in chunks")
+"""Digest that a node adds to those that it knows if it can join chunks. It is
+the digest of no section, so that other nodes ignore it."""
+
 _SPLIT_FIELDS = ("services_by_name", "routes", *_POLICY_FIELDS)
 
 
-def split(preset: model.Preset) -> tuple[messages.Section, ...]:
+def split(
+    preset: model.Preset, *, in_chunks: bool = True
+) -> tuple[messages.Section, ...]:
     """Splits a preset into its sections.
 
     Args:
       preset: The preset.
+      in_chunks: Whether to split long fields into chunks.
 
     Returns:
       All sections with their content, in a fixed order.
@@ -48,7 +68,13 @@
     }
     sections = [_section(_HEADER, header)]
     for name in _POLICY_FIELDS:
-        sections.append(_section(name, getattr(preset, name)))
+        value = getattr(preset, name)
+        if not (in_chunks and name in _CHUNKED_FIELDS):
+            sections.append(_section(name, value))
+            continue
+        for index, chunk in enumerate(_split_items(value)):
+            chunk_name = f"{name}{_CHUNK_SEPARATOR}{index}"
+            sections.append(_section(chunk_name, chunk))
     sections.append(_section(_SERVICES, preset.services_by_name))
     routes_by_service: dict[str, list[model.Route]] = {}
     for route in preset.routes:
@@ -58,6 +84,18 @@
     return tuple(sections)
 
 
+def _split_items(items: Sequence) -> Iterator[Sequence]:
+    """Yields the chunks of a sequence of named items."""
+    start = 0
+    for end, item in enumerate(items, 1):
+        is_boundary = not zlib.crc32(item.name.encode()) % _MEAN_CHUNK_ITEMS
+        if is_boundary or end - start >= _MAX_CHUNK_ITEMS:
+            yield items[start:end]
+            start = end
+    if start < len(items):
+        yield items[start:]
+
+
 def _section(name: str, value: typing.Any) -> messages.Section:
     content = msgspec.json.encode(value, order="sorted")
     return messages.Section(
@@ -132,5 +170,8 @@
         fields["services_by_name"] = value
     elif name.startswith(_ROUTES_PREFIX):
         fields["routes"].extend(value)
+    elif _CHUNK_SEPARATOR in name:
+        field = name.partition(_CHUNK_SEPARATOR)[0]
+        fields.setdefault(field, []).extend(value)
     else:
         fields[name] = value
--- a/bergamotdeal/presets/tests/test_fleet_start.py
+++ b/bergamotdeal/presets/tests/test_fleet_start.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bergamotdeal.presets import follower
+from bergamotdeal.presets import messages as preset_messages
 from bergamotdeal.presets.tests import test_follower
 
 STEP_S = 0.05
@@ -32,7 +33,9 @@
                 rng=random.Random(number),
                 now=0.0,
             )
-            event = follower.MembershipUpdated(members_by_id=members_by_id)
+            event = preset_messages.MembershipUpdated(
+                members_by_id=members_by_id
+            )
             node.handle(event, 0.1)
             self.followers_by_id[host_id] = node
 
@@ -51,11 +54,11 @@
         if is_told:
             test_follower.push(node, 7, now)
             return
-        effects = node.handle(follower.TimePassed(), now)
-        if test_follower.filter_effects(effects, follower.ReadStore):
+        effects = node.handle(preset_messages.TimePassed(), now)
+        if test_follower.filter_effects(effects, preset_messages.ReadStore):
             self.reads += 1
             document = test_follower.make_document(7)
-            node.handle(follower.StoreRead(document=document), now)
+            node.handle(preset_messages.StoreRead(document=document), now)
             if self.advertised_at is None:
                 self.advertised_at = now
 
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -11,6 +11,7 @@
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.presets import follower
 from bergamotdeal.presets import in_force
+from bergamotdeal.presets import messages as preset_messages
 from bergamotdeal.presets import model
 from bergamotdeal.presets import sections
 from bergamotdeal.presets import watchers
@@ -67,16 +68,18 @@
 
 
 def push(target, epoch, now=0.0, **options):
-    event = follower.PresetPushed(document=make_document(epoch, **options))
+    event = preset_messages.PresetPushed(
+        document=make_document(epoch, **options)
+    )
     return target.handle(event, now)
 
 
 def test_follower_applies_only_a_higher_epoch():
     target = make_node()
-    assert filter_effects(push(target, 5), follower.Apply)[0].epoch == 5
+    assert filter_effects(push(target, 5), preset_messages.Apply)[0].epoch == 5
     for epoch in (5, 4, 1):
-        assert not filter_effects(push(target, epoch), follower.Apply)
-    assert filter_effects(push(target, 6), follower.Apply)
+        assert not filter_effects(push(target, epoch), preset_messages.Apply)
+    assert filter_effects(push(target, 6), preset_messages.Apply)
     assert target.epoch == 6
 
 
@@ -85,16 +88,16 @@
     push(target, 5)
     assert not push(target, 5)
     effects = push(target, 5, operation_id="other")
-    assert filter_effects(effects, follower.Reject)
-    assert not filter_effects(effects, follower.Apply)
+    assert filter_effects(effects, preset_messages.Reject)
+    assert not filter_effects(effects, preset_messages.Apply)
 
 
 def pull_from(source, target, host_id, now=0.0):
-    heard = follower.EpochAdvertised(epoch=source.epoch, host_id=host_id)
-    (pull,) = filter_effects(target.handle(heard, now), follower.Pull)
+    heard = preset_messages.EpochAdvertised(epoch=source.epoch, host_id=host_id)
+    (pull,) = filter_effects(target.handle(heard, now), preset_messages.Pull)
     request = gossip.PresetRequest(known_digests=pull.known_digests)
     response = source.answer_pull(request)
-    answered = follower.PullAnswered(host_id=host_id, response=response)
+    answered = preset_messages.PullAnswered(host_id=host_id, response=response)
     return response, target.handle(answered, now)
 
 
@@ -103,13 +106,13 @@
     push(source, 1)
     response, effects = pull_from(source, target, "a")
     assert all(section.content for section in response.sections)
-    applied = filter_effects(effects, follower.Apply)[0].preset
+    applied = filter_effects(effects, preset_messages.Apply)[0].preset
     assert sections.split(applied) == sections.split(source.preset)
     changed = msgspec.structs.replace(
         make_preset("calm"), retries=model.RetryPolicy(allowance=1)
     )
     source.handle(
-        follower.PresetPushed(
+        preset_messages.PresetPushed(
             document=in_force.encode(
                 in_force.ActivePreset(
                     epoch=2, operation_id="2-b", preset=changed
@@ -128,15 +131,15 @@
 def test_section_with_wrong_digest_is_rejected():
     source, target = make_node("a"), make_node("b")
     push(source, 1)
-    target.handle(follower.EpochAdvertised(epoch=1, host_id="a"), 0.0)
+    target.handle(preset_messages.EpochAdvertised(epoch=1, host_id="a"), 0.0)
     response = source.answer_pull(gossip.PresetRequest(known_digests=()))
     altered = msgspec.structs.replace(response.sections[0], content=b"{}")
     response = msgspec.structs.replace(
         response, sections=(altered, *response.sections[1:])
     )
-    answered = follower.PullAnswered(host_id="a", response=response)
+    answered = preset_messages.PullAnswered(host_id="a", response=response)
     effects = target.handle(answered, 0.0)
-    assert filter_effects(effects, follower.Reject)
+    assert filter_effects(effects, preset_messages.Reject)
     assert target.epoch == follower.NO_EPOCH
 
 
@@ -150,10 +153,14 @@
     pulls = 0
     for tenth in range(6000):
         now = tenth / 10
-        heard = follower.EpochAdvertised(epoch=2, host_id=f"host-{tenth % 40}")
-        for pull in filter_effects(target.handle(heard, now), follower.Pull):
+        heard = preset_messages.EpochAdvertised(
+            epoch=2, host_id=f"host-{tenth % 40}"
+        )
+        for pull in filter_effects(
+            target.handle(heard, now), preset_messages.Pull
+        ):
             pulls += 1
-            answered = follower.PullAnswered(
+            answered = preset_messages.PullAnswered(
                 host_id=pull.host_id, response=response
             )
             target.handle(answered, now)
@@ -165,15 +172,18 @@
 def test_slow_pull_is_hedged_with_another_source():
     target = make_node()
     push(target, 1)
-    heard = target.handle(follower.EpochAdvertised(epoch=3, host_id="b"), 0.0)
-    assert filter_effects(heard, follower.Pull)[0].host_id == "b"
+    heard = target.handle(
+        preset_messages.EpochAdvertised(epoch=3, host_id="b"), 0.0
+    )
+    assert filter_effects(heard, preset_messages.Pull)[0].host_id == "b"
     assert not target.handle(
-        follower.EpochAdvertised(epoch=3, host_id="c"), 0.1
+        preset_messages.EpochAdvertised(epoch=3, host_id="c"), 0.1
     )
     hedge_at = target.next_wakeup()
     assert hedge_at == pytest.approx(follower.PULL_HEDGE_DELAY_S)
     pulls = filter_effects(
-        target.handle(follower.TimePassed(), hedge_at), follower.Pull
+        target.handle(preset_messages.TimePassed(), hedge_at),
+        preset_messages.Pull,
     )
     assert pulls[0].host_id == "c"
 
@@ -181,40 +191,41 @@
 def test_unanswered_pull_schedules_no_further_wakeup():
     target = make_node()
     push(target, 1)
-    target.handle(follower.EpochAdvertised(epoch=3, host_id="b"), 0.0)
+    target.handle(preset_messages.EpochAdvertised(epoch=3, host_id="b"), 0.0)
     hedge_at = target.next_wakeup()
-    target.handle(follower.TimePassed(), hedge_at)
+    target.handle(preset_messages.TimePassed(), hedge_at)
     assert target.next_wakeup() is None
 
 
 def test_failed_pull_continues_with_next_source():
     target = make_node()
-    target.handle(follower.EpochAdvertised(epoch=3, host_id="b"), 0.0)
-    target.handle(follower.EpochAdvertised(epoch=3, host_id="c"), 0.0)
-    effects = target.handle(follower.PullFailed(host_id="b"), 0.1)
-    assert filter_effects(effects, follower.Pull)[0].host_id == "c"
+    target.handle(preset_messages.EpochAdvertised(epoch=3, host_id="b"), 0.0)
+    target.handle(preset_messages.EpochAdvertised(epoch=3, host_id="c"), 0.0)
+    effects = target.handle(preset_messages.PullFailed(host_id="b"), 0.1)
+    assert filter_effects(effects, preset_messages.Pull)[0].host_id == "c"
 
 
 def test_higher_epoch_advertised_during_pull_is_pulled_next():
     source, target = make_node("a"), make_node("b")
     push(source, 1)
-    target.handle(follower.EpochAdvertised(epoch=1, host_id="a"), 0.0)
-    target.handle(follower.EpochAdvertised(epoch=2, host_id="c"), 0.0)
+    target.handle(preset_messages.EpochAdvertised(epoch=1, host_id="a"), 0.0)
+    target.handle(preset_messages.EpochAdvertised(epoch=2, host_id="c"), 0.0)
     response = source.answer_pull(gossip.PresetRequest(known_digests=()))
-    answered = follower.PullAnswered(host_id="a", response=response)
+    answered = preset_messages.PullAnswered(host_id="a", response=response)
     effects = target.handle(answered, 0.0)
-    assert filter_effects(effects, follower.Apply)[0].epoch == 1
-    assert filter_effects(effects, follower.Pull)[0].host_id == "c"
+    assert filter_effects(effects, preset_messages.Apply)[0].epoch == 1
+    assert filter_effects(effects, preset_messages.Pull)[0].host_id == "c"
 
 
 def test_new_node_reads_store_if_no_epoch_is_advertised():
     target = make_node()
     now = target.next_wakeup()
     assert filter_effects(
-        target.handle(follower.TimePassed(), now), follower.ReadStore
+        target.handle(preset_messages.TimePassed(), now),
+        preset_messages.ReadStore,
     )
     assert "waiting" in target.explain_missing_preset()
-    target.handle(follower.StoreRead(document=make_document(4)), now)
+    target.handle(preset_messages.StoreRead(document=make_document(4)), now)
     assert target.epoch == 4
     assert target.explain_missing_preset() is None
     assert target.next_wakeup() is None
@@ -224,9 +235,9 @@
     target = make_node()
     reads = 0
     while (now := target.next_wakeup()) < 300:
-        effects = target.handle(follower.TimePassed(), now)
-        reads += len(filter_effects(effects, follower.ReadStore))
-        target.handle(follower.StoreFailed(reason="refused"), now)
+        effects = target.handle(preset_messages.TimePassed(), now)
+        reads += len(filter_effects(effects, preset_messages.ReadStore))
+        target.handle(preset_messages.StoreFailed(reason="refused"), now)
     assert "refused" in target.explain_missing_preset()
     assert 8 <= reads <= 40
     push(target, 2, now=now)
@@ -237,21 +248,21 @@
     initial = make_preset("initial")
     unreachable = make_node(initial=initial)
     now = unreachable.next_wakeup()
-    unreachable.handle(follower.TimePassed(), now)
-    unreachable.handle(follower.StoreFailed(reason="refused"), now)
+    unreachable.handle(preset_messages.TimePassed(), now)
+    unreachable.handle(preset_messages.StoreFailed(reason="refused"), now)
     assert unreachable.epoch == follower.NO_EPOCH
     unswitched = make_node(initial=initial)
-    unswitched.handle(follower.TimePassed(), now)
-    unswitched.handle(follower.StoreRead(document=None), now)
+    unswitched.handle(preset_messages.TimePassed(), now)
+    unswitched.handle(preset_messages.StoreRead(document=None), now)
     assert unswitched.epoch == follower.INITIAL_EPOCH
     push(unswitched, 1)
     assert unswitched.preset.name == "peak"
     isolated = make_node(initial=initial, has_store=False)
-    isolated.handle(follower.TimePassed(), isolated.next_wakeup())
+    isolated.handle(preset_messages.TimePassed(), isolated.next_wakeup())
     assert isolated.preset == initial
     informed = make_node(initial=initial, has_store=False)
-    informed.handle(follower.EpochAdvertised(epoch=3, host_id="b"), 0.0)
-    informed.handle(follower.TimePassed(), informed.next_wakeup() + 2)
+    informed.handle(preset_messages.EpochAdvertised(epoch=3, host_id="b"), 0.0)
+    informed.handle(preset_messages.TimePassed(), informed.next_wakeup() + 2)
     assert informed.epoch == follower.NO_EPOCH
 
 
@@ -261,18 +272,20 @@
         initial=make_preset("initial"), has_store=False, has_seeds=True
     )
     while (now := target.next_wakeup()) < follower.INITIAL_PRESET_DELAY_S - 1:
-        assert not target.handle(follower.TimePassed(), now)
-    known = follower.MembershipUpdated(members_by_id=make_members("a", "b"))
+        assert not target.handle(preset_messages.TimePassed(), now)
+    known = preset_messages.MembershipUpdated(
+        members_by_id=make_members("a", "b")
+    )
     target.handle(known, now)
-    target.handle(follower.EpochAdvertised(epoch=3, host_id="b"), now)
-    target.handle(follower.TimePassed(), now)
+    target.handle(preset_messages.EpochAdvertised(epoch=3, host_id="b"), now)
+    target.handle(preset_messages.TimePassed(), now)
     assert target.epoch == follower.NO_EPOCH
     isolated = make_node(
         initial=make_preset("initial"), has_store=False, has_seeds=True
     )
     while isolated.epoch == follower.NO_EPOCH:
         now = isolated.next_wakeup()
-        isolated.handle(follower.TimePassed(), now)
+        isolated.handle(preset_messages.TimePassed(), now)
     assert (
         follower.INITIAL_PRESET_DELAY_S
         <= now
@@ -290,7 +303,7 @@
     assert len(watchers.choose_watchers(known, "odori") & chosen) == 1
     started = 0
     for host_id in host_ids:
-        event = follower.MembershipUpdated(
+        event = preset_messages.MembershipUpdated(
             members_by_id=make_members(*host_ids)
         )
         target = make_node(host_id)
@@ -299,8 +312,8 @@
         wakeup = target.next_wakeup()
         if wakeup is None:
             continue
-        effects = target.handle(follower.TimePassed(), wakeup)
-        started += len(filter_effects(effects, follower.WatchStore))
+        effects = target.handle(preset_messages.TimePassed(), wakeup)
+        started += len(filter_effects(effects, preset_messages.WatchStore))
     assert started == WATCHER_COUNT
 
 
@@ -315,17 +328,23 @@
     for source, epoch in updates:
         match source:
             case "hand":
-                event = follower.PresetPushed(document=make_document(epoch))
+                event = preset_messages.PresetPushed(
+                    document=make_document(epoch)
+                )
             case "store":
-                event = follower.StoreRead(document=make_document(epoch))
+                event = preset_messages.StoreRead(document=make_document(epoch))
             case "pull":
                 response = gossip.PresetResponse(
                     epoch=epoch,
                     operation_id="1-a",
                     sections=sections.split(make_preset()),
                 )
-                event = follower.PullAnswered(host_id="b", response=response)
-        for effect in filter_effects(target.handle(event, 0.0), follower.Apply):
+                event = preset_messages.PullAnswered(
+                    host_id="b", response=response
+                )
+        for effect in filter_effects(
+            target.handle(event, 0.0), preset_messages.Apply
+        ):
             applied.append(effect.epoch)
     assert applied == sorted(set(applied))
     assert target.epoch == max((e for _, e in updates), default=-1)
@@ -334,22 +353,73 @@
 @hypothesis.given(st.binary(max_size=100))
 def test_malformed_pushed_document_is_not_applied(data):
     target = make_node()
-    effects = target.handle(follower.PresetPushed(document=data), 0.0)
-    assert not filter_effects(effects, follower.Apply)
+    effects = target.handle(preset_messages.PresetPushed(document=data), 0.0)
+    assert not filter_effects(effects, preset_messages.Apply)
 
 
 def test_older_preset_of_a_restored_store_waits_for_the_advertised_one():
     # Guards against a revoked key that a restarted node accepts again.
     target = make_node()
     target.handle(
-        follower.MembershipUpdated(members_by_id=make_members("a", "b")), 0.0
+        preset_messages.MembershipUpdated(members_by_id=make_members("a", "b")),
+        0.0,
     )
-    heard = follower.EpochAdvertised(epoch=13, host_id="b")
-    assert filter_effects(target.handle(heard, 0.1), follower.Pull)
-    read = follower.StoreRead(document=make_document(12))
-    assert not filter_effects(target.handle(read, 0.2), follower.Apply)
+    heard = preset_messages.EpochAdvertised(epoch=13, host_id="b")
+    assert filter_effects(target.handle(heard, 0.1), preset_messages.Pull)
+    read = preset_messages.StoreRead(document=make_document(12))
+    assert not filter_effects(target.handle(read, 0.2), preset_messages.Apply)
     assert target.epoch == follower.NO_EPOCH
     # If the node that advertised it is gone, the store's preset is the newest.
-    target.handle(follower.PullFailed(host_id="b"), 0.3)
+    target.handle(preset_messages.PullFailed(host_id="b"), 0.3)
     effects = target.handle(read, 5.0)
-    assert filter_effects(effects, follower.Apply)[0].epoch == 12
+    assert filter_effects(effects, preset_messages.Apply)[0].epoch == 12
+
+
+# Guards against a node that stays on an older preset and nothing shows it.
+
+
+def test_node_is_behind_from_the_news_until_the_newer_preset_is_applied():
+    source, target = make_node("a"), make_node("b")
+    push(source, 7)
+    push(target, 5)
+    assert target.behind_since is None
+    heard = preset_messages.EpochAdvertised(epoch=7, host_id="a")
+    (pull,) = filter_effects(target.handle(heard, 3.0), preset_messages.Pull)
+    target.handle(heard, 4.0)
+    assert target.behind_since == 3.0
+    response = source.answer_pull(
+        gossip.PresetRequest(known_digests=pull.known_digests)
+    )
+    answered = preset_messages.PullAnswered(host_id="a", response=response)
+    target.handle(answered, 5.0)
+    assert target.behind_since is None
+
+
+def test_node_is_behind_an_invalid_preset_until_a_valid_one_comes():
+    target = make_node()
+    push(target, 5)
+    for now in (1.0, 2.0):
+        target.handle(preset_messages.StoreRead(document=b""), now)
+    assert target.behind_since == 1.0
+    document = make_document(6)
+    target.handle(preset_messages.StoreRead(document=document), 3.0)
+    assert target.behind_since is None
+
+
+def test_node_that_applied_an_older_preset_than_it_heard_of_is_still_behind():
+    target = make_node()
+    heard = preset_messages.EpochAdvertised(epoch=9, host_id="b")
+    target.handle(heard, 1.0)
+    source = make_node("b")
+    push(source, 8)
+    response = source.answer_pull(gossip.PresetRequest(known_digests=()))
+    answered = preset_messages.PullAnswered(host_id="b", response=response)
+    target.handle(answered, 2.0)
+    assert (target.epoch, target.behind_since) == (8, 1.0)
+
+
+def test_pull_without_the_mark_is_answered_with_whole_fields():
+    source = make_node()
+    push(source, 7)
+    answer = source.answer_pull(gossip.PresetRequest(known_digests=()))
+    assert "host_routes" in {section.name for section in answer.sections}
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -97,6 +97,7 @@
     WORK_FACTOR = "server.work_factor"
     THRESHOLD = "admission.threshold"
     EPOCH = "presets.epoch"
+    BEHIND_S = "presets.behind_s"
     MEMBERS_ALIVE = "membership.alive"
     MEMBERS_SUSPECT = "membership.suspect"
     MEMBERS_DRAINING = "membership.draining"
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -9,6 +9,9 @@
 from standins.measure import figures
 
 REPORT_PATH = pathlib.Path("build/measure.json")
+OTHER_FIGURES_PATH = pathlib.Path(__file__).parent / "capacity_figures.md"
+"""Figures of runs that ``make measure`` doesn't make."""
+
 PAGE_PATH = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 
 
@@ -38,6 +41,7 @@
         "",
         *_format_failures(report),
         "",
+        OTHER_FIGURES_PATH.read_text(),
         _LIMITS,
     ]
     return "\n".join(lines)
--- a/standins/checked_switch.py
+++ b/standins/checked_switch.py
@@ -15,6 +15,7 @@
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.presets import follower as followers
 from bergamotdeal.presets import in_force
+from bergamotdeal.presets import messages
 from bergamotdeal.presets import model
 from bergamotdeal.presets import switch as switches
 from bergamotdeal.store import core as store_core
@@ -112,9 +113,9 @@
             other_id: other.member
             for other_id, other in self.nodes_by_id.items()
         }
-        event = followers.MembershipUpdated(members_by_id=members_by_id)
+        event = messages.MembershipUpdated(members_by_id=members_by_id)
         self._handle(host_id, event)
-        self._handle(host_id, followers.TimePassed())
+        self._handle(host_id, messages.TimePassed())
         self._gossip_epoch(host_id, node.follower)
 
     def kill_node(self, host_id: str, *, restart_after_s: float = 3.0) -> None:
@@ -213,7 +214,7 @@
 
     # --- Follower events and effects ---------------------------------------
 
-    def _handle(self, host_id: str, event: followers.Event) -> None:
+    def _handle(self, host_id: str, event: messages.Event) -> None:
         node = self.nodes_by_id[host_id]
         if node.follower is None:
             return
@@ -237,23 +238,23 @@
                 return
             due = follower.next_wakeup()
             if due is not None and due <= self.now:
-                self._handle(host_id, followers.TimePassed())
+                self._handle(host_id, messages.TimePassed())
 
         self.after(max(0.0, when - self.now), wake)
 
-    def _execute_effect(self, host_id: str, effect: followers.Effect) -> None:
+    def _execute_effect(self, host_id: str, effect: messages.Effect) -> None:
         match effect:
-            case followers.Apply(epoch=epoch):
+            case messages.Apply(epoch=epoch):
                 if epoch > 1:
                     self._run_hook(parts.Step.FIRST_IN_FORCE, host_id)
-            case followers.Pull():
+            case messages.Pull():
                 self._pull(host_id, effect)
-            case followers.ReadStore():
+            case messages.ReadStore():
                 self._read_store(host_id)
-            case followers.WatchStore(watch=True):
+            case messages.WatchStore(watch=True):
                 self._watches[host_id] = 0
                 self._notify_watches()
-            case followers.WatchStore():
+            case messages.WatchStore():
                 self._watches.pop(host_id, None)
 
     def _gossip_epoch(self, host_id: str, follower: followers.Follower) -> None:
@@ -263,14 +264,14 @@
             return
         other_id = self.rng.choice(sorted(set(self.nodes_by_id) - {host_id}))
         if follower.epoch >= 1 and self._is_connected(host_id, other_id):
-            event = followers.EpochAdvertised(
+            event = messages.EpochAdvertised(
                 epoch=follower.epoch, host_id=host_id
             )
             self.after(_LATENCY_S, lambda: self._handle(other_id, event))
         delay_s = self.rng.uniform(0.5, 1.5) * _GOSSIP_INTERVAL_S
         self.after(delay_s, lambda: self._gossip_epoch(host_id, follower))
 
-    def _pull(self, host_id: str, effect: followers.Pull) -> None:
+    def _pull(self, host_id: str, effect: messages.Pull) -> None:
         self._run_hook(parts.Step.PULLING, effect.host_id)
         request = gossip.PresetRequest(known_digests=effect.known_digests)
 
@@ -283,12 +284,12 @@
                 or not self._is_connected(host_id, effect.host_id)
             )
             if is_lost:
-                failed = followers.PullFailed(host_id=effect.host_id)
+                failed = messages.PullFailed(host_id=effect.host_id)
                 self.after(
                     PULL_TIMEOUT_S, lambda: self._handle(host_id, failed)
                 )
                 return
-            answer = followers.PullAnswered(
+            answer = messages.PullAnswered(
                 host_id=effect.host_id,
                 response=target.follower.answer_pull(request),
             )
@@ -304,11 +305,11 @@
     def _read_store(self, host_id: str) -> None:
         def answer() -> None:
             if not self._is_store_reachable(host_id):
-                event = followers.StoreFailed(reason="the store did not answer")
+                event = messages.StoreFailed(reason="the store did not answer")
             elif self.stored_object is None:
-                event = followers.StoreRead(document=None)
+                event = messages.StoreRead(document=None)
             else:
-                event = followers.StoreRead(document=self.stored_object.value)
+                event = messages.StoreRead(document=self.stored_object.value)
             self._handle(host_id, event)
 
         self.after(self._store_delay(), answer)
@@ -327,7 +328,7 @@
                 self.after(1.0, self._notify_watches)
                 continue
             self._watches[host_id] = self.stored_object.version
-            event = followers.StoreRead(document=self.stored_object.value)
+            event = messages.StoreRead(document=self.stored_object.value)
             self.after(
                 self._store_delay(),
                 lambda host_id=host_id, e=event: self._handle(host_id, e),
@@ -482,7 +483,7 @@
 
     def _push_to_nodes(self, document: bytes) -> None:
         """Pushes an accepted switch to some nodes, as the command does."""
-        event = followers.PresetPushed(document=document)
+        event = messages.PresetPushed(document=document)
         outside = [
             host_id
             for host_id, node in sorted(self.nodes_by_id.items())
--- a/standins/checked_switch_model.py
+++ b/standins/checked_switch_model.py
@@ -7,6 +7,7 @@
 
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import follower as followers
+from bergamotdeal.presets import messages
 from bergamotdeal.presets import switch as switches
 from bergamotdeal.store import core as store_core
 
@@ -39,7 +40,7 @@
     member: membership.Member
     follower: followers.Follower | None
     paused: bool = False
-    pending_events: list[followers.Event] = dataclasses.field(
+    pending_events: list[messages.Event] = dataclasses.field(
         default_factory=list
     )
     mute_until: float = 0.0
--- a/tests/integration/test_mixed_versions.py
+++ b/tests/integration/test_mixed_versions.py
@@ -7,6 +7,7 @@
 import http.client
 import io
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -15,12 +16,18 @@
 import time
 import tomllib
 
+import msgspec
 import pytest
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.membership import messages as gossip
 from bergamotdeal.organisations import keys
+from bergamotdeal.presets import follower
+from bergamotdeal.presets import in_force
+from bergamotdeal.presets import messages as preset_messages
 from bergamotdeal.presets import model
 from bergamotdeal.quotas.tests import model as quota_model
+from bergamotdeal.wire import gossip as gossip_codec
 from standins import cluster as clusters
 from tests.integration import fleet as fleets
 
@@ -41,6 +48,22 @@
 DRAINING = errors.ErrorKind.DRAINING.value
 
 
+# Run in the previous version: joins a pulled preset and serves it again.
+PULL_SCRIPT = """
+import sys
+sys.path.insert(0, sys.argv[1])
+from bergamotdeal.membership import messages
+from bergamotdeal.presets import sections
+from bergamotdeal.wire import gossip
+received = gossip.decode_bulk(sys.stdin.buffer.read()).unwrap()
+preset = sections.join(received.sections, ()).unwrap()
+answer = messages.PresetResponse(
+    epoch=received.epoch, operation_id="", sections=sections.split(preset)
+)
+sys.stdout.buffer.write(gossip.encode_bulk(answer))
+"""
+
+
 class Sender(threading.Thread):
     """A thread that sends requests of the organisation to one entry.
 
@@ -193,6 +216,56 @@
         started.assert_epochs_never_decreased()
 
 
+def build_follower(host_id):
+    return follower.Follower(
+        host_id=host_id,
+        data_centre="prai",
+        has_store=True,
+        rng=random.Random(1),
+        now=0.0,
+    )
+
+
+# Guards against hosts of the previous version that pull a preset without the
+# routes and organisations that this version sends in chunks.
+def test_preset_is_pulled_between_the_versions(previous_root):
+    preset = msgspec.structs.replace(
+        build_preset("large", {f"org-{n}": [f"key-{n}"] for n in range(300)}),
+        host_routes=tuple(
+            model.HostRoute(
+                name=f"r-{n}",
+                host="kits.example",
+                prefix=f"/{n}/",
+                destinations=(model.Destination(service=SERVICE),),
+            )
+            for n in range(3000)
+        ),
+    )
+    document = in_force.encode(
+        in_force.build_successor(
+            None, preset=preset, operation_id="large", operator="test"
+        )
+    )
+    source = build_follower("source")
+    source.handle(preset_messages.StoreRead(document=document), 0.0)
+    answer = source.answer_pull(gossip.PresetRequest(known_digests=()))
+    served_again = subprocess.run(
+        [sys.executable, "-c", PULL_SCRIPT, str(previous_root)],
+        input=gossip_codec.encode_bulk(answer),
+        check=True,
+        capture_output=True,
+    ).stdout
+    target = build_follower("target")
+    target.handle(
+        preset_messages.EpochAdvertised(epoch=1, host_id="previous"), 0.0
+    )
+    response = gossip_codec.decode_bulk(served_again).unwrap()
+    target.handle(
+        preset_messages.PullAnswered(host_id="previous", response=response), 0.1
+    )
+    assert target.preset == preset
+
+
 def switch(fleet, name, keys_by_organisation, epoch):
     operator = fleet.operator(
         name, preset=build_preset(name, keys_by_organisation)
