Route requests whose target is in absolute form

Cause: the whole target was taken for the path. The path is now forwarded and the target's authority takes the place of the Host header (RFC 9112 section 3.2.2). The new test fails before (the target was passed on whole).

--- a/bergamotdeal/node/http_message.py
+++ b/bergamotdeal/node/http_message.py
@@ -7,9 +7,37 @@
 _REASON_PHRASES_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
+_SCHEMES = frozenset(("http", "https"))
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
+def split_absolute_target(
+    target: str, headers: rpc.Headers
+) -> tuple[str, rpc.Headers]:
+    """Replaces a target in absolute form by path and query.
+
+    Its authority takes the place of the ``Host`` header (RFC 9112 section
+    3.2.2).
+
+    Args:
+      target: Target of a request, in any form.
+      headers: Headers of the request.
+
+    Returns:
+      The path and query with the headers, unchanged if the target is not in
+      absolute form.
+    """
+    scheme, separator, rest = target.partition("://")
+    if not separator or scheme.lower() not in _SCHEMES:
+        return target, headers
+    end = min(i for i in (*map(rest.find, "/?"), len(rest)) if i >= 0)
+    authority, path = rest[:end], rest[end:]
+    if not path.startswith("/"):
+        path = "/" + path
+    others = [header for header in headers if header[0] != "host"]
+    return path, [("host", authority), *others]
+
+
 def render_request_head(
     method: bytes, target: bytes, headers: rpc.Headers
 ) -> bytes:
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -238,10 +238,13 @@
 
     def _build_request(self) -> http_exchange.HttpRequest:
         """Builds the request from what has been received of it."""
+        target, headers = http_message.split_absolute_target(
+            b"".join(self._target).decode("latin-1"), self._headers
+        )
         return http_exchange.HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
-            target=b"".join(self._target).decode("latin-1"),
-            headers=self._headers,
+            target=target,
+            headers=headers,
             body=b"".join(self._body_parts),
             keep_alive=self._parser.should_keep_alive(),
             is_refused=self._is_skipping_body,
--- a/bergamotdeal/node/tests/test_http_server.py
+++ b/bergamotdeal/node/tests/test_http_server.py
@@ -265,3 +265,25 @@
     harness.send(SECOND + SECOND)
     assert harness.asked == [(0, "/second")] * 2
     assert harness.read_statuses() == [b"503", b"503"]
+
+
+# Guards against requests that are refused as without a route since their target
+# names the host, too.
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        (b"http://b.example:8080/kits?x=1", ("/kits?x=1", "b.example:8080")),
+        (b"HTTP://b.example/", ("/", "b.example")),
+        (b"https://b.example", ("/", "b.example")),
+        (b"http://b.example?x=/1", ("/?x=/1", "b.example")),
+        (b"/to?u=http://c/", ("/to?u=http://c/", "a")),
+        (b"*", ("*", "a")),
+    ],
+)
+def test_target_in_absolute_form_names_host_and_path(target, expected):
+    harness = Harness()
+    harness.channel.dataReceived(build_request(LENGTH, BODY, target))
+    (request,) = harness.requests
+    assert (request.target, request.header("host")) == expected
+    assert [name for name, _ in request.headers].count("host") == 1
+    assert request.body == BODY
