Don't take a link for silent while a large frame takes its time

A frame of 3 MB that needs more than 1.5 s, behind others or on a narrow link, had the link closed as silent and all its calls lost. Each part that arrives and each part that leaves the node's own buffer now counts; what hangs is still found, since it does neither. Both new tests fail before.

--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -95,6 +95,7 @@
         self._on_frame = on_frame
         self._on_closed = on_closed
         self._last_ping_at = 0.0
+        self._last_unsent_bytes = 0
         self._last_ping_number = 0
         self._unanswered_pings = 0
         self._compressor: compression.FrameCompressor | None = None
@@ -149,6 +150,8 @@
             self.last_received_at = now
             self.send(messages.Pong(number=0))
             return
+        if self._has_sent_backlog():
+            self.last_received_at = now
         silent_s = now - self.last_received_at
         if self.state is not LinkState.OPEN:
             if silent_s > HANDSHAKE_TIMEOUT_S:
@@ -179,6 +182,16 @@
             and self._buffers.is_input_paused(self.transport)
         )
 
+    def _has_sent_backlog(self) -> bool:
+        """Returns whether buffered bytes were sent since the last check.
+
+        A heartbeat waits behind a large frame, so that its answer is late.
+        """
+        unsent_bytes = transport.get_unsent_bytes(self.transport)
+        has_sent = unsent_bytes < self._last_unsent_bytes
+        self._last_unsent_bytes = unsent_bytes
+        return has_sent
+
     # Called by Twisted.
 
     def dataReceived(self, data: bytes) -> None:
@@ -189,6 +202,10 @@
         Args:
           data: Received bytes.
         """
+        if self.state is LinkState.OPEN:
+            # A part of a large frame, too, shows that the peer is there.
+            self.last_received_at = self._clock()
+            self._unanswered_pings = 0
         self._missing_bytes -= len(data)
         if self._missing_bytes > 0:
             self._frame_parts.append(data)
--- a/bergamotdeal/node/tests/test_peer_link.py
+++ b/bergamotdeal/node/tests/test_peer_link.py
@@ -322,3 +322,36 @@
             listener.link.check(listener.now, has_pending_calls=False)
             dialer.link.dataReceived(listener.take_sent_bytes())
         assert dialer.is_open and listener.is_open
+
+
+# Guards against a link that is closed as silent, with all its calls, while a
+# large frame takes its time on a slow network.
+def test_link_is_not_silent_while_a_large_frame_arrives():
+    dialer, listener = connect_sides()
+    data = encode_frame(build_large_frame(1, 100_000))
+    for index in range(0, len(data), 10_000):
+        for side in (dialer, listener):
+            side.now += 0.6
+        dialer.link.dataReceived(data[index : index + 10_000])
+        dialer.link.check(dialer.now, has_pending_calls=True)
+    assert dialer.is_open
+    assert len(dialer.frames) == 1
+
+
+def test_link_is_not_silent_while_a_large_frame_is_sent(monkeypatch):
+    dialer, _ = connect_sides()
+    unsent_bytes = iter(range(10_000_000, 0, -500_000))
+    monkeypatch.setattr(
+        peer_link.transport, "get_unsent_bytes", lambda _: next(unsent_bytes)
+    )
+    for _ in range(20):
+        dialer.now += 0.6
+        dialer.link.check(dialer.now, has_pending_calls=True)
+    assert dialer.is_open
+    monkeypatch.setattr(
+        peer_link.transport, "get_unsent_bytes", lambda _: 500_000
+    )
+    for _ in range(5):
+        dialer.now += 0.6
+        dialer.link.check(dialer.now, has_pending_calls=True)
+    assert dialer.link.close_reason == "silent"
