Soak real nodes with signals, restarts and changes that overlap

The soak so far walks simulated call engines. This one runs real nodes with the adapter of the platform between its stand-ins: up to three disturbances at a time (stop, kill, both, pause, hang up, servers that leave or crash, configurations in series, a store that is down or restored), clients that keep their connections open until the process is gone, and checks of what clients and servers saw: run twice, refused though run, answers of others, changed or foreign requests, answers lost at a planned stop, work after a server's leave, configurations that go back, what is served at the end.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 STAMP := $(VENV)/.installed-$(shell cat requirements/*.txt | cksum | cut -d' ' -f1)
 SEED ?= 1
 SECONDS ?= 60
+SEEDS ?= 50
 
-.PHONY: setup demo test format lint check unit measure soak binary pages clean
+.PHONY: setup demo test format lint check unit measure soak soak-nodes binary pages clean
 
 setup: $(STAMP)
 
@@ -42,6 +43,11 @@
 soak: setup
 	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS)
 
+# Real nodes under signals, restarts and changes that overlap.
+soak-nodes: setup
+	PYTHONPATH=platform $(BIN)/python -m standin.soak --seed $(SEED) \
+	  --seeds $(SEEDS)
+
 binary: setup
 	$(BIN)/python -m tools.build_binary
 
