Accept announcements of the backend server while memory is full

Found in the read of the change: the egress listener refused the server's own announcements, too, when callers had taken the memory for bodies, so that the server would have counted as silent after 5 s. Requests for the node itself always have room. The new test failed before. On a platform whose heartbeats come on a port of their own nothing changes.

--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -39,6 +39,9 @@
 RETRY_DELAY_SHARE = 1 / 3
 """Part of the time to its deadline for which a caller waits at most."""
 
+_OWN_PREFIX = "/v1/"
+"""Start of the paths of requests for the node itself."""
+
 _NO_ORIGIN_ID = 0
 _REQUEST_ID_BYTES = 12
 _MS_PER_S = 1000
@@ -210,12 +213,18 @@
             kind = errors.ErrorKind.MEMORY_EXHAUSTED
             self._refuse_request(exchange, request, kind)
             return
-        if self._handle_own is not None and request.target.startswith("/v1/"):
+        if self._is_own(request):
             self._handle_own(exchange, request)
             return
         if self._hold is None or not self._hold.add(exchange, request):
             self._process_request(exchange, request)
 
+    def _is_own(self, request: http_exchange.HttpRequest) -> bool:
+        """Returns whether a request is for the node itself."""
+        return self._handle_own is not None and (
+            request.target.startswith(_OWN_PREFIX)
+        )
+
     def _process_request(
         self,
         exchange: http_exchange.Exchange,
@@ -255,6 +264,9 @@
         size_bytes: int,
         build_request: Callable[[], http_exchange.HttpRequest],
     ) -> bool:
+        if self._handle_own is not None and self._is_own(build_request()):
+            # Without its announcements the server would count as silent.
+            return True
         return self._admission.has_room_for_request(
             size_bytes, lambda: self._read_arrival(build_request())
         )
--- a/bergamotdeal/node/tests/test_faces.py
+++ b/bergamotdeal/node/tests/test_faces.py
@@ -18,6 +18,7 @@
 
 class Harness:
     def __init__(self, face=messages.Face.ENTRY, ready=True, admission=None):
+        self.own_targets = []
         self.events = []
         self.listener = faces.CallListener(
             face=face,
@@ -26,6 +27,9 @@
             rng=random.Random(1),
             origin_ids=itertools.count(1),
             admission=admission,
+            handle_node_request=(
+                self._handle_own if face is messages.Face.EGRESS else None
+            ),
         )
         self.reactor = testing.MemoryReactorClock()
         self.listener.start(
@@ -33,6 +37,10 @@
         )
         self.connect()
 
+    def _handle_own(self, exchange, request):
+        del exchange
+        self.own_targets.append(request.target)
+
     def connect(self):
         factory = self.reactor.tcpServers[0][1]
         self.channel = factory.buildProtocol(None)
@@ -332,3 +340,20 @@
     assert status == 503
     assert 0 < float(headers_by_name["retry-after"]) <= faces.MAX_RETRY_DELAY_S
     assert admission.arrivals == [None]
+
+
+# Guards against a backend server that counts as silent, since its announcements
+# are refused while callers take the memory.
+def test_announcement_is_accepted_without_memory():
+    harness = Harness(face=messages.Face.EGRESS, admission=FullMemory())
+    harness.send(
+        request(
+            "/v1/server",
+            method="PUT",
+            headers="Content-Length: 2\r\n",
+            body=b"{}",
+        )
+    )
+    assert harness.own_targets == ["/v1/server"]
+    status, _, _ = harness.send(request())
+    assert status == 0  # Waits behind the announcement.
