--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -34,6 +34,7 @@
     catalogue.EventCode.ANNOUNCEMENT_REJECTED: WARNING,
     catalogue.EventCode.SERVER_RATE_LIMITED: WARNING,
     catalogue.EventCode.SERVER_CONDITION_REJECTED: WARNING,
+    catalogue.EventCode.BODY_REFUSED: INFO,
     catalogue.EventCode.CALL_SHED: INFO,
     catalogue.EventCode.CALL_RETRIED: INFO,
     catalogue.EventCode.CALL_REFUSED: INFO,
