Take the memory back from clients that stop in the middle of a body

Found in the read of the change: a body's memory is held from its head on, so that a few clients that announce large bodies and send nothing would keep others out until their connections are closed as idle, 60 s later. A request whose client sends nothing for 5 s is now refused as not run if its class has no memory left. The new test failed before. The tests of memory with real nodes pass.

--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -27,6 +27,10 @@
 IDLE_CHECK_INTERVAL_S = 1.0
 """Time between checks for idle connections; the idle timeout is longer."""
 
+STALLED_BODY_TIMEOUT_S = 5.0
+"""Time without a byte after which an unfinished body gives up its memory if
+there is none for others."""
+
 MAX_PIPELINED_REQUESTS = 16
 """Requests buffered per connection; further ones stay in the socket buffer."""
 
@@ -60,6 +64,7 @@
         self._body_bytes = 0
         self._request_bytes = 0
         self._declared_bytes = 0
+        self._request_held_bytes = 0
         self._is_reading_head = True
         self._is_skipping_body = False
         self._is_answered_early = False
@@ -257,13 +262,34 @@
         if self._ignores_input:
             return
         if self.factory.has_room(size_bytes, self._build_request):
+            self._request_held_bytes += size_bytes
             self._held_bytes += size_bytes
             self.factory.held_bytes += size_bytes
-            return
+        else:
+            self._refuse_body()
+
+    def refuse_stalled_body(self, now: float) -> None:
+        """Refuses a request whose client has stopped sending the body.
+
+        It would hold its memory until the connection is closed as idle. Where
+        there is memory for others, the request may wait.
+
+        Args:
+          now: Current time in monotonic seconds.
+        """
+        is_reading_body = not (self._is_reading_head or self._is_skipping_body)
+        if (
+            is_reading_body
+            and self.get_idle_time_s(now) > STALLED_BODY_TIMEOUT_S
+            and not self.factory.has_room(0, self._build_request)
+        ):
+            self._refuse_body()
+
+    def _refuse_body(self) -> None:
         # The client may go on sending; closing the connection before it ends
         # would reset it and could destroy the answer.
         self._is_skipping_body = True
-        self._release(sum(map(len, self._body_parts)))
+        self._release(self._request_held_bytes)
         self._body_parts.clear()
         if self._exchange is None:
             self._is_answered_early = True
@@ -416,7 +442,7 @@
                 channel.transport.loseConnection()
 
     def enforce_idle_timeout(self) -> None:
-        """Closes connections that have been idle longer than the timeout."""
+        """Closes connections that are idle for long; refuses stalled bodies."""
         now = self.seconds()
         for channel in list(self.channels):
             if (
@@ -424,6 +450,8 @@
                 and channel.get_idle_time_s(now) > self.idle_timeout_s
             ):
                 channel.transport.loseConnection()
+            else:
+                channel.refuse_stalled_body(now)
 
     def buildProtocol(self, addr) -> Channel:
         """Returns the channel of a new connection.
--- a/bergamotdeal/node/tests/test_http_server.py
+++ b/bergamotdeal/node/tests/test_http_server.py
@@ -287,3 +287,26 @@
     assert (request.target, request.header("host")) == expected
     assert [name for name, _ in request.headers].count("host") == 1
     assert request.body == BODY
+
+
+# Guards against clients that stop in the middle of their bodies and keep the
+# memory of the node until their connections are closed as idle.
+@pytest.mark.parametrize("has_room", [False, True])
+def test_stalled_body_gives_up_its_memory_only_if_there_is_no_other(has_room):
+    harness = MemoryHarness()
+    now = [100.0]
+    harness.factory.seconds = lambda: now[0]
+    harness.send(build_request(LENGTH, BODY)[:-1])
+    harness.has_room = has_room
+    now[0] += http_server.STALLED_BODY_TIMEOUT_S - 1
+    harness.factory.enforce_idle_timeout()
+    assert harness.factory.held_bytes == len(BODY)
+    now[0] += 2
+    harness.factory.enforce_idle_timeout()
+    harness.factory.enforce_idle_timeout()
+    assert harness.factory.held_bytes == (len(BODY) if has_room else 0)
+    assert harness.read_statuses() == ([] if has_room else [b"503"])
+    harness.send(BODY[-1:])
+    assert [each.is_refused for each in harness.requests] == [not has_room]
+    assert harness.factory.held_bytes == 0
+    assert not harness.transport.disconnecting
