Look up the class of a call only when memory is short

As for requests of callers: what fits into the share of the last class fits in any. Found in the read of the change; the decision is the same.

--- a/bergamotdeal/node/body_admission.py
+++ b/bergamotdeal/node/body_admission.py
@@ -72,8 +72,11 @@
         Args:
           call: The call.
         """
+        size_bytes = len(call.request.body)
+        if self.memory.has_room(size_bytes, share=memory.LEAST_SHARE):
+            return True
         return self._decide(
-            len(call.request.body),
+            size_bytes,
             rank=self._engine.get_call_rank(call),
             place="target",
             user_request_id=call.user_request_id,
