Build a request for the memory check only when memory is short

Cause: the check whether a body may be held first asked whether the request is for the node itself, and for that built the request, with all parts of the body so far joined, at each head and at each part of a chunked body on the egress face. When memory was short the entry face joined them as well.

Change: the admission says first whether memory is short at all (is_short, which also serves the calls of other nodes); only then is the request built, once and without its body, on which no decision rests. Decisions are as before. The tests call the changed signature; their assertions are the same.

--- a/bergamotdeal/node/body_admission.py
+++ b/bergamotdeal/node/body_admission.py
@@ -41,21 +41,25 @@
         self._engine = engine
         self._record = record
 
+    def is_short(self, size_bytes: int) -> bool:
+        """Returns whether the class of a request decides if it is taken in.
+
+        Args:
+          size_bytes: Bytes of the body or of a part of it.
+        """
+        return not self.memory.has_room(size_bytes, share=memory.LEAST_SHARE)
+
     def has_room_for_request(
-        self,
-        size_bytes: int,
-        read_arrival: Callable[[], messages.CallArrived | None],
+        self, size_bytes: int, arrival: messages.CallArrived | None
     ) -> bool:
         """Returns whether a part of a request's body may be taken in.
 
         Args:
           size_bytes: Bytes of the part.
-          read_arrival: Returns what is known of the request, or None if it is
-            malformed. Called only when memory is short.
+          arrival: What is known of the request, or None if it is malformed.
         """
-        if self.memory.has_room(size_bytes, share=memory.LEAST_SHARE):
+        if not self.is_short(size_bytes):
             return True
-        arrival = read_arrival()
         if arrival is None:
             return False
         rank = self._engine.get_arrival_rank(arrival)
@@ -73,7 +77,7 @@
           call: The call.
         """
         size_bytes = len(call.request.body)
-        if self.memory.has_room(size_bytes, share=memory.LEAST_SHARE):
+        if not self.is_short(size_bytes):
             return True
         return self._decide(
             size_bytes,
--- a/bergamotdeal/node/faces.py
+++ b/bergamotdeal/node/faces.py
@@ -264,11 +264,14 @@
         size_bytes: int,
         build_request: Callable[[], http_exchange.HttpRequest],
     ) -> bool:
-        if self._handle_own is not None and self._is_own(build_request()):
+        if not self._admission.is_short(size_bytes):
+            return True
+        request = build_request()
+        if self._is_own(request):
             # Without its announcements the server would count as silent.
             return True
         return self._admission.has_room_for_request(
-            size_bytes, lambda: self._read_arrival(build_request())
+            size_bytes, self._read_arrival(request)
         )
 
     def _read_arrival(
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -228,7 +228,7 @@
             if self._close_after_response:
                 self._close()
             return
-        request = self._build_request()
+        request = self._build_request(b"".join(self._body_parts))
         self._reset_request()
         if self._exchange is None:
             self._dispatch_request(request)
@@ -241,8 +241,12 @@
             self._is_reading_paused = True
             self.transport.pauseProducing()
 
-    def _build_request(self) -> http_exchange.HttpRequest:
-        """Builds the request from what has been received of it."""
+    def _build_request(self, body: bytes = b"") -> http_exchange.HttpRequest:
+        """Builds the request from its head.
+
+        Args:
+          body: Complete body, without which a part of it may have arrived.
+        """
         target, headers = http_message.split_absolute_target(
             b"".join(self._target).decode("latin-1"), self._headers
         )
@@ -250,7 +254,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=target,
             headers=headers,
-            body=b"".join(self._body_parts),
+            body=body,
             keep_alive=self._parser.should_keep_alive(),
             is_refused=self._is_skipping_body,
         )
@@ -393,7 +397,7 @@
       channels: Open connections.
       is_draining: Whether each connection closes after its next response.
       has_room: Returns whether there is memory for a number of bytes of a
-        request; the second argument builds what is known of it.
+        request; the second argument builds it without its body.
       held_bytes: Bytes of the bodies that are being received or queued.
       buffers: Counts the bytes that the connections buffer; None counts none.
 
--- a/bergamotdeal/node/tests/test_body_admission.py
+++ b/bergamotdeal/node/tests/test_body_admission.py
@@ -36,9 +36,7 @@
         )
 
     def admits_request(self, name, size):
-        return self.admission.has_room_for_request(
-            size, lambda: build_arrival(name)
-        )
+        return self.admission.has_room_for_request(size, build_arrival(name))
 
     def admits_call(self, name, size):
         call = rpc.Call(
@@ -92,5 +90,5 @@
 
 
 def test_malformed_request_has_no_class():
-    assert Harness(400).admission.has_room_for_request(100, lambda: None)
-    assert not Harness(600).admission.has_room_for_request(100, lambda: None)
+    assert Harness(400).admission.has_room_for_request(100, None)
+    assert not Harness(600).admission.has_room_for_request(100, None)
--- a/bergamotdeal/node/tests/test_faces.py
+++ b/bergamotdeal/node/tests/test_faces.py
@@ -302,8 +302,11 @@
     def __init__(self):
         self.arrivals = []
 
-    def has_room_for_request(self, size_bytes, read_arrival):
-        self.arrivals.append(read_arrival())
+    def is_short(self, size_bytes):
+        return True
+
+    def has_room_for_request(self, size_bytes, arrival):
+        self.arrivals.append(arrival)
         return False
 
 
