Simplify three places of the last changes

- Targets in absolute form are matched by one expression instead of a search for the first of two delimiters.
- The follower forgets in one place that it was behind.
- Members are looked up for the removal of registry entries only if there is an entry to remove.

Behaviour is unchanged; the tests are, too.

--- a/bergamotdeal/node/http_message.py
+++ b/bergamotdeal/node/http_message.py
@@ -1,13 +1,16 @@
 """Rendering of HTTP/1.1 messages as bytes."""
 
 import http
+import re
 
 from bergamotdeal.rpc import core as rpc
 
 _REASON_PHRASES_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
-_SCHEMES = frozenset(("http", "https"))
+_ABSOLUTE_TARGET = re.compile(
+    r"https?://([^/?]*)(.*)", re.IGNORECASE | re.DOTALL
+)
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -27,11 +30,10 @@
       The path and query with the headers, unchanged if the target is not in
       absolute form.
     """
-    scheme, separator, rest = target.partition("://")
-    if not separator or scheme.lower() not in _SCHEMES:
+    match = _ABSOLUTE_TARGET.fullmatch(target)
+    if match is None:
         return target, headers
-    end = min(i for i in (*map(rest.find, "/?"), len(rest)) if i >= 0)
-    authority, path = rest[:end], rest[end:]
+    authority, path = match.groups()
     if not path.startswith("/"):
         path = "/" + path
     others = [header for header in headers if header[0] != "host"]
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -336,10 +336,12 @@
         gone_by_host = self._introductions.list_gone_hosts(
             self._reactor.seconds()
         )
+        if not gone_by_host:
+            return
         digests_by_member = {
             host_id: rendezvous.digest(host_id)
             for host_id, member in self._membership.members_by_id().items()
-            if gone_by_host and member.state is core.MemberState.ALIVE
+            if member.state is core.MemberState.ALIVE
         }
         removal_count = 0
         for host_id, version in gone_by_host.items():
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -209,6 +209,10 @@
         if self.behind_since is None:
             self.behind_since = self._now
 
+    def _record_caught_up(self, epoch: int) -> None:
+        if epoch >= self._newest_heard:
+            self.behind_since = None
+
     def _start_pull_if_behind(self, now: float) -> None:
         """Pulls from one source, and from another one if the first is slow."""
         if now < self._next_pull_at:
@@ -269,8 +273,8 @@
                 elif self._is_conflicting(offered):
                     reason = "another preset is in force under this epoch"
                     self._reject(offered.epoch, reason)
-                elif offered.epoch >= self._newest_heard:
-                    self.behind_since = None
+                else:
+                    self._record_caught_up(offered.epoch)
 
     def _reject(self, epoch: int, reason: str) -> None:
         self._record_behind()
@@ -368,8 +372,7 @@
     ) -> None:
         self.epoch = epoch
         self.preset = preset
-        if epoch >= self._newest_heard:
-            self.behind_since = None
+        self._record_caught_up(epoch)
         self._operation_id = operation_id
         self._sections = preset_sections.split(preset)
         self._pull_backoff_s = PULL_BACKOFF_MIN_S
