--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -242,11 +242,7 @@
             self.transport.pauseProducing()
 
     def _build_request(self, body: bytes = b"") -> http_exchange.HttpRequest:
-        """Builds the request from its head.
-
-        Args:
-          body: Complete body, without which a part of it may have arrived.
-        """
+        """Builds the request from its head and its body if that is complete."""
         target, headers = http_message.split_absolute_target(
             b"".join(self._target).decode("latin-1"), self._headers
         )
