Review case 10: quarantine forgotten in rolling restarts

Cause: crash reports live in the memory of the nodes and spread once only. Change: a case with a script, in place of the one left out.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,8 @@
-"""A request that crashes its server, at a service with a single server.
+"""A request that crashes its servers, before and after rolling restarts.
 
-The request comes again, with the same method, path and body, each time when the
-server is back, by turns at two other machines.
+The request comes from several machines at once, and again some seconds later.
+All nodes are restarted in turn, as for an upgrade, and it comes once more. The
+same happens a second time.
 """
 
 import asyncio
@@ -11,47 +12,72 @@
 import server
 
 CONTACT_S = 3.0
-DEADLY_PATH = "/orders/deadly"
-ROUNDS = 12
-ROUND_S = 4.0
+CALM_S = 1.0
+DEADLY_PATH = "/kits/deadly"
 BACK_AFTER_S = 2.0
+NODES_AT_ONCE = 3
+ROUNDS = 3
 MAX_LATE_RETRIES = 3
+SERVICES = [
+    *("kitview", "feederdesk", "stencilhub", "orderline") * 3,
+    *("kitview", "kitview"),
+]
 
 
 async def case(record: fleet.Record) -> bool | None:
     """Returns whether few enough retries reached the servers."""
-    orders = server.Behaviour(back_after_s=BACK_AFTER_S)
-    if fleet.is_troubled():
-        orders.crashes = lambda request: request.start[1] == DEADLY_PATH
+    kits = server.Behaviour(
+        back_after_s=BACK_AFTER_S,
+        crashes=lambda request: request.start[1] == DEADLY_PATH,
+    )
     deployment = fleet.Fleet(
         record=record,
-        services=["kitview", "feederdesk", "orderline", "kitview"],
-        behaviours_by_service={"orderline": orders},
+        services=SERVICES,
+        behaviours_by_service={"kitview": kits},
     )
     try:
-        await deployment.start(
-            [
-                fleet.build_route(
-                    "orders", "orderline", routeType="non_idempotent"
-                )
-            ]
-        )
-        await asyncio.sleep(4.0)
+        await deployment.start([fleet.build_route("kits", "kitview")])
         for number in range(ROUNDS):
-            await deployment.send(
-                deployment.machines[number % 2],
-                "orders.example",
-                DEADLY_PATH,
-                attempt_id=f"deadly-{number}",
-                method="DELETE",
-                deadline_ms=1200,
-            )
-            await asyncio.sleep(ROUND_S)
+            if number and fleet.is_troubled():
+                await restart_in_turn(deployment)
+            await asyncio.sleep(CONTACT_S + CALM_S)
+            await send_deadly(deployment, f"deadly-{number}")
+            await asyncio.sleep(BACK_AFTER_S + CALM_S)
+            await send_deadly(deployment, f"again-{number}")
         return judge(record)
     finally:
         deployment.close()
 
 
+async def send_deadly(deployment: fleet.Fleet, name: str) -> None:
+    """Sends the request from each machine without a server of its service."""
+    await asyncio.gather(
+        *(
+            deployment.send(
+                machine,
+                "kits.example",
+                DEADLY_PATH,
+                attempt_id=f"{name}-{machine.name}",
+                deadline_ms=2000,
+            )
+            for machine in deployment.machines
+            if machine.service != "kitview"
+        )
+    )
+
+
+async def restart_in_turn(deployment: fleet.Fleet) -> None:
+    """Stops and starts all nodes, some at a time."""
+    machines = deployment.machines
+    for start in range(0, len(machines), NODES_AT_ONCE):
+        batch = machines[start : start + NODES_AT_ONCE]
+        await asyncio.gather(*map(deployment.stop_node, batch))
+        for machine in batch:
+            deployment.start_node(machine)
+        for machine in batch:
+            await deployment.wait_ready(machine)
+
+
 def judge(record: fleet.Record) -> bool:
     """Returns whether at most three late retries reached a server."""
     crashes = record.list("server-crash")
