Compare crash reports in the syncs, so that restarts of all nodes keep them

Cause: a crash report spread once, as a rumour, to the nodes that ran at that time. The syncs, which tell a node what it missed, covered members only. After a restart of all nodes no process was left that had heard the reports.

Ruled out: expiry of the reports (300 s; a round of restarts takes 16 s), and the choice of the node that asks its register, which is the same before and after.

Change: syncs carry a digest of the reports that have not expired; nodes whose digests differ exchange what the other one lacks. The log of reports evicts the oldest crashes, by which all nodes keep the same ones. Events 501 and 502 log where reports come from. A host of the version before sends a digest of zero and is sent no reports; it ignores the new fields (test_mixed_versions.py).

--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -93,6 +93,7 @@
         crash_id = f"{state.identity.incarnation}.{self._crash_count}"
         reports = self._quarantine.record_server_death(state.now, crash_id)
         if reports:
+            state.record_event(_CODES.CRASH_REPORTED, count=len(reports))
             state.emit(messages.ShareCrashReports(reports=reports))
         return self.suspend()
 
--- a/bergamotdeal/membership/core.py
+++ b/bergamotdeal/membership/core.py
@@ -65,8 +65,10 @@
       fingerprint: Fingerprint of the request, in hex.
       host_id: Host whose backend server crashed.
       death_id: Id of the crash, by which duplicate reports are ignored.
+      age_s: Seconds since the crash when the report was sent or passed on.
     """
 
     fingerprint: str
     host_id: str
     death_id: str
+    age_s: float = 0.0
--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -151,7 +151,7 @@
             case messages.LeaveRequested():
                 self._leave(now)
             case messages.CrashReportsCreated(reports=reports):
-                self._replica.add_crash_reports(reports)
+                self._replica.add_own_crash_reports(reports, now)
             case messages.EpochChanged(epoch=epoch):
                 if epoch > self._epoch:
                     self._epoch = epoch
@@ -160,7 +160,7 @@
                 self._adopt_store_era(era)
 
     def answer_sync(
-        self, request: messages.SyncRequest | messages.SyncPush, now: float
+        self, request: messages.SyncMessage, now: float
     ) -> tuple[messages.SyncResponse | messages.SyncDone, list]:
         """Answers an anti-entropy message of another node.
 
@@ -173,17 +173,17 @@
         """
         self._effects.clear()
         self._handle_pause(now)
-        if isinstance(request, messages.SyncPush):
-            self._merge_entries(request.entries, now)
-            return messages.SyncDone(), list(self._effects)
-        buckets = self._replica.view.find_differing_buckets(request.digests)
-        answer = messages.SyncResponse(
-            buckets=buckets,
-            entries=self._replica.view.list_entries_in(buckets),
-        )
-        self._report_epoch(request.epoch, request.sender.host_id)
-        self._replica.merge_record(request.sender, Health.ALIVE, now)
-        return answer, list(self._effects)
+        match request:
+            case messages.SyncPush(entries=entries):
+                self._merge_entries(entries, now)
+            case messages.CrashPush(reports=reports):
+                self._replica.merge_crash_reports(reports, now)
+            case messages.SyncRequest(sender=sender):
+                answer = self._replica.build_sync_response(request, now)
+                self._report_epoch(request.epoch, sender.host_id)
+                self._replica.merge_record(sender, Health.ALIVE, now)
+                return answer, list(self._effects)
+        return messages.SyncDone(), list(self._effects)
 
     def _handle_pause(self, now: float) -> None:
         """Drops the probe and restarts suspicion timeouts after a pause.
@@ -254,12 +254,9 @@
 
     def _ping_recently_dead(self, now: float) -> None:
         """Pings one recently dead member, which may have restarted there."""
-        recently_dead = [
-            entry.record
-            for entry in self._replica.view.list_others(worst=Health.DEAD)
-            if entry.health is Health.DEAD
-            and now - entry.changed_at < _REJOIN_WINDOW_S
-        ]
+        recently_dead = self._replica.view.list_dead_since(
+            now - _REJOIN_WINDOW_S
+        )
         if recently_dead:
             target = self._rng.choice(recently_dead)
             ping = messages.Ping(number=self._prober.number(), host_id="")
@@ -375,11 +372,7 @@
         *,
         required: tuple[messages.Rumour, ...] = (),
     ) -> None:
-        chosen = self._replica.rumour_queue.take(
-            max_bytes=rumours.compute_rumour_budget(self.own_record, body),
-            fleet_size=len(self._replica.view),
-            required=required,
-        )
+        chosen = self._replica.take_rumours(body, required, self._last_event_at)
         self._send_with_rumours(endpoint, body, chosen)
 
     def _send_with_rumours(
@@ -465,12 +458,9 @@
         endpoint = self._contacts.choose_sync_partner(self._replica.view)
         if endpoint is None:
             return
-        request = messages.SyncRequest(
-            sender=self.own_record,
-            epoch=self._epoch,
-            digests=self._replica.view.digests,
-        )
-        self._effects.append(messages.SendBulk(endpoint=endpoint, bulk=request))
+        now = self._last_event_at
+        request = self._replica.build_sync_request(self._epoch, now)
+        self._send_bulk(endpoint, request)
 
     def _merge_entries(
         self, entries: tuple[messages.KnownMember, ...], now: float
@@ -488,13 +478,21 @@
         if isinstance(answer, messages.SyncDone):
             return
         self._contacts.lengthen_sync_interval(now)
+        crash_push = self._replica.merge_crash_reports_of_sync(answer, now)
+        if crash_push is not None:
+            self._send_bulk(endpoint, crash_push)
         if not answer.buckets:
             return
         self._merge_entries(answer.entries, now)
         push = messages.SyncPush(
             entries=self._replica.view.list_entries_in(answer.buckets)
         )
-        self._effects.append(messages.SendBulk(endpoint=endpoint, bulk=push))
+        self._send_bulk(endpoint, push)
+
+    def _send_bulk(
+        self, endpoint: messages.Endpoint, bulk: messages.SyncMessage
+    ) -> None:
+        self._effects.append(messages.SendBulk(endpoint=endpoint, bulk=bulk))
 
 
 _get_endpoint = contacts.get_peer_endpoint
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -40,7 +40,7 @@
     ) -> None:
         self.view = view.View(own_record=own_record, now=now)
         self.rumour_queue = rumours.RumourQueue()
-        self._crash_reports = crashes.CrashReportCache()
+        self._crash_reports = crashes.CrashReportLog()
         self._effects = effects
         self._next_refutation_at = now
 
@@ -68,11 +68,7 @@
                 else:
                     self.merge_verdict(rumour, now)
             case messages.CrashRumour(report=report):
-                new_reports = self.add_crash_reports((report,))
-                if new_reports:
-                    self._effects.append(
-                        messages.CrashReportsReceived(reports=new_reports)
-                    )
+                self._add_crash_reports((report,), now)
 
     def merge_record(
         self, record: core.Member, health: Health, now: float
@@ -131,20 +127,139 @@
             fields = {"host": host_id, "state": state}
         self._effects.append(messages.EmitEvent(code=code, fields=fields))
 
-    def add_crash_reports(
-        self, reports: tuple[core.CrashReport, ...]
-    ) -> tuple[core.CrashReport, ...]:
-        """Queues new crash reports as rumours and returns them.
+    def add_own_crash_reports(
+        self, reports: tuple[core.CrashReport, ...], now: float
+    ) -> None:
+        """Queues crash reports of this node as rumours.
 
         Args:
-          reports: Reports of this node or of other nodes; known ones are
-            ignored.
+          reports: The reports.
+          now: Current time in monotonic seconds.
         """
-        new_reports = self._crash_reports.add_new(reports)
-        for report in new_reports:
+        for report in self._crash_reports.add_new(reports, now):
             self.rumour_queue.add(messages.CrashRumour(report=report))
+
+    def merge_crash_reports(
+        self, reports: tuple[core.CrashReport, ...], now: float
+    ) -> None:
+        """Adds the crash reports that another node knows.
+
+        Args:
+          reports: The reports; known and expired ones are ignored.
+          now: Current time in monotonic seconds.
+        """
+        new_reports = self._add_crash_reports(reports, now)
+        if not new_reports:
+            return
+        age_s = min(report.age_s for report in new_reports)
+        self._effects.append(
+            messages.EmitEvent(
+                code=catalogue.EventCode.CRASH_REPORTS_SYNCED,
+                fields={"count": len(new_reports), "age_s": round(age_s, 1)},
+            )
+        )
+
+    def _add_crash_reports(
+        self, reports: tuple[core.CrashReport, ...], now: float
+    ) -> tuple[core.CrashReport, ...]:
+        """Adds reports, forwards a few as rumours and returns the new ones."""
+        new_reports = self._crash_reports.add_new(reports, now)
+        if new_reports:
+            if len(new_reports) <= MAX_RUMOURS_FROM_SYNC:
+                for report in new_reports:
+                    self.rumour_queue.add(messages.CrashRumour(report=report))
+            self._effects.append(
+                messages.CrashReportsReceived(reports=new_reports)
+            )
         return new_reports
 
+    def build_sync_request(
+        self, epoch: int, now: float
+    ) -> messages.SyncRequest:
+        """Builds the request that starts a sync.
+
+        Args:
+          epoch: Epoch of the preset in force.
+          now: Current time in monotonic seconds.
+        """
+        return messages.SyncRequest(
+            sender=self.own_record,
+            epoch=epoch,
+            digests=self.view.digests,
+            crash_digest=self._crash_reports.compute_digest(now),
+        )
+
+    def build_sync_response(
+        self, request: messages.SyncRequest, now: float
+    ) -> messages.SyncResponse:
+        """Builds the answer with all that may be new to the requester.
+
+        Args:
+          request: The request.
+          now: Current time in monotonic seconds.
+        """
+        buckets = self.view.find_differing_buckets(request.digests)
+        crash_digest = self._crash_reports.compute_digest(now)
+        return messages.SyncResponse(
+            buckets=buckets,
+            entries=self.view.list_entries_in(buckets),
+            crash_digest=crash_digest,
+            crash_reports=(
+                self._crash_reports.list_current(now)
+                if request.crash_digest not in (0, crash_digest)
+                else ()
+            ),
+        )
+
+    def merge_crash_reports_of_sync(
+        self, response: messages.SyncResponse, now: float
+    ) -> messages.CrashPush | None:
+        """Merges the crash reports of a sync.
+
+        Args:
+          response: The answer to this node's request.
+          now: Current time in monotonic seconds.
+
+        Returns:
+          The reports that the responder lacks, or None.
+        """
+        own_digest = self._crash_reports.compute_digest(now)
+        if response.crash_digest in (0, own_digest):
+            return None
+        missing = self._crash_reports.list_missing(response.crash_reports, now)
+        self.merge_crash_reports(response.crash_reports, now)
+        return messages.CrashPush(reports=missing) if missing else None
+
+    def take_rumours(
+        self,
+        body: messages.Body,
+        required: tuple[messages.Rumour, ...],
+        now: float,
+    ) -> tuple[messages.Rumour, ...]:
+        """Selects the rumours for one datagram and counts them as sent.
+
+        Args:
+          body: The datagram's body.
+          required: Rumours to include in any case, ahead of the queued ones.
+          now: Current time in monotonic seconds.
+        """
+        chosen = self.rumour_queue.take(
+            max_bytes=rumours.compute_rumour_budget(self.own_record, body),
+            fleet_size=len(self.view),
+            required=required,
+        )
+        # A report may have been queued for long, as while this node was cut
+        # off.
+        updated = []
+        for rumour in chosen:
+            if isinstance(rumour, messages.CrashRumour):
+                report = self._crash_reports.update_age(rumour.report, now)
+                if report is None:
+                    continue
+                rumour = messages.CrashRumour(report=report)
+            updated.append(rumour)
+        return tuple(updated)
+
     def update_own_record(self, now: float, **changes) -> None:
         """Changes fields of this node's record and announces the change.
 
--- a/bergamotdeal/membership/messages.py
+++ b/bergamotdeal/membership/messages.py
@@ -142,11 +142,14 @@
       sender: The sender's record.
       epoch: Epoch of the preset in force at the sender.
       digests: Digests of all buckets of the sender's view.
+      crash_digest: Digest of the sender's crash reports; zero from a node of a
+        version that compares none.
     """
 
     sender: core.Member
     epoch: int
     digests: tuple[int, ...]
+    crash_digest: int = 0
 
 
 class SyncResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -155,10 +158,15 @@
     Attributes:
       buckets: Numbers of the buckets whose digests differ.
       entries: The responder's entries in these buckets.
+      crash_digest: Digest of the responder's crash reports; zero from a node
+        of a version that compares none.
+      crash_reports: The responder's crash reports if the digests differ.
     """
 
     buckets: tuple[int, ...]
     entries: tuple[KnownMember, ...]
+    crash_digest: int = 0
+    crash_reports: tuple[core.CrashReport, ...] = ()
 
 
 class SyncPush(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,8 +179,21 @@
     entries: tuple[KnownMember, ...]
 
 
+class CrashPush(msgspec.Struct, frozen=True, kw_only=True):
+    """The requester's crash reports that the responder of a sync lacks.
+
+    Attributes:
+      reports: The reports.
+    """
+
+    reports: tuple[core.CrashReport, ...]
+
+
 class SyncDone(msgspec.Struct, frozen=True, kw_only=True):
-    """The confirmation of a sync push."""
+    """The confirmation of a sync push or a crash push."""
+
+
+SyncMessage = SyncRequest | SyncPush | CrashPush
 
 
 class PresetRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -218,6 +239,7 @@
     SyncRequest
     | SyncResponse
     | SyncPush
+    | CrashPush
     | SyncDone
     | PresetRequest
     | PresetResponse
@@ -362,7 +384,7 @@
     """
 
     endpoint: Endpoint
-    bulk: SyncRequest | SyncPush
+    bulk: SyncMessage
 
 
 class ViewChanged(msgspec.Struct, frozen=True, kw_only=True):
--- a/bergamotdeal/membership/view.py
+++ b/bergamotdeal/membership/view.py
@@ -83,6 +83,18 @@
             if host_id != self._own_id and entry.health <= worst
         ]
 
+    def list_dead_since(self, since: float) -> list[core.Member]:
+        """Returns the records of the members that died after a time.
+
+        Args:
+          since: The time in monotonic seconds.
+        """
+        return [
+            entry.record
+            for entry in self.list_others(worst=Health.DEAD)
+            if entry.health is Health.DEAD and entry.changed_at > since
+        ]
+
     def member(self, host_id: str) -> core.Member:
         """Returns a known member with its state in this view."""
         return _apply_health(self._entries_by_id[host_id])
--- a/bergamotdeal/node/bulk_server.py
+++ b/bergamotdeal/node/bulk_server.py
@@ -46,7 +46,9 @@
             case result.Ok(messages.PresetRequest() as request):
                 answer = self._presets.answer_pull(request)
             case result.Ok(
-                messages.SyncRequest() | messages.SyncPush() as request
+                messages.SyncRequest()
+                | messages.SyncPush()
+                | messages.CrashPush() as request
             ):
                 answer = self._membership.answer_sync(request)
             case result.Ok(other):
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -224,9 +224,7 @@
         """Returns whether mass suspicion suspends evictions."""
         return self._gossip is not None and self._gossip.is_eviction_frozen
 
-    def answer_sync(
-        self, request: messages.SyncRequest | messages.SyncPush
-    ) -> messages.Bulk:
+    def answer_sync(self, request: messages.SyncMessage) -> messages.Bulk:
         """Answers an anti-entropy request of another node.
 
         Args:
--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from bergamotdeal.membership import core as membership
+from bergamotdeal.membership import crashes
 from bergamotdeal.presets import model
 
-_EVIDENCE_TTL_S = 300.0
 _MAX_FINGERPRINTS = 4096
 _MAX_DEATHS_PER_FINGERPRINT = 16
 _EXONERATING_RUNS_PER_DEATH = 3
@@ -16,15 +16,14 @@
 
 class _Death(msgspec.Struct, kw_only=True):
     host_id: str
-    received_at: float
+    happened_at: float
 
 
 class _Evidence(msgspec.Struct, kw_only=True):
     """Evidence for and against quarantining a fingerprint.
 
     Attributes:
-      deaths_by_id: Server deaths while the fingerprint was running, oldest
-        first.
+      deaths_by_id: Server deaths while the fingerprint was running.
       completed_runs: Runs completed at this node since the first report.
     """
 
@@ -36,7 +35,7 @@
         return [
             death
             for death in self.deaths_by_id.values()
-            if now - death.received_at < _EVIDENCE_TTL_S
+            if now - death.happened_at < crashes.REPORT_TTL_S
         ]
 
 
@@ -139,7 +138,7 @@
             return False
         if evidence.completed_runs >= _EXONERATING_RUNS_PER_DEATH * len(deaths):
             return False
-        latest = max(death.received_at for death in deaths)
+        latest = max(death.happened_at for death in deaths)
         return now - latest < self._policy.duration_ms / _MS_PER_S
 
     def _add_report(self, report: membership.CrashReport, now: float) -> None:
@@ -152,9 +151,14 @@
         if report.death_id not in deaths_by_id:
             if not evidence.recent_deaths(now):
                 evidence.completed_runs = 0
-            death = _Death(host_id=report.host_id, received_at=now)
+            death = _Death(
+                host_id=report.host_id, happened_at=now - report.age_s
+            )
             deaths_by_id[report.death_id] = death
         if len(deaths_by_id) > _MAX_DEATHS_PER_FINGERPRINT:
-            del deaths_by_id[next(iter(deaths_by_id))]
+            oldest = min(
+                deaths_by_id, key=lambda key: deaths_by_id[key].happened_at
+            )
+            del deaths_by_id[oldest]
         if len(evidence_by_fingerprint) > _MAX_FINGERPRINTS:
             evidence_by_fingerprint.popitem(last=False)
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -48,6 +48,8 @@
 
     # 500 quarantine
     REQUEST_QUARANTINED = 500
+    CRASH_REPORTED = 501
+    CRASH_REPORTS_SYNCED = 502
 
     # 600 membership
     MEMBER_JOINED = 600
@@ -152,6 +154,13 @@
     ),
     EventCode.SPILL_ENDED: "calls to {service} stay in this data centre",
     EventCode.REQUEST_QUARANTINED: "request {fingerprint} quarantined",
+    EventCode.CRASH_REPORTED: (
+        "backend server crashed while {count} suspect requests ran"
+    ),
+    EventCode.CRASH_REPORTS_SYNCED: (
+        "{count} crash reports learnt from the view of another node, the"
+        " newest {age_s} s old"
+    ),
     EventCode.MEMBER_JOINED: "host {host} joined",
     EventCode.MEMBER_STATE_CHANGED: "host {host} is {state}",
     EventCode.PRESET_IN_FORCE: "preset {name} in force, epoch {epoch}",
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -38,6 +38,8 @@
     catalogue.EventCode.CALL_SHED: INFO,
     catalogue.EventCode.CALL_RETRIED: INFO,
     catalogue.EventCode.CALL_REFUSED: INFO,
+    catalogue.EventCode.CRASH_REPORTED: INFO,
+    catalogue.EventCode.CRASH_REPORTS_SYNCED: INFO,
     catalogue.EventCode.KEY_REFUSED: INFO,
     catalogue.EventCode.QUOTA_REFUSED: INFO,
     catalogue.EventCode.CALL_LOST: INFO,
--- a/bergamotdeal/wire/gossip.capnp
+++ b/bergamotdeal/wire/gossip.capnp
@@ -39,6 +39,8 @@
   fingerprint @0 :Text;
   hostId @1 :Text;
   deathId @2 :Text;
+  # Zero on older nodes, which send reports soon after the crash only.
+  ageMs @3 :UInt32;
 }
 
 struct Rumour {
@@ -74,11 +76,15 @@
   sender @0 :Member;
   epoch @1 :UInt64;
   digests @2 :List(UInt64);
+  # Zero on older nodes, which compare no crash reports.
+  crashDigest @3 :UInt64;
 }
 
 struct SyncResponse {
   buckets @0 :List(UInt16);
   entries @1 :List(KnownMember);
+  crashDigest @2 :UInt64;
+  crashReports @3 :List(CrashReport);
 }
 
 struct Section {
@@ -102,5 +108,7 @@
     syncDone @3 :Void;
     presetRequest @4 :List(Data);
     presetResponse @5 :PresetResponse;
+    # Sent only to nodes that have sent a crash digest.
+    crashPush @6 :List(CrashReport);
   }
 }
--- a/bergamotdeal/wire/gossip.py
+++ b/bergamotdeal/wire/gossip.py
@@ -21,9 +21,14 @@
 MAX_SYNC_ENTRIES = 10_000
 """Maximum number of members in one anti-entropy message."""
 
+MAX_SYNC_CRASH_REPORTS = 4096
+"""Maximum number of crash reports in one anti-entropy message."""
+
 MAX_STATE_NUMBER = 2**62
 
 _WORD_BYTES = 8
+_MS_PER_S = 1000
+_MAX_UINT32 = 2**32 - 1
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("gossip.capnp")))
@@ -138,10 +143,7 @@
             verdict.stateNumber = rumour.state_number
             verdict.health = int(rumour.health)
         case messages.CrashRumour(report=report):
-            crash = builder.init("crash")
-            crash.fingerprint = report.fingerprint
-            crash.hostId = report.host_id
-            crash.deathId = report.death_id
+            _build_crash_report(builder.init("crash"), report)
 
 
 def _read_rumour(reader) -> messages.Rumour:
@@ -157,16 +159,27 @@
                 health=messages.Health(verdict.health),
             )
         case "crash":
-            report = membership.CrashReport(
-                fingerprint=_check_name(reader.crash.fingerprint),
-                host_id=_check_name(reader.crash.hostId),
-                death_id=_check_name(reader.crash.deathId),
-            )
-            return messages.CrashRumour(report=report)
+            return messages.CrashRumour(report=_read_crash_report(reader.crash))
         case other:
             raise ValueError(f"unknown rumour {other}")
 
 
+def _build_crash_report(builder, report: membership.CrashReport) -> None:
+    builder.fingerprint = report.fingerprint
+    builder.hostId = report.host_id
+    builder.deathId = report.death_id
+    builder.ageMs = min(int(report.age_s * _MS_PER_S), _MAX_UINT32)
+
+
+def _read_crash_report(reader) -> membership.CrashReport:
+    return membership.CrashReport(
+        fingerprint=_check_name(reader.fingerprint),
+        host_id=_check_name(reader.hostId),
+        death_id=_check_name(reader.deathId),
+        age_s=reader.ageMs / _MS_PER_S,
+    )
+
+
 # --- Members --------------------------------------------------------------
 
 
@@ -249,14 +262,25 @@
             _build_member(request.init("sender"), bulk.sender)
             request.epoch = bulk.epoch
             request.digests = list(bulk.digests)
+            request.crashDigest = bulk.crash_digest
         case messages.SyncResponse():
             response = builder.init("syncResponse")
             response.buckets = list(bulk.buckets)
             _build_entries(
                 response.init("entries", len(bulk.entries)), bulk.entries
             )
+            response.crashDigest = bulk.crash_digest
+            if bulk.crash_reports:
+                _build_crash_reports(
+                    response.init("crashReports", len(bulk.crash_reports)),
+                    bulk.crash_reports,
+                )
         case messages.SyncPush(entries=entries):
             _build_entries(builder.init("syncPush", len(entries)), entries)
+        case messages.CrashPush(reports=reports):
+            _build_crash_reports(
+                builder.init("crashPush", len(reports)), reports
+            )
         case messages.SyncDone():
             builder.syncDone = None
         case messages.PresetRequest(known_digests=digests):
@@ -294,15 +318,21 @@
                 sender=_read_member(request.sender),
                 epoch=request.epoch,
                 digests=tuple(request.digests),
+                crash_digest=request.crashDigest,
             )
         case "syncResponse":
             response = reader.syncResponse
             return messages.SyncResponse(
                 buckets=tuple(response.buckets),
                 entries=_read_entries(response.entries),
+                crash_digest=response.crashDigest,
+                crash_reports=_read_crash_reports(response.crashReports),
             )
         case "syncPush":
             return messages.SyncPush(entries=_read_entries(reader.syncPush))
+        case "crashPush":
+            reports = _read_crash_reports(reader.crashPush)
+            return messages.CrashPush(reports=reports)
         case "syncDone":
             return messages.SyncDone()
         case "presetRequest":
@@ -332,6 +362,19 @@
     )
 
 
+def _build_crash_reports(
+    builder, reports: tuple[membership.CrashReport, ...]
+) -> None:
+    for item, report in zip(builder, reports, strict=True):
+        _build_crash_report(item, report)
+
+
+def _read_crash_reports(reader) -> tuple[membership.CrashReport, ...]:
+    if len(reader) > MAX_SYNC_CRASH_REPORTS:
+        raise ValueError("too many crash reports in one message")
+    return tuple(_read_crash_report(item) for item in reader)
+
+
 def _build_preset_response(builder, bulk: messages.PresetResponse) -> None:
     builder.epoch = bulk.epoch
     builder.operationId = bulk.operation_id
--- a/tests/integration/test_mixed_versions.py
+++ b/tests/integration/test_mixed_versions.py
@@ -6,6 +6,7 @@
 
 import http.client
 import io
+import json
 import pathlib
 import random
 import signal
@@ -20,6 +21,7 @@
 import pytest
 
 from bergamotdeal.errors import core as errors
+from bergamotdeal.membership import core as membership
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.organisations import keys
 from bergamotdeal.presets import follower
@@ -64,6 +66,18 @@
 """
 
 
+# Run in the previous version: decodes bulk messages and encodes them again.
+RECODE_SCRIPT = """
+import json
+import sys
+sys.path.insert(0, sys.argv[1])
+from bergamotdeal.wire import gossip
+for line in json.load(sys.stdin):
+    message = gossip.decode_bulk(bytes.fromhex(line)).unwrap()
+    print(gossip.encode_bulk(message).hex())
+"""
+
+
 class Sender(threading.Thread):
     """A thread that sends requests of the organisation to one entry.
 
@@ -266,6 +280,50 @@
     assert target.preset == preset
 
 
+# Guards against a node of the previous version that can't read the syncs of
+# this one, which carry crash reports, or whose own syncs can't be read.
+def test_previous_version_reads_syncs_and_compares_no_crash_reports(
+    previous_root,
+):
+    member = membership.Member(
+        host_id="host-1",
+        incarnation="1f",
+        data_centre="prai",
+        region="penang",
+        address="127.0.0.1",
+        peer_port=7620,
+    )
+    report = membership.CrashReport(
+        fingerprint="f", host_id="host-2", death_id="1f.1", age_s=3.0
+    )
+    known = gossip.KnownMember(member=member, health=gossip.Health.ALIVE)
+    sent = [
+        gossip.SyncRequest(
+            sender=member, epoch=3, digests=(5, 6), crash_digest=7
+        ),
+        gossip.SyncResponse(
+            buckets=(1,),
+            entries=(known,),
+            crash_digest=7,
+            crash_reports=(report,),
+        ),
+    ]
+    recoded = subprocess.run(
+        [sys.executable, "-c", RECODE_SCRIPT, str(previous_root)],
+        input=json.dumps([gossip_codec.encode_bulk(m).hex() for m in sent]),
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
+    assert [
+        gossip_codec.decode_bulk(bytes.fromhex(line)).unwrap()
+        for line in recoded.split()
+    ] == [
+        gossip.SyncRequest(sender=member, epoch=3, digests=(5, 6)),
+        gossip.SyncResponse(buckets=(1,), entries=(known,)),
+    ]
+
+
 def switch(fleet, name, keys_by_organisation, epoch):
     operator = fleet.operator(
         name, preset=build_preset(name, keys_by_organisation)
