Refuse calls of runs from before a restart as not run, not with 401

Cause: a request without a key is a call of the server if its id continues that of a run which the process knows, or knows to have ended. A process that has just started knows neither and took "unknown" for "no key".

Ruled out: the key table and the configuration; callers with the key are served as soon as the node is ready. The log told both apart as little as callers were told: KEY_REFUSED had the cause "missing". It has "parent unknown" now, with a counter.

Change: while runs of the process before may last (the longest deadline of a route, 10 s at least) a request without a key whose id may name a run, or that has a context, is refused with the new error parent-unknown: 503, not run. It is not served, since the answer to its run was lost with the process before and the organisation is not known. Ids that can't name a run get 401 at once, as before.

The same cause elsewhere: ids of ended runs are kept for the last 4,096 runs, less than the time of an abandoned run at a high rate. When one is forgotten before its deadline, calls are refused in the same way until then.

--- a/bergamotdeal/calls/authentication.py
+++ b/bergamotdeal/calls/authentication.py
@@ -52,6 +52,12 @@
             event.user_request_id, event.context
         ):
             exchange.key_refusal = _KINDS.CANCELLED
+        elif self._run_table.may_have_forgotten_parent(
+            event.user_request_id, event.context, self._state.now
+        ):
+            self._refuse(
+                exchange, _CAUSES.PARENT_UNKNOWN, kind=_KINDS.PARENT_UNKNOWN
+            )
         else:
             self._refuse(exchange, _CAUSES.MISSING)
 
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -25,6 +25,10 @@
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
 
+MIN_EARLIER_RUN_S = 10.0
+"""Least time for which the backend server may run requests of an earlier
+process; the preset that set their deadlines may have been replaced."""
+
 LOCAL_LINK_ID = -1
 """Link id of calls from this node to its own backend server."""
 
@@ -41,6 +45,8 @@
         announces itself.
       max_silence_s: Time without news of the active preset after which keys
         may have been revoked, in seconds.
+      started_at: Time of the start of the process, in monotonic seconds. The
+        backend server may still run requests of an earlier process.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         rng: random.Random,
         caller_service: str = "",
         max_silence_s: float = math.inf,
+        started_at: float = -math.inf,
     ):
         state = engine_state.EngineState(
             identity=identity,
@@ -66,6 +73,8 @@
             collections.deque()
         )
         self._run_table = runs.RunTable(incarnation=identity.incarnation)
+        self._started_at = started_at
+        self._expect_earlier_runs()
         self._thresholds = feedback.ThresholdTable(policy=preset.admission)
         self._budget = retry_budget.RetryBudget(policy=preset.retries)
         self._server_budget = server_budget.ServerRetryBudget(
@@ -355,7 +364,7 @@
             return
         state.activate_preset(event.preset, event.epoch)
         self._note_preset_services()
-
+        self._expect_earlier_runs()
         state.confirmed_at = state.now
         self._router.set_policy(event.preset.routing)
         self._thresholds.set_policy(event.preset.admission)
@@ -365,6 +374,14 @@
         self._executor.refuse_revoked_calls()
         self._executor.apply_decisions(self._server.apply_preset())
 
+    def _expect_earlier_runs(self) -> None:
+        """Expects calls of an earlier process's runs while they may last."""
+        longest_run_s = self._state.preset.longest_deadline_ms() / 1000
+        self._run_table.complete_from = max(
+            self._run_table.complete_from,
+            self._started_at + max(MIN_EARLIER_RUN_S, longest_run_s),
+        )
+
     def _handle_time(self) -> None:
         state = self._state
         while (item := state.timers.pop_due(state.now)) is not None:
--- a/bergamotdeal/calls/explanations.py
+++ b/bergamotdeal/calls/explanations.py
@@ -24,6 +24,7 @@
     UNKNOWN = "unknown"  # Never valid, or revoked before the arrival.
     REVOKED = "revoked"  # Valid on arrival.
     OUTDATED = "outdated"  # May have been revoked without this node's knowing.
+    PARENT_UNKNOWN = "parent unknown"  # No key, but maybe a call of a run.
 
 
 def explain_entry_shed(
--- a/bergamotdeal/calls/runs.py
+++ b/bergamotdeal/calls/runs.py
@@ -141,6 +141,9 @@
       runs_by_id: Runs by run id.
       runs_by_call: Unanswered runs by link id and number of the call.
       held_bytes: Bytes of the bodies of all runs.
+      complete_from: Time from which all runs that may still make calls are
+        known, in monotonic seconds. Those of an earlier process never were,
+        and the memory of ended runs is bounded.
     """
 
     def __init__(self, *, incarnation: str):
@@ -151,7 +154,8 @@
         self._runs_by_request_id: dict[str, Run] = {}
         self._repeat_count = 0
         self.held_bytes = 0
-        self._ended_request_ids: collections.OrderedDict[str, None] = (
+        self.complete_from = -math.inf
+        self._deadlines_by_ended_id: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
 
@@ -196,10 +200,11 @@
         if self._runs_by_request_id.get(request_id) is run:
             del self._runs_by_request_id[request_id]
         if run.started_at:
-            self._ended_request_ids[request_id] = None
-            self._ended_request_ids.move_to_end(request_id)
-            if len(self._ended_request_ids) > MAX_ENDED_REQUESTS:
-                self._ended_request_ids.popitem(last=False)
+            self._deadlines_by_ended_id[request_id] = run.deadline
+            self._deadlines_by_ended_id.move_to_end(request_id)
+            if len(self._deadlines_by_ended_id) > MAX_ENDED_REQUESTS:
+                _, deadline = self._deadlines_by_ended_id.popitem(last=False)
+                self.complete_from = max(self.complete_from, deadline)
 
     def build_context(self, run: Run) -> str:
         """Builds the context value that identifies a run."""
@@ -251,7 +256,7 @@
           context: Value of a context header, untrusted.
         """
         above, separator, _ = user_request_id.rpartition(REQUEST_ID_SEPARATOR)
-        if separator and above in self._ended_request_ids:
+        if separator and above in self._deadlines_by_ended_id:
             return True
         run_id = self._parse_context(context)
         return (
@@ -260,6 +265,19 @@
             and run_id not in self.runs_by_id
         )
 
+    def may_have_forgotten_parent(
+        self, user_request_id: str, context: str, now: float
+    ) -> bool:
+        """Returns whether a call may be that of a run that isn't known.
+
+        Args:
+          user_request_id: Id of the call.
+          context: Value of a context header, untrusted.
+          now: Current time in monotonic seconds.
+        """
+        may_name_parent = context or REQUEST_ID_SEPARATOR in user_request_id
+        return bool(may_name_parent) and now < self.complete_from
+
     def mark_all_not_repeatable(self) -> None:
         """Marks all runs as possible causes of non-repeatable work."""
         for run in self.runs_by_id.values():
--- a/bergamotdeal/calls/tests/test_keys.py
+++ b/bergamotdeal/calls/tests/test_keys.py
@@ -187,6 +187,7 @@
 
 
 def test_memory_of_ended_parents_is_bounded():
+    """Guards against a 401 for the calls of a run that was forgotten."""
     node = Node()
     for number in range(1, 4500):
         (run,) = select(node.receive_call(number), messages.StartRun)
@@ -198,11 +199,64 @@
     assert get_error(node.request(None, request_id="far4499.1")) is (
         _KINDS.CANCELLED
     )
+    effects = node.request(None, request_id="far1.1")
+    assert get_error(effects) is _KINDS.PARENT_UNKNOWN
+    assert get_error(node.request(None, request_id="far1")) is (
+        _KINDS.UNAUTHORIZED
+    )
+    assert len(node.engine._run_table._deadlines_by_ended_id) == 4096
+    node.now += 0.8
     assert get_error(node.request(None, request_id="far1.1")) is (
         _KINDS.UNAUTHORIZED
     )
 
 
+def test_call_of_a_run_from_before_the_start_is_refused_as_not_run():
+    """Guards against a 401 for the calls of a server whose node restarted."""
+    node = Node(started_at=0.5)
+    effects = node.request(None, request_id="r1.1")
+    assert get_error(effects) is _KINDS.PARENT_UNKNOWN
+    (reply,) = select(effects, messages.ReplyToCaller)
+    assert reply.answer.outcome is errors.Outcome.NOT_RUN
+    assert errors.ANSWERS_BY_KIND[_KINDS.PARENT_UNKNOWN].status == 503
+    (refusal,) = [
+        record.fields
+        for record in select(effects, records.EventRecord)
+        if record.code is catalogue.EventCode.KEY_REFUSED
+    ]
+    assert refusal["cause"] == "parent unknown"
+    assert get_error(node.request(None, request_id="r1")) is (
+        _KINDS.UNAUTHORIZED
+    )
+    assert get_error(node.request(keys.digest_key("x"), request_id="r.1")) is (
+        _KINDS.UNAUTHORIZED
+    )
+    assert get_sent(node.request(KEY, request_id="r1.2"))[0] == "kilo"
+
+
+def test_no_call_of_an_earlier_process_is_expected_after_its_longest_run():
+    (route,) = host_routes.PRESET.host_routes
+    slow = msgspec.structs.replace(route, timeout_ms=90_000)
+    preset = msgspec.structs.replace(PRESET, host_routes=(slow,))
+    node = Node(preset=preset, started_at=1.0)
+    node.now = 90.9
+    effects = node.request(None, request_id="r1.1")
+    assert get_error(effects) is _KINDS.PARENT_UNKNOWN
+    node.now = 91.0
+    assert get_error(node.request(None, request_id="r1.1")) is (
+        _KINDS.UNAUTHORIZED
+    )
+
+
+def test_shorter_timeouts_of_a_new_preset_leave_time_for_earlier_runs():
+    """Guards against a 401 if the configuration changes after the restart."""
+    node = Node(preset=host_routes.PRESET, started_at=1.0)
+    node.switch(PRESET)
+    node.now = 10.9
+    effects = node.request(None, request_id="r1.1")
+    assert get_error(effects) is _KINDS.PARENT_UNKNOWN
+
+
 def test_revoked_key_is_refused_at_arrival_and_in_the_queue():
     node = Node(slots=1)
     assert get_sent(node.receive_call(1))[0] == "kilo"
--- a/bergamotdeal/errors/core.py
+++ b/bergamotdeal/errors/core.py
@@ -25,6 +25,7 @@
     NO_ROUTE = "no-route"
     UNAUTHORIZED = "unauthorized"
     KEYS_OUTDATED = "keys-outdated"
+    PARENT_UNKNOWN = "parent-unknown"
     QUOTA_EXCEEDED = "quota-exceeded"
     QUOTA_UNAVAILABLE = "quota-unavailable"
 
@@ -127,6 +128,9 @@
     ErrorKind.KEYS_OUTDATED: _build_not_run(
         503, "The node can't learn whether the key was revoked.", 1
     ),
+    ErrorKind.PARENT_UNKNOWN: _build_not_run(
+        503, "The node does not know the run that made the call any more."
+    ),
     ErrorKind.QUOTA_EXCEEDED: _build_not_run(
         429, "The organisation's cap is reached.", 1
     ),
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -84,7 +84,10 @@
         self._record = self._recorder.record
         self._has_preset = False
         self._engine = timed_engine.build_engine(
-            settings=settings, incarnation=self._incarnation, rng=self._rng
+            settings=settings,
+            incarnation=self._incarnation,
+            rng=self._rng,
+            started_at=self._started_at,
         )
         self._bodies = body_admission.build(
             settings=settings,
--- a/bergamotdeal/node/timed_engine.py
+++ b/bergamotdeal/node/timed_engine.py
@@ -80,7 +80,11 @@
 
 
 def build_engine(
-    *, settings: settings_model.Settings, incarnation: str, rng: random.Random
+    *,
+    settings: settings_model.Settings,
+    incarnation: str,
+    rng: random.Random,
+    started_at: float,
 ) -> call_engine.Engine:
     """Builds a node's call engine, which has no preset yet.
 
@@ -88,6 +92,7 @@
       settings: The node's settings.
       incarnation: Random id of this process start.
       rng: Source of the seed of the engine's own generator.
+      started_at: Time of the start of the process, in monotonic seconds.
     """
     identity = membership.Member(
         host_id=settings.node.host_id,
@@ -109,4 +114,5 @@
             if settings.revocation.strict
             else math.inf
         ),
+        started_at=started_at,
     )
--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -402,6 +402,12 @@
             deadline_ms=self.default_deadline_ms,
         )
 
+    def longest_deadline_ms(self) -> int:
+        """Returns the longest deadline of any route in milliseconds."""
+        deadlines_ms = [route.deadline_ms for route in self.routes]
+        deadlines_ms += [route.timeout_ms for route in self.host_routes]
+        return max([self.default_deadline_ms, *deadlines_ms])
+
     def get_class_rank(self, class_name: str) -> int:
         """Returns the rank of a class; zero is the most important.
 
--- a/bergamotdeal/telemetry/metrics.py
+++ b/bergamotdeal/telemetry/metrics.py
@@ -81,6 +81,7 @@
     ORGANISATIONS_KEYS_UNKNOWN = "organisations.keys_unknown"
     ORGANISATIONS_KEYS_REVOKED = "organisations.keys_revoked"
     ORGANISATIONS_KEYS_OUTDATED = "organisations.keys_outdated"
+    ORGANISATIONS_PARENTS_UNKNOWN = "organisations.parents_unknown"
     MEMORY_BODIES_REFUSED = "memory.bodies_refused"
 
 
@@ -176,6 +177,7 @@
     "unknown": Counter.ORGANISATIONS_KEYS_UNKNOWN,
     "revoked": Counter.ORGANISATIONS_KEYS_REVOKED,
     "outdated": Counter.ORGANISATIONS_KEYS_OUTDATED,
+    "parent unknown": Counter.ORGANISATIONS_PARENTS_UNKNOWN,
 }
 
 
