Quarantine a request after three deaths of the servers of one host

Cause: the register counted distinct hosts and needed two of them, so that all starts of the server of one host counted as one.

Ruled out: the detection of the crash (event 501 shows a report for each death) and the exoneration by completed runs (there were none).

Change: each start of a server is a server of its own. Three deaths on one host are enough; two on distinct hosts, as before.

--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -11,6 +11,10 @@
 _MAX_FINGERPRINTS = 4096
 _MAX_DEATHS_PER_FINGERPRINT = 16
 _EXONERATING_RUNS_PER_DEATH = 3
+_EXTRA_DEATHS_OF_ONE_HOST = 1
+"""Further deaths needed if the servers of one host died only. They may have a
+cause on that host, but a service may have no other one."""
+
 _MS_PER_S = 1000.0
 
 
@@ -43,11 +47,13 @@
     """Register of server deaths by request fingerprint.
 
     A fingerprint that was running when enough distinct servers died is
-    quarantined for a limited time. For a request that is always in flight,
-    running at the time of a death is weak evidence. A fingerprint that
-    completed several runs during the lifetime of the server is therefore not
-    reported, and one that keeps completing runs on this node after the first
-    report is not quarantined here.
+    quarantined for a limited time. Each start of a server counts as a server of
+    its own; if all were on the same host, one more death is needed.
+
+    For a request that is always in flight, running at the time of a death is
+    weak evidence. A fingerprint that completed several runs during the lifetime
+    of the server is therefore not reported, and one that keeps completing runs
+    on this node after the first report is not quarantined here.
 
     Args:
       policy: Quarantine policy of the preset in force.
@@ -133,14 +139,21 @@
         if evidence is None:
             return False
         deaths = evidence.recent_deaths(now)
-        host_ids = {death.host_id for death in deaths}
-        if len(host_ids) < self._policy.deaths:
+        if not self._are_enough(deaths):
             return False
         if evidence.completed_runs >= _EXONERATING_RUNS_PER_DEATH * len(deaths):
             return False
         latest = max(death.happened_at for death in deaths)
         return now - latest < self._policy.duration_ms / _MS_PER_S
 
+    def _are_enough(self, deaths: list[_Death]) -> bool:
+        needed = self._policy.deaths
+        host_ids = {death.host_id for death in deaths}
+        return (
+            len(host_ids) >= needed
+            or len(deaths) >= needed + _EXTRA_DEATHS_OF_ONE_HOST
+        )
+
     def _add_report(self, report: membership.CrashReport, now: float) -> None:
         evidence_by_fingerprint = self._evidence_by_fingerprint
         evidence = evidence_by_fingerprint.setdefault(
