Accuse only requests that reached the crashed server

What callers saw: harmless requests that came right after a crash were refused as quarantined for a minute, by all nodes, beside the deadly one. Found by test_quarantine_outlasts_rolling_restarts (real nodes, 2 of 8 runs, four at a time).

Cause: a request counted as running at a death if it was started there and had not ended. Two kinds never reached the crashed server: those that wait for a connection, and those that the next server at the address refuses as misdirected, which is often the first sign of the crash. Two such accusations at two hosts are a quarantine.

Evidence: event 501 names the fingerprints now; with the events of one node printed in order (trial), the second suspect was the run that was refused as misdirected right after the notice of the crash.

Change: the register leaves out held runs, and the notice of a crash that comes from a misdirected run names the runs that were sent after it: that run and those on connections that are open, which lead to the next server.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -312,8 +312,8 @@
                     self._server.handle_announcement(event.service, event.slots)
                 )
                 self._update_server_count()
-            case messages.ServerStopped():
-                apply_decisions(self._server.handle_stop())
+            case messages.ServerStopped(later_run_ids=later_run_ids):
+                apply_decisions(self._server.handle_stop(later_run_ids))
             case messages.ServerUnresponsive() | messages.ServerLeaving():
                 apply_decisions(self._server.suspend())
             case messages.DispatchHeld() | messages.RunHeld():
@@ -353,6 +353,7 @@
                 self._dispatcher.record_hold(number, is_held=is_held)
             case messages.RunHeld(run_id=run_id, is_held=is_held):
                 self._run_table.record_hold(run_id, is_held=is_held)
+                self._server.record_hold(run_id, is_held=is_held)
 
     def _note_preset_services(self) -> None:
         services = known_services.list_preset_services(self._state.preset)
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -15,6 +15,7 @@
 _CODES = catalogue.EventCode
 _DEFAULT_POLICY = model.ServicePolicy()
 _MS_PER_S = 1000
+_MAX_LOGGED_FINGERPRINTS = 8
 
 CRASH_DETECTION_S = 3.0
 """Time after a lost run within which a server crash may still be detected."""
@@ -85,15 +86,28 @@
         self._state.service = ""
         return self._suspend_admission()
 
-    def handle_stop(self) -> list[admission.Decision]:
-        """Handles a crash; the next announcement is that of a new server."""
+    def handle_stop(
+        self, later_run_ids: tuple[int, ...] = ()
+    ) -> list[admission.Decision]:
+        """Handles a crash; the next announcement is that of a new server.
+
+        Args:
+          later_run_ids: Runs that were sent after the crash.
+        """
         state = self._state
         self._is_stopped = True
         self._crash_count += 1
         crash_id = f"{state.identity.incarnation}.{self._crash_count}"
-        reports = self._quarantine.record_server_death(state.now, crash_id)
+        reports = self._quarantine.record_server_death(
+            state.now, crash_id, later_run_ids
+        )
         if reports:
-            state.record_event(_CODES.CRASH_REPORTED, count=len(reports))
+            fingerprints = [report.fingerprint for report in reports]
+            state.record_event(
+                _CODES.CRASH_REPORTED,
+                count=len(reports),
+                fingerprints=" ".join(fingerprints[:_MAX_LOGGED_FINGERPRINTS]),
+            )
             state.emit(messages.ShareCrashReports(reports=reports))
         return self.suspend()
 
@@ -258,6 +272,10 @@
         """Records the start of a run, as a suspect if the server crashes."""
         self._quarantine.record_run_start(fingerprint, run_id)
 
+    def record_hold(self, run_id: int, *, is_held: bool) -> None:
+        """Records whether a run waits for a connection to the server."""
+        self._quarantine.record_run_held(run_id, is_held=is_held)
+
     def untrack_run(self, run_id: int) -> None:
         """Records the end of a run that did not crash the server."""
         self._quarantine.record_run_end(run_id)
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -180,7 +180,14 @@
 
 
 class ServerStopped(msgspec.Struct, kw_only=True):
-    """Crash of the local backend server: connections refused or reset."""
+    """Crash of the local backend server: connections refused or reset.
+
+    Attributes:
+      later_run_ids: Runs that were sent after the crash, to the server that has
+        taken the place of the crashed one.
+    """
+
+    later_run_ids: tuple[int, ...] = ()
 
 
 class ServerUnresponsive(msgspec.Struct, kw_only=True):
--- a/bergamotdeal/node/server_link.py
+++ b/bergamotdeal/node/server_link.py
@@ -391,7 +391,9 @@
                 self._probe_server()
             case messages.RunFailed(failure=messages.RunFailure.MISDIRECTED):
                 # The next announcement tells which server listens there now.
-                self._report_server_stopped()
+                # The connections that are open are to that server.
+                later_run_ids = (event.run_id, *self._active_runs_by_id)
+                self._report_server_stopped(later_run_ids)
         self._post(event)
 
     def _probe_server(self) -> None:
@@ -400,11 +402,13 @@
         if not self._pending_connects and self._announcement is not None:
             self._connect()
 
-    def _report_server_stopped(self) -> None:
+    def _report_server_stopped(
+        self, later_run_ids: tuple[int, ...] = ()
+    ) -> None:
         self._is_silent = True
         for connection in list(self._idle_connections):
             connection.abort()
-        self._post(messages.ServerStopped())
+        self._post(messages.ServerStopped(later_run_ids=later_run_ids))
 
     def _post_run_failed(
         self, run: messages.StartRun, failure: messages.RunFailure
--- a/bergamotdeal/node/tests/test_server_link.py
+++ b/bergamotdeal/node/tests/test_server_link.py
@@ -245,6 +245,35 @@
     assert harness.events == []
 
 
+class MisdirectionDialect(server_connection.NativeDialect):
+    """Native dialect whose servers refuse what is meant for another one."""
+
+    def classify_answer(self, run, status, headers):
+        del run
+        if status == 421:
+            return dialects.Misdirected(is_identified=True)
+        return dialects.Complete(headers=headers, is_identified=True)
+
+
+def test_runs_at_a_replaced_server_are_told_from_those_at_the_crashed_one():
+    """Guards against accusing requests that only the next server received."""
+    harness = Harness(dialect=MisdirectionDialect())
+    connections = []
+    for run_id in (1, 2, 3):
+        harness.pool.start_run(start_run(run_id))
+        connections.append(harness.accept_connection())
+    connections[0].connectionLost(failure.Failure(error.ConnectionLost()))
+    connections[1].dataReceived(
+        b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+    )
+    (stopped,) = [
+        event
+        for event in harness.events
+        if isinstance(event, messages.ServerStopped)
+    ]
+    assert sorted(stopped.later_run_ids) == [2, 3]
+
+
 class ConditionDialect(server_connection.NativeDialect):
     """Native dialect whose servers report their condition in headers."""
 
--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -1,6 +1,7 @@
 """Detection of requests that repeatedly crash backend servers."""
 
 import collections
+from collections.abc import Collection
 
 import msgspec
 
@@ -64,6 +65,7 @@
         self._policy = policy
         self._host_id = host_id
         self._fingerprint_by_run: dict[int, str] = {}
+        self._held_runs: set[int] = set()
         self._completed_runs_by_fingerprint: collections.OrderedDict[
             str, int
         ] = collections.OrderedDict()
@@ -79,8 +81,16 @@
         """Records that a run of a request was sent to the backend server."""
         self._fingerprint_by_run[run_id] = fingerprint
 
+    def record_run_held(self, run_id: int, *, is_held: bool) -> None:
+        """Records whether a run waits for a connection to the server."""
+        if is_held and run_id in self._fingerprint_by_run:
+            self._held_runs.add(run_id)
+        else:
+            self._held_runs.discard(run_id)
+
     def record_run_end(self, run_id: int) -> None:
         """Records the end of a run that the server survived."""
+        self._held_runs.discard(run_id)
         fingerprint = self._fingerprint_by_run.pop(run_id, None)
         if fingerprint is None:
             return
@@ -96,18 +106,26 @@
             evidence.completed_runs += 1
 
     def record_server_death(
-        self, now: float, death_id: str
+        self, now: float, death_id: str, later_run_ids: Collection[int] = ()
     ) -> list[membership.CrashReport]:
         """Records the death of the local backend server.
 
         Args:
           now: Monotonic seconds.
           death_id: Id of this death, unique in the fleet.
+          later_run_ids: Runs that were sent after the death.
 
         Returns:
           Crash reports to send to other nodes, one per suspect fingerprint.
         """
-        running = sorted(set(self._fingerprint_by_run.values()))
+        unsent = self._held_runs.union(later_run_ids)
+        running = sorted(
+            {
+                fingerprint
+                for run_id, fingerprint in self._fingerprint_by_run.items()
+                if run_id not in unsent
+            }
+        )
         completed_by_fingerprint = self._completed_runs_by_fingerprint
         reports = [
             membership.CrashReport(
@@ -119,7 +137,11 @@
             if completed_by_fingerprint.get(fingerprint, 0)
             < _EXONERATING_RUNS_PER_DEATH
         ]
-        self._fingerprint_by_run.clear()
+        self._fingerprint_by_run = {
+            run_id: fingerprint
+            for run_id, fingerprint in self._fingerprint_by_run.items()
+            if run_id in unsent
+        }
         completed_by_fingerprint.clear()
         self.add_reports(reports, now)
         return reports
--- a/bergamotdeal/quarantine/tests/test_register.py
+++ b/bergamotdeal/quarantine/tests/test_register.py
@@ -178,6 +178,30 @@
     assert entry.is_quarantined("flaky", 0.0)
 
 
+def test_request_that_waits_for_a_connection_is_not_reported():
+    """Guards against accusing what comes while a crash is being detected."""
+    quarantine = _make_register("a")
+    quarantine.record_run_start("waiting", 1)
+    quarantine.record_run_held(1, is_held=True)
+    reports = _record_death_with(quarantine, "poison", death_id="1")
+    assert [report.fingerprint for report in reports] == ["poison"]
+    quarantine.record_run_held(1, is_held=False)
+    reports = quarantine.record_server_death(1.0, "2")
+    assert [report.fingerprint for report in reports] == ["waiting"]
+    assert quarantine.record_server_death(2.0, "3") == []
+
+
+def test_run_that_was_sent_after_the_crash_is_not_reported():
+    """Guards against accusing what the next server at the address refuses."""
+    quarantine = _make_register("a")
+    quarantine.record_run_start("poison", 1)
+    quarantine.record_run_start("misdirected", 2)
+    reports = quarantine.record_server_death(0.0, "1", (2, 3))
+    assert [report.fingerprint for report in reports] == ["poison"]
+    reports = quarantine.record_server_death(1.0, "2")
+    assert [report.fingerprint for report in reports] == ["misdirected"]
+
+
 def test_expired_deaths_do_not_count():
     entry = _make_register("c")
     entry.add_reports(
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -155,7 +155,8 @@
     EventCode.SPILL_ENDED: "calls to {service} stay in this data centre",
     EventCode.REQUEST_QUARANTINED: "request {fingerprint} quarantined",
     EventCode.CRASH_REPORTED: (
-        "backend server crashed while {count} suspect requests ran"
+        "backend server crashed while {count} suspect requests ran:"
+        " {fingerprints}"
     ),
     EventCode.CRASH_REPORTS_SYNCED: (
         "{count} crash reports learnt from the view of another node, the"
