Excuse a request only by runs that the server answered

A request that crashes servers and comes back while they are down would go on crashing them.

Cause: each end of a run that the server survived counted as a completed run, and three for each death excuse a request.

Change: only a complete answer counts.

Tests: test_only_answered_runs_excuse_a_request (engine; unreachable and shed failed before, answered passed before and passes now) and test_runs_that_were_refused_are_no_evidence_of_innocence.

--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -151,7 +151,7 @@
             self._refuse(run, _KINDS.SERVER_SHED)
             return
         self._free_slot(run, completed=not run.is_abandoned)
-        self._server.untrack_run(run.run_id)
+        self._server.untrack_run(run.run_id, completed=True)
         answer = rpc.Answer(
             outcome=errors.Outcome.COMPLETED,
             status=event.status,
--- a/bergamotdeal/calls/local_server.py
+++ b/bergamotdeal/calls/local_server.py
@@ -276,9 +276,9 @@
         """Records whether a run waits for a connection to the server."""
         self._quarantine.record_run_held(run_id, is_held=is_held)
 
-    def untrack_run(self, run_id: int) -> None:
+    def untrack_run(self, run_id: int, *, completed: bool = False) -> None:
         """Records the end of a run that did not crash the server."""
-        self._quarantine.record_run_end(run_id)
+        self._quarantine.record_run_end(run_id, completed=completed)
 
     def record_lost_run(self, run_id: int) -> None:
         """Records a lost run; a server crash may be detected later."""
--- a/bergamotdeal/calls/tests/test_fleet_quarantine.py
+++ b/bergamotdeal/calls/tests/test_fleet_quarantine.py
@@ -1,7 +1,12 @@
 """Quarantine stops a request that crashes servers and no other request."""
 
+import pytest
+
+from bergamotdeal.calls import messages
 from bergamotdeal.calls.tests import scenarios
+from bergamotdeal.calls.tests import test_keys as one_node
 from bergamotdeal.errors import core as errors
+from bergamotdeal.membership import core as membership
 from bergamotdeal.rpc import core as rpc
 
 KINDS = errors.ErrorKind
@@ -111,3 +116,44 @@
         send_request(sim, make_poison_request(), "bad-2").error
         is KINDS.QUARANTINED
     )
+
+
+@pytest.mark.parametrize(
+    ("failure", "is_excused"),
+    [
+        (messages.RunFailure.UNREACHABLE, False),
+        (messages.RunFailure.SHED, False),
+        (None, True),
+    ],
+)
+def test_only_answered_runs_excuse_a_request(failure, is_excused):
+    """Guards against a deadly request that is excused by its refusals."""
+    node = one_node.Node()
+    fingerprint = ""
+
+    def report_crash(host_id):
+        report = membership.CrashReport(
+            fingerprint=fingerprint, host_id=host_id, death_id=host_id
+        )
+        node.handle(messages.PeerCrashesReported(reports=[report]))
+
+    for number in range(1, 8):
+        (run,) = one_node.select(node.receive_call(number), messages.StartRun)
+        if not fingerprint:
+            current = node.engine._run_table.runs_by_id[run.run_id]
+            fingerprint = current.fingerprint
+            report_crash("b")
+        if failure is None:
+            node.handle(
+                messages.RunAnswered(
+                    run_id=run.run_id, status=200, headers=[], body=b""
+                )
+            )
+        else:
+            node.handle(messages.RunFailed(run_id=run.run_id, failure=failure))
+    report_crash("c")
+    effects = node.receive_call(8)
+    if is_excused:
+        assert one_node.select(effects, messages.StartRun)
+    else:
+        assert one_node.get_error(effects) is KINDS.QUARANTINED
--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -88,11 +88,17 @@
         else:
             self._held_runs.discard(run_id)
 
-    def record_run_end(self, run_id: int) -> None:
-        """Records the end of a run that the server survived."""
+    def record_run_end(self, run_id: int, *, completed: bool) -> None:
+        """Records the end of a run that the server survived.
+
+        Args:
+          run_id: Id of the run.
+          completed: Whether the server answered it. What was refused or cut off
+            is no evidence that the request is harmless.
+        """
         self._held_runs.discard(run_id)
         fingerprint = self._fingerprint_by_run.pop(run_id, None)
-        if fingerprint is None:
+        if fingerprint is None or not completed:
             return
         completed_by_fingerprint = self._completed_runs_by_fingerprint
         completed_by_fingerprint[fingerprint] = (
--- a/bergamotdeal/quarantine/tests/test_register.py
+++ b/bergamotdeal/quarantine/tests/test_register.py
@@ -114,7 +114,7 @@
     for number, server in enumerate(servers):
         for run_id in range(10):
             server.record_run_start("popular", run_id)
-            server.record_run_end(run_id)
+            server.record_run_end(run_id, completed=True)
         reports = _record_death_with(
             server, "popular", "poison", death_id=str(number)
         )
@@ -123,10 +123,10 @@
     assert not entry.is_quarantined("popular", 0.0)
 
 
-def _complete_runs(quarantine, fingerprint, count):
+def _complete_runs(quarantine, fingerprint, count, *, completed=True):
     for run_id in range(count):
         quarantine.record_run_start(fingerprint, run_id)
-        quarantine.record_run_end(run_id)
+        quarantine.record_run_end(run_id, completed=completed)
 
 
 def test_runs_completed_after_the_first_report_prevent_quarantine():
@@ -178,6 +178,18 @@
     assert entry.is_quarantined("flaky", 0.0)
 
 
+def test_runs_that_were_refused_are_no_evidence_of_innocence():
+    """Guards against a request that is excused while its server is down."""
+    servers = [_make_register("a"), _make_register("b")]
+    entry = _make_register("c")
+    for server in servers:
+        _complete_runs(server, "poison", 3, completed=False)
+        reports = _record_death_with(server, "poison", death_id=server._host_id)
+        entry.add_reports(reports, 0.0)
+        _complete_runs(entry, "poison", 20, completed=False)
+    assert entry.is_quarantined("poison", 0.0)
+
+
 def test_request_that_waits_for_a_connection_is_not_reported():
     """Guards against accusing what comes while a crash is being detected."""
     quarantine = _make_register("a")
