Keep confirmed crash reports in the registry over a kill of all nodes

What callers saw: after all nodes were killed at the same moment, a request that was in quarantine crashed servers again.

Cause: crash reports were only in the memory of the processes. The syncs carry them over restarts in turn; after a kill of all there is no process to compare with.

Change: a node keeps its own reports in its registry entry and tells them to the others when it has read them after a start. Each host with a confirmed crash makes one listing and one write more. An entry without crashes is encoded as before, so that an upgrade writes none; a host of the version before reads entries with crashes (test_mixed_versions.py). Ages on the wire are rounded, not truncated.

--- a/bergamotdeal/membership/crashes.py
+++ b/bergamotdeal/membership/crashes.py
@@ -4,6 +4,7 @@
 syncs tells it to nodes that were not running or not reachable at that time.
 """
 
+import collections
 import hashlib
 
 import msgspec
@@ -93,6 +94,26 @@
             if _get_id(report) not in given_ids
         )
 
+    def list_confirmed(
+        self, host_id: str, now: float
+    ) -> tuple[core.CrashReport, ...]:
+        """Returns the current reports of a host that another crash confirms.
+
+        Args:
+          host_id: Id of the host.
+          now: Current time.
+        """
+        reports = self.list_current(now)
+        crash_counts = collections.Counter(
+            report.fingerprint for report in reports
+        )
+        return tuple(
+            report
+            for report in reports
+            if report.host_id == host_id
+            and crash_counts[report.fingerprint] > 1
+        )
+
     def compute_digest(self, now: float) -> int:
         """Returns a digest of the current reports, which is never zero."""
         digest = 0
--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -93,6 +93,10 @@
             return None
         return self._replica.view.member(host_id)
 
+    def list_confirmed_crashes(self, now: float) -> tuple:
+        """Returns this node's crash reports that another crash confirms."""
+        return self._replica.list_confirmed_crashes(now)
+
     def joined(self) -> bool:
         """Returns whether this node knows any other live member."""
         return bool(self._replica.view.list_others(worst=Health.ALIVE))
@@ -152,6 +156,8 @@
                 self._leave(now)
             case messages.CrashReportsCreated(reports=reports):
                 self._replica.add_own_crash_reports(reports, now)
+            case messages.CrashReportsFound(reports=reports):
+                self._replica.merge_crash_reports(reports, now, "the registry")
             case messages.EpochChanged(epoch=epoch):
                 if epoch > self._epoch:
                     self._epoch = epoch
@@ -254,9 +260,8 @@
 
     def _ping_recently_dead(self, now: float) -> None:
         """Pings one recently dead member, which may have restarted there."""
-        recently_dead = self._replica.view.list_dead_since(
-            now - _REJOIN_WINDOW_S
-        )
+        since = now - _REJOIN_WINDOW_S
+        recently_dead = self._replica.view.list_dead_since(since)
         if recently_dead:
             target = self._rng.choice(recently_dead)
             ping = messages.Ping(number=self._prober.number(), host_id="")
@@ -441,10 +446,7 @@
     def _add_seeds(
         self, seeds: tuple[messages.Endpoint, ...], now: float
     ) -> None:
-        """Contacts seeds even if other members are already known.
-
-        Two separate groups merge only if a member of one contacts the other.
-        """
+        """Contacts seeds, also to merge with a separate group of members."""
         self._contact(self._contacts.add_seeds(seeds, self.own_record, now))
 
     def _contact(self, seeds: tuple[messages.Endpoint, ...]) -> None:
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -139,14 +139,29 @@
         for report in self._crash_reports.add_new(reports, now):
             self.rumour_queue.add(messages.CrashRumour(report=report))
 
+    def list_confirmed_crashes(
+        self, now: float
+    ) -> tuple[core.CrashReport, ...]:
+        """Returns this node's crash reports that another crash confirms.
+
+        Args:
+          now: Current time in monotonic seconds.
+        """
+        host_id = self.own_record.host_id
+        return self._crash_reports.list_confirmed(host_id, now)
+
     def merge_crash_reports(
-        self, reports: tuple[core.CrashReport, ...], now: float
+        self,
+        reports: tuple[core.CrashReport, ...],
+        now: float,
+        source: str = "another node",
     ) -> None:
-        """Adds the crash reports that another node knows.
+        """Adds crash reports that this node missed as rumours.
 
         Args:
           reports: The reports; known and expired ones are ignored.
           now: Current time in monotonic seconds.
+          source: Where the reports come from, for the event log.
         """
         new_reports = self._add_crash_reports(reports, now)
         if not new_reports:
@@ -155,7 +170,11 @@
         self._effects.append(
             messages.EmitEvent(
                 code=catalogue.EventCode.CRASH_REPORTS_SYNCED,
-                fields={"count": len(new_reports), "age_s": round(age_s, 1)},
+                fields={
+                    "count": len(new_reports),
+                    "source": source,
+                    "age_s": round(age_s, 1),
+                },
             )
         )
 
--- a/bergamotdeal/membership/messages.py
+++ b/bergamotdeal/membership/messages.py
@@ -296,6 +296,16 @@
     reports: tuple[core.CrashReport, ...]
 
 
+class CrashReportsFound(msgspec.Struct, frozen=True, kw_only=True):
+    """Crash reports were found in the registry.
+
+    Attributes:
+      reports: The reports.
+    """
+
+    reports: tuple[core.CrashReport, ...]
+
+
 class EpochChanged(msgspec.Struct, frozen=True, kw_only=True):
     """A preset came into force at this node.
 
@@ -347,6 +357,7 @@
     | NodeDraining
     | LeaveRequested
     | CrashReportsCreated
+    | CrashReportsFound
     | EpochChanged
     | StoreEraChanged
 )
--- a/bergamotdeal/membership/registry.py
+++ b/bergamotdeal/membership/registry.py
@@ -9,16 +9,21 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
+from typing import Annotated
 
 import msgspec
 import result
 
 from bergamotdeal.membership import core
+from bergamotdeal.membership import crashes
 from bergamotdeal.membership import messages
 from bergamotdeal.settings import model as settings
 from bergamotdeal.utils import json_data
 
 ENTRY_PREFIX = "nodes/"
+CRASHES_FIELD = b'"crashes"'
+"""Name of the field in encoded entries that have crashes."""
+
 MAX_ENTRY_BYTES = 4096
 MAX_CONTACT_ATTEMPTS = 3
 """Contact attempts per version of an entry before the node counts as gone."""
@@ -28,18 +33,46 @@
 member that died is forgotten, and becomes unknown, well before."""
 
 
-class Entry(msgspec.Struct, frozen=True, kw_only=True):
+MAX_CRASHES = 12
+"""Maximum number of crashes in an entry, which then fits its maximum size."""
+
+_MAX_UNIX_MS = 2**53
+_MS_PER_S = 1000.0
+
+_Name = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=messages.MAX_NAME_BYTES)
+]
+
+
+class Crash(msgspec.Struct, frozen=True, kw_only=True):
+    """A crash of the backend server that counts against a request.
+
+    Attributes:
+      fingerprint: Fingerprint of the request that was running.
+      death_id: Id of the crash.
+      at_ms: Time of the crash in Unix milliseconds.
+    """
+
+    fingerprint: _Name
+    death_id: _Name
+    at_ms: Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)]
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The registry entry of one node.
 
     Attributes:
       address: IP address of its peer interface.
       port: TCP and UDP port of the peer interface.
       data_centre: Its data centre.
+      crashes: Crashes of its backend server that another crash confirms; they
+        outlast a restart of all nodes at the same time.
     """
 
     address: str
     port: settings.Port
     data_centre: str
+    crashes: tuple[Crash, ...] = ()
 
     def endpoint(self) -> messages.Endpoint:
         """Returns the address of the node's peer interface."""
@@ -56,12 +89,18 @@
     return key.removeprefix(ENTRY_PREFIX)
 
 
-def build_entry(member: core.Member) -> Entry:
-    """Builds the registry entry of a node from its membership record."""
+def build_entry(member: core.Member, crashes: tuple[Crash, ...] = ()) -> Entry:
+    """Builds the registry entry of a node.
+
+    Args:
+      member: The node's membership record.
+      crashes: Crashes of its backend server to keep.
+    """
     return Entry(
         address=member.address,
         port=member.peer_port,
         data_centre=member.data_centre,
+        crashes=crashes,
     )
 
 
@@ -84,6 +123,73 @@
     return json_data.decode(data, Entry)
 
 
+class CrashArchive:
+    """Translation between crash reports and the crashes in an own entry.
+
+    Ages are converted to times once, so that an entry doesn't change without a
+    new crash.
+
+    Args:
+      host_id: Id of this host.
+    """
+
+    def __init__(self, *, host_id: str) -> None:
+        self._host_id = host_id
+        self._at_ms_by_id: dict[tuple[str, str], int] = {}
+
+    def read(
+        self, host_id: str, entry: Entry, wall_ms: int
+    ) -> tuple[core.CrashReport, ...]:
+        """Returns the crashes in an entry as reports, without the expired ones.
+
+        Args:
+          host_id: Host of the entry.
+          entry: The entry.
+          wall_ms: Current time in Unix milliseconds.
+        """
+        reports = []
+        for crash in entry.crashes[:MAX_CRASHES]:
+            age_s = max(0.0, (wall_ms - crash.at_ms) / _MS_PER_S)
+            if age_s >= crashes.REPORT_TTL_S:
+                continue
+            report = core.CrashReport(
+                fingerprint=crash.fingerprint,
+                host_id=host_id,
+                death_id=crash.death_id,
+                age_s=age_s,
+            )
+            if host_id == self._host_id:
+                self._at_ms_by_id[_get_crash_id(report)] = crash.at_ms
+            reports.append(report)
+        return tuple(reports)
+
+    def build(
+        self, reports: tuple[core.CrashReport, ...], wall_ms: int
+    ) -> tuple[Crash, ...]:
+        """Returns the crashes for the own entry, the latest ones first.
+
+        Args:
+          reports: Reports of this host to keep.
+          wall_ms: Current time in Unix milliseconds.
+        """
+        newest_first = sorted(reports, key=lambda report: report.age_s)
+        self._at_ms_by_id = {
+            report_id: self._at_ms_by_id.get(
+                report_id, wall_ms - int(report.age_s * _MS_PER_S)
+            )
+            for report in newest_first[:MAX_CRASHES]
+            for report_id in [_get_crash_id(report)]
+        }
+        return tuple(
+            Crash(fingerprint=fingerprint, death_id=death_id, at_ms=at_ms)
+            for (fingerprint, death_id), at_ms in self._at_ms_by_id.items()
+        )
+
+
+def _get_crash_id(report: core.CrashReport) -> tuple[str, str]:
+    return (report.fingerprint, report.death_id)
+
+
 class _Attempts(msgspec.Struct, kw_only=True):
     """Attempts to contact a host.
 
--- a/bergamotdeal/membership/tests/test_crashes.py
+++ b/bergamotdeal/membership/tests/test_crashes.py
@@ -211,3 +211,32 @@
     assert first.compute_digest(1.0) == second.compute_digest(1.0) != empty
     expired_at = crashes.REPORT_TTL_S + 1
     assert first.compute_digest(expired_at) == empty
+
+
+def test_only_crashes_with_the_same_request_confirm_each_other():
+    """Guards against a write for each of the requests that ran at a crash."""
+    log = crashes.CrashReportLog()
+    crowd = tuple(map(make_report, range(50)))
+    log.add_new(crowd, 0.0)
+    assert log.list_confirmed("host-3", 1.0) == ()
+    second = core.CrashReport(
+        fingerprint="f7", host_id="host-4", death_id="other"
+    )
+    log.add_new((second,), 1.0)
+    (confirmed,) = log.list_confirmed("host-3", 2.0)
+    assert (confirmed.fingerprint, confirmed.age_s) == ("f7", 2.0)
+    assert len(log.list_confirmed("host-4", 2.0)) == 1
+    assert log.list_confirmed("host-3", crashes.REPORT_TTL_S) == ()
+
+
+def test_reports_from_the_registry_are_told_to_the_others():
+    fleet = make_fleet(1)
+    event = messages.CrashReportsFound(reports=(make_report(age_s=20.0),))
+    fleet.send_event("host-3", event)
+    fleet.run(IN_TOUCH_S)
+    for host_id in fleet.cores_by_id:
+        assert list_death_ids(fleet, host_id) == ["d0"]
+    (report,) = fleet.cores_by_id[
+        "host-3"
+    ]._replica._crash_reports.list_current(fleet.now)
+    assert 22 < report.age_s < 24
--- a/bergamotdeal/membership/tests/test_registry.py
+++ b/bergamotdeal/membership/tests/test_registry.py
@@ -1,7 +1,9 @@
 """Tests of registry entries and of the choice of hosts to contact."""
 
+import msgspec
 import pytest
 
+from bergamotdeal.membership import core
 from bergamotdeal.membership import registry
 
 ENTRY = registry.Entry(address="10.1.0.8", port=7620, data_centre="prai")
@@ -21,12 +23,48 @@
         b'{"address":"a","port":"x","data_centre":"d"}',
         b'{"address":"a","port":70000,"data_centre":"d"}',
         b"{" * 5000,
+        b'{"address":"a","port":1,"data_centre":"d","crashes":[1]}',
+        b'{"address":"a","port":1,"data_centre":"d","crashes":'
+        b'[{"fingerprint":"f","death_id":"","at_ms":1}]}',
+        b'{"address":"a","port":1,"data_centre":"d","crashes":'
+        b'[{"fingerprint":"f","death_id":"d","at_ms":-1}]}',
+        b'{"address":"a","port":1,"data_centre":"d","crashes":'
+        b'[{"fingerprint":"f","death_id":"d","at_ms":1e30}]}',
     ],
 )
 def test_decode_rejects_malformed_entries(data):
     assert registry.decode(data).is_err()
 
 
+def test_entry_without_crashes_is_that_of_the_version_before():
+    """Guards against a write by each node of a fleet that is upgraded."""
+    assert registry.encode(ENTRY) == (
+        b'{"address":"10.1.0.8","data_centre":"prai","port":7620}'
+    )
+
+
+def test_entry_with_the_most_and_longest_crashes_fits():
+    """Guards against an entry that hosts reject for its size."""
+    name = "f" * 62
+    reports = tuple(
+        core.CrashReport(
+            fingerprint=f"{name}{number:02}",
+            host_id="host-1",
+            death_id=f"{name}{number:02}",
+            age_s=number,
+        )
+        for number in range(2 * registry.MAX_CRASHES)
+    )
+    archive = registry.CrashArchive(host_id="host-1")
+    crashes = archive.build(reports, 2**53)
+    assert len(crashes) == registry.MAX_CRASHES
+    assert crashes[0].fingerprint.endswith("00")
+    entry = msgspec.structs.replace(
+        ENTRY, address="a" * 64, data_centre="d" * 64, crashes=crashes
+    )
+    assert registry.decode(registry.encode(entry)).unwrap() == entry
+
+
 def test_tracker_returns_only_unknown_hosts():
     tracker = registry.ContactTracker()
     listed = {"a": 1, "b": 1, "c": 1}
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -320,6 +320,7 @@
             send_bulk_request=self._peer.send_bulk_request,
             on_epoch_heard=lambda heard: self._presets.deliver(heard),
             on_store_era_heard=self._handle_store_era,
+            on_crashes_heard=self._handle_crash_reports,
             record=self._record,
             count=self._recorder.metrics.increment,
             handle_other_datagram=lambda *datagram: (
@@ -433,6 +434,10 @@
         if self._store is not None:
             self._store.eras.observe(era)
 
+    def _handle_crash_reports(self) -> None:
+        if self._registry is not None:
+            self._registry.handle_crash_reports()
+
     def _handle_store_restored(self, era: int) -> None:
         self._emit(catalogue.EventCode.STORE_RESTORED, era=era)
         self._membership.deliver(gossip.StoreEraChanged(era=era))
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -57,6 +57,7 @@
         ``NoEpochAdvertised``.
       on_store_era_heard: Called with each era of the store that another node
         told.
+      on_crashes_heard: Called after each change of the known crash reports.
       record: Called with each event for the event log.
       count: Called with a counter and its increment.
       handle_other_datagram: Called with each datagram and its source before
@@ -77,6 +78,7 @@
         send_bulk_request: SendBulkRequest | None = None,
         on_epoch_heard: Callable[[messages.EpochNotice], None] | None = None,
         on_store_era_heard: Callable[[int], None] | None = None,
+        on_crashes_heard: Callable[[], None] | None = None,
         record: Callable[[records.EventRecord], None] | None = None,
         count: Callable[[metrics.Counter, int], None] | None = None,
         handle_other_datagram: Callable[[bytes, tuple[str, int]], bool]
@@ -93,6 +95,7 @@
         self._send_bulk_request = send_bulk_request
         self._on_epoch_heard = on_epoch_heard or _ignore
         self._on_store_era_heard = on_store_era_heard or _ignore
+        self._on_crashes_heard = on_crashes_heard or _ignore
         self._record = record or _ignore
         self._count = count or _ignore
         self._handle_other_datagram = handle_other_datagram or _ignore
@@ -191,6 +194,7 @@
             case calls.ShareCrashReports(reports=reports):
                 event = messages.CrashReportsCreated(reports=tuple(reports))
                 self._handle(event)
+                self._on_crashes_heard()
             case messages.EpochChanged() | messages.StoreEraChanged():
                 self._handle(message)
 
@@ -202,6 +206,20 @@
         """
         self._handle(messages.SeedsFound(seeds=seeds))
 
+    def add_crash_reports(self, reports: tuple[core.CrashReport, ...]) -> None:
+        """Adds crash reports from the registry.
+
+        Args:
+          reports: The reports; known ones are ignored.
+        """
+        self._handle(messages.CrashReportsFound(reports=reports))
+
+    def list_confirmed_crashes(self) -> tuple[core.CrashReport, ...]:
+        """Returns this node's crash reports that another crash confirms."""
+        if self._gossip is None:
+            return ()
+        return self._gossip.list_confirmed_crashes(self._clock())
+
     def members_by_id(self) -> dict[str, core.Member]:
         """Returns the known members with their state in this node's view."""
         if self._gossip is None:
@@ -301,6 +319,7 @@
                     self._on_store_era_heard(era)
                 case messages.CrashReportsReceived(reports=reports):
                     self._post(calls.PeerCrashesReported(reports=list(reports)))
+                    self._on_crashes_heard()
                 case messages.EmitEvent(code=code, fields=fields):
                     self._record(records.EventRecord(code=code, fields=fields))
         if has_changed and self._publish_timer is None:
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import random
+import time
 
 import result
 from twisted.internet import defer
@@ -54,10 +55,15 @@
 RETURN_JITTER_S = 1.0
 """Upper bound of the delay that spreads the polls after an isolation."""
 
+CRASH_WRITE_DELAY_S = 0.2
+"""Upper bound of the delay before a crash is written to the registry, which
+spreads the writes of nodes that hear of it at the same time."""
+
 MAX_ENTRY_READS_PER_POLL = 3
 """Entries read in one poll of a store that lists keys without values. Few are
 needed, as each contacted node introduces all the members that it knows."""
 
+_MS_PER_S = 1000
 _KINDS = store_core.FailureKind
 _REMOVED_KINDS = frozenset((_KINDS.CONFLICT, _KINDS.NOT_FOUND))
 
@@ -99,6 +105,7 @@
       record: Takes events for the event log.
       on_listed: Called after each listing with the ids of the listed hosts.
       suspend_clock: Returns seconds on a clock that counts suspended time.
+      wall_clock: Returns Unix seconds.
     """
 
     def __init__(
@@ -112,6 +119,7 @@
         record: Callable[[records.EventRecord], None],
         on_listed: Callable[[Collection[str]], None] | None = None,
         suspend_clock: Callable[[], float] = clocks.read_suspend_clock,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._host_id = settings.node.host_id
         self._data_centre = settings.node.data_centre
@@ -122,7 +130,10 @@
         self._membership = membership
         self._record = record
         self._on_listed = on_listed
+        self._wall_clock = wall_clock
         self._introductions = registry.ContactTracker()
+        self._crash_archive = registry.CrashArchive(host_id=self._host_id)
+        self._confirmed_ids: set[str] = set()
         self._search_timer = None
         self._backoff = backoff.ExponentialBackoff(
             rng=rng,
@@ -162,6 +173,17 @@
             self._backoff.reset()
             self._schedule_poll(RESTORE_JITTER_S * self._rng.random())
 
+    def handle_crash_reports(self) -> None:
+        """Writes the entry soon if a crash of the own server is confirmed."""
+        confirmed_ids = {
+            f"{report.death_id} {report.fingerprint}"
+            for report in self._membership.list_confirmed_crashes()
+        }
+        if confirmed_ids <= self._confirmed_ids:
+            return
+        self._confirmed_ids = confirmed_ids
+        self._schedule_poll(CRASH_WRITE_DELAY_S * self._rng.random())
+
     def _check_isolation(self) -> None:
         """Polls soon after an isolation in which the entry may have gone."""
         if self._isolation.has_ended(self._suspend_clock()):
@@ -209,23 +231,58 @@
         }
         if self._on_listed is not None:
             self._on_listed(listed_by_host_id.keys())
-        has_entry = yield self._write_own_entry(
+        own_version, own_value = yield self._find_own_entry(
             listed_by_host_id.get(self._host_id)
         )
+        values_by_host_id = {
+            host_id: listed.value
+            for host_id, listed in listed_by_host_id.items()
+        }
+        self._recover_crashes(values_by_host_id | {self._host_id: own_value})
+        has_entry = yield self._write_own_entry(own_version, own_value)
         yield self._contact_unknown_hosts(listed_by_host_id)
         yield self._remove_gone_hosts()
         return has_entry
 
+    def _recover_crashes(
+        self, values_by_host_id: dict[str, bytes | None]
+    ) -> None:
+        """Adds the crashes in the listed entries to the known ones."""
+        reports: list[core.CrashReport] = []
+        for host_id, value in values_by_host_id.items():
+            if value is None or registry.CRASHES_FIELD not in value:
+                continue
+            match registry.decode(value):
+                case result.Ok(entry):
+                    reports += self._crash_archive.read(
+                        host_id, entry, self._read_wall_ms()
+                    )
+                case result.Err(reason):
+                    self._record_failure("entry of " + host_id, reason)
+        if reports:
+            self._membership.add_crash_reports(tuple(reports))
+
+    def _read_wall_ms(self) -> int:
+        return int(self._wall_clock() * _MS_PER_S)
+
     @defer.inlineCallbacks
-    def _write_own_entry(self, listed: store_core.ListingEntry | None):
+    def _find_own_entry(self, listed: store_core.ListingEntry | None):
+        """Returns the version and value of this node's entry."""
+        if listed is None:
+            return store_core.NO_VERSION, None
+        if listed.value is None:
+            found = yield self._read_own_entry()
+            return found
+        return listed.version, listed.value
+
+    @defer.inlineCallbacks
+    def _write_own_entry(self, version: int, value: bytes | None):
         """Writes this node's entry if needed; returns True on success."""
         own = self._membership.members_by_id()[self._host_id]
-        expected = registry.encode(registry.build_entry(own))
-        version, value = store_core.NO_VERSION, None
-        if listed is not None:
-            version, value = listed.version, listed.value
-            if value is None:
-                version, value = yield self._read_own_entry()
+        crashes = self._crash_archive.build(
+            self._membership.list_confirmed_crashes(), self._read_wall_ms()
+        )
+        expected = registry.encode(registry.build_entry(own, crashes))
         if value == expected:
             return True
         outcome = yield self._store.put(
--- a/bergamotdeal/node/tests/test_registry.py
+++ b/bergamotdeal/node/tests/test_registry.py
@@ -99,6 +99,8 @@
         self.seeds = []
         self.gone_addresses = set()
         self.is_frozen = False
+        self.crashes = ()
+        self.added_reports = []
 
     def is_eviction_frozen(self):
         return self.is_frozen
@@ -106,6 +108,14 @@
     def members_by_id(self):
         return self.members_by_host_id
 
+    def list_confirmed_crashes(self):
+        return self.crashes
+
+    def add_crash_reports(self, reports):
+        self.added_reports += reports
+        own = [report for report in reports if report.host_id == OWN]
+        self.crashes = tuple(own)
+
     def add_seeds(self, seeds):
         for seed in seeds:
             self.seeds.append(seed.address)
@@ -123,6 +133,7 @@
         self.records = []
         self.listings = []
         self.suspended_s = 0.0
+        self.wall_s = 1_700_000_000.0
         self.task = registry_task.RegistryTask(
             settings=settings.Settings(
                 node=settings.NodeSection(host_id=OWN, data_centre="prai"),
@@ -135,6 +146,7 @@
             record=self.records.append,
             on_listed=lambda host_ids: self.listings.append(set(host_ids)),
             suspend_clock=lambda: self.clock.seconds() + self.suspended_s,
+            wall_clock=lambda: self.wall_s + self.clock.seconds(),
         )
 
     def run(self, seconds):
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -159,8 +159,7 @@
         " {fingerprints}"
     ),
     EventCode.CRASH_REPORTS_SYNCED: (
-        "{count} crash reports learnt from the view of another node, the"
-        " newest {age_s} s old"
+        "{count} crash reports learnt from {source}, the newest {age_s} s old"
     ),
     EventCode.MEMBER_JOINED: "host {host} joined",
     EventCode.MEMBER_STATE_CHANGED: "host {host} is {state}",
--- a/bergamotdeal/wire/gossip.py
+++ b/bergamotdeal/wire/gossip.py
@@ -168,7 +168,7 @@
     builder.fingerprint = report.fingerprint
     builder.hostId = report.host_id
     builder.deathId = report.death_id
-    builder.ageMs = min(int(report.age_s * _MS_PER_S), _MAX_UINT32)
+    builder.ageMs = min(round(report.age_s * _MS_PER_S), _MAX_UINT32)
 
 
 def _read_crash_report(reader) -> membership.CrashReport:
--- a/tests/integration/test_mixed_versions.py
+++ b/tests/integration/test_mixed_versions.py
@@ -23,6 +23,7 @@
 from bergamotdeal.errors import core as errors
 from bergamotdeal.membership import core as membership
 from bergamotdeal.membership import messages as gossip
+from bergamotdeal.membership import registry
 from bergamotdeal.organisations import keys
 from bergamotdeal.presets import follower
 from bergamotdeal.presets import in_force
@@ -78,6 +79,16 @@
 """
 
 
+# Run in the previous version: decodes a registry entry and encodes it again.
+RECODE_ENTRY_SCRIPT = """
+import sys
+sys.path.insert(0, sys.argv[1])
+from bergamotdeal.membership import registry
+entry = registry.decode(sys.stdin.buffer.read()).unwrap()
+sys.stdout.buffer.write(registry.encode(entry))
+"""
+
+
 class Sender(threading.Thread):
     """A thread that sends requests of the organisation to one entry.
 
@@ -324,6 +335,25 @@
     ]
 
 
+# Guards against a node of the previous version that can't contact a host whose
+# registry entry has crashes.
+def test_previous_version_reads_entries_with_crashes(previous_root):
+    entry = registry.Entry(address="127.0.0.1", port=7620, data_centre="prai")
+    crash = registry.Crash(
+        fingerprint="f" * 32, death_id="d" * 40, at_ms=1_700_000_000_000
+    )
+    with_crashes = msgspec.structs.replace(
+        entry, crashes=registry.MAX_CRASHES * (crash,)
+    )
+    recoded = subprocess.run(
+        [sys.executable, "-c", RECODE_ENTRY_SCRIPT, str(previous_root)],
+        input=registry.encode(with_crashes),
+        check=True,
+        capture_output=True,
+    ).stdout
+    assert recoded == registry.encode(entry)
+
+
 def switch(fleet, name, keys_by_organisation, epoch):
     operator = fleet.operator(
         name, preset=build_preset(name, keys_by_organisation)
