Fail a run at once whose answer has an invalid status line

What callers saw: an answer with the status 000 to 099 held them until their time limit (504); one with 600 or above, or of HTTP/2.0, was passed on to them as it was.

Cause: the parser takes any three digits for a status; below 200 was interim, all else final.

Change: only 1xx but 101 is interim, only 200 to 599 in HTTP/1.0 or 1.1 is an answer.

Ruled out on related paths: the health check accepts 200 only, the store client takes unknown statuses for failures, nodes exchange frames.

--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -29,6 +29,9 @@
 """Answers to earlier requests that are skipped before the connection closes."""
 
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+_HTTP_VERSIONS = frozenset({"1.0", "1.1"})
+_INTERIM_STATUSES = range(100, 200)
+_FINAL_STATUSES = range(200, 600)
 
 ConditionResult = result.Result[dialects.ServerCondition, str]
 
@@ -235,8 +238,17 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Determines how the answer will end, unless it is an interim one."""
-        if self._parser.get_status_code() >= 200:
+        """Determines how the answer will end, unless it is an interim one.
+
+        Raises:
+          ValueError: The status line is not that of an answer in HTTP/1.x.
+        """
+        status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if version not in _HTTP_VERSIONS or not _is_valid_status(status):
+            self._report_invalid_status(version, status)
+            raise ValueError("status line is not valid")
+        if status in _FINAL_STATUSES:
             self._is_head_complete = True
             self._is_close_delimited = (
                 self._dialect.accepts_close_delimited
@@ -337,6 +349,11 @@
     def _has_earlier_answers(self) -> bool:
         return self.completed_runs > 0 or self._late_answers > 0
 
+    def _report_invalid_status(self, version: str, status: int) -> None:
+        if self._on_condition is not None:
+            reason = f"HTTP/{version} {status:03} is not a status line"
+            self._on_condition(self.run.run_id, result.Err(reason))
+
     def _report_unidentified_answer(self) -> None:
         if self._on_condition is not None:
             reason = "an answer on a connection in use names no request"
@@ -450,6 +467,16 @@
     return b"%s\r\n%s" % (head, request.body)
 
 
+def _is_valid_status(status: int) -> bool:
+    """Returns whether a server may answer a request with a status.
+
+    No request asks for another protocol, so that none may be switched to.
+    """
+    is_interim = status in _INTERIM_STATUSES
+    is_expected = is_interim and status != http.HTTPStatus.SWITCHING_PROTOCOLS
+    return is_expected or status in _FINAL_STATUSES
+
+
 def _parse_keep_alive_timeout(headers: rpc.Headers) -> float:
     """Returns the timeout of a ``Keep-Alive`` header in seconds."""
     for name, value in headers:
--- a/bergamotdeal/node/tests/test_server_connection.py
+++ b/bergamotdeal/node/tests/test_server_connection.py
@@ -78,6 +78,40 @@
     assert harness.idle == [harness.connection]
 
 
+@pytest.mark.parametrize(
+    "status_line",
+    [
+        b"HTTP/1.1 000 None",
+        b"HTTP/1.1 099 Low",
+        b"HTTP/1.1 101 Switching Protocols",
+        b"HTTP/1.1 600 High",
+        b"HTTP/2.0 200 OK",
+        b"HTTP/0.9 200 OK",
+    ],
+)
+def test_invalid_status_line_fails_the_run_before_the_body(status_line):
+    """Guards against a wrong status that is an answer or an interim one."""
+    harness = Harness()
+    harness.connection.dataReceived(
+        status_line + b"\r\nContent-Length: 5\r\n\r\n"
+    )
+    (event,) = harness.events
+    assert event.failure is messages.RunFailure.INVALID
+    assert harness.closed == [harness.connection]
+    (condition,) = harness.conditions
+    assert "is not a status line" in condition.unwrap_err()
+
+
+@pytest.mark.parametrize("interim", [100, 102, 103, 199])
+def test_interim_answers_are_skipped(interim):
+    harness = Harness()
+    harness.connection.dataReceived(b"HTTP/1.1 %d Wait\r\n\r\n" % interim)
+    assert harness.events == []
+    harness.connection.dataReceived(LENGTH_DELIMITED)
+    (event,) = harness.events
+    assert (event.status, event.body) == (200, b"hello")
+
+
 @pytest.mark.parametrize(
     "answer",
     [LENGTH_DELIMITED, CHUNKED, CLOSE_DELIMITED + b" "],
