Wait for unsent answers at a planned stop

Cause: an answer counted as given once it was in the buffer of its connection, and the flush after the drain took 0.4 s at most, whatever was unsent.

Ruled out: the kernel's buffers, which are sent after the exit.

Change: the flush lasts until the bytes that connections buffer are sent, within the longest time of the drain and of the flush. Answers to other nodes are counted in the same way. Without unsent bytes the exit is as prompt as before (test), and a reader that never reads on holds it until 0.5 s before the end of the grace time (test).

--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -488,9 +488,12 @@
         for each in (self._presets, self._quotas, self._membership, self._peer):
             each.stop()
         self._settings_watch.stop()
-        self._bodies.buffers.stop()
         drain.stop_when_flushed(
-            reactor=self._reactor, entry=self._entry, flush_s=self._flush_s
+            reactor=self._reactor,
+            entry=self._entry,
+            has_unsent_data=self._bodies.buffers.has_unsent_data,
+            flush_s=self._flush_s,
+            longest_s=self._drain.remaining_s + self._flush_s,
         )
 
     def _emit(self, code: catalogue.EventCode, **fields) -> None:
--- a/bergamotdeal/node/connection_buffers.py
+++ b/bergamotdeal/node/connection_buffers.py
@@ -57,10 +57,9 @@
         self._checks.clock = reactor
         body_memory.add_holder(lambda: self._output_bytes + self._input_bytes)
 
-    def stop(self) -> None:
-        """Stops the periodic checks."""
-        if self._checks.running:
-            self._checks.stop()
+    def has_unsent_data(self) -> bool:
+        """Returns whether bytes wait to be sent on any connection."""
+        return any(map(transports.get_unsent_bytes, self._outputs_by_transport))
 
     # Bytes that wait to be sent.
 
--- a/bergamotdeal/node/drain.py
+++ b/bergamotdeal/node/drain.py
@@ -58,6 +58,14 @@
         """Whether the node is draining."""
         return self._started_at is not None
 
+    @property
+    def remaining_s(self) -> float:
+        """Rest of the longest time of the drain in seconds."""
+        if self._started_at is None:
+            return self._max_drain_s
+        elapsed_s = self._reactor.seconds() - self._started_at
+        return max(0.0, self._max_drain_s - elapsed_s)
+
     def start(self) -> None:
         """Starts the drain; a second call does nothing."""
         if self.is_draining:
@@ -74,7 +82,7 @@
     def _check_progress(self) -> None:
         elapsed_s = self._reactor.seconds() - self._started_at
         if elapsed_s >= self._entry_open_s:
-            self._close_entry_once(self._max_drain_s - elapsed_s)
+            self._close_entry_once(self.remaining_s)
         is_settled = elapsed_s >= self._settle_s and self._is_idle()
         if is_settled or elapsed_s >= self._max_drain_s:
             self._on_finished()
@@ -82,23 +90,37 @@
         self._reactor.callLater(CHECK_INTERVAL_S, self._check_progress)
 
 
-def stop_when_flushed(*, reactor, entry, flush_s: float) -> None:
-    """Stops the reactor once the entry's answers are sent, or after a time.
+def stop_when_flushed(
+    *,
+    reactor,
+    entry,
+    has_unsent_data: Callable[[], bool],
+    flush_s: float,
+    longest_s: float,
+) -> None:
+    """Stops the reactor once all answers are sent, or after a time.
+
+    Callers and other nodes may read slowly; an answer is sent when its last
+    byte has left the process.
 
     Args:
       reactor: The reactor.
       entry: The entry listener, which accepts no more connections.
-      flush_s: Longest time to wait in seconds.
+      has_unsent_data: Returns whether bytes wait to be sent on any connection.
+      flush_s: Time in seconds to wait for connections without such bytes.
+      longest_s: Longest time to wait in seconds.
     """
-    deadline = reactor.seconds() + flush_s
-    close_idle_at = deadline - (1.0 - IDLE_CLOSE_FRACTION) * flush_s
+    started_at = reactor.seconds()
+    close_idle_at = started_at + IDLE_CLOSE_FRACTION * flush_s
 
     def check() -> None:
         now = reactor.seconds()
-        flushed = not entry.open_connections
+        has_unsent = has_unsent_data()
+        is_flushed = not (entry.open_connections or has_unsent)
         if now >= close_idle_at:
             entry.close_idle_connections()
-        if flushed or now >= deadline:
+        wait_s = longest_s if has_unsent else flush_s
+        if is_flushed or now >= started_at + wait_s:
             reactor.stop()
             return
         reactor.callLater(FLUSH_POLL_S, check)
--- a/bergamotdeal/node/tests/test_drain.py
+++ b/bergamotdeal/node/tests/test_drain.py
@@ -76,3 +76,55 @@
     assert steps == ["started"]
     clock.pump([0.1] * 3)
     assert steps == ["started", ("closed", 2.5), "finished"]
+
+
+class Entry:
+    """Entry listener with connections that close when they are idle."""
+
+    def __init__(self, open_connections):
+        self.open_connections = open_connections
+
+    def close_idle_connections(self):
+        self.open_connections = 0
+
+
+def measure_stop(*, open_connections=0, unsent_until=0.0):
+    """Returns the time after which the reactor is stopped."""
+    clock = task.Clock()
+    stops = []
+    clock.stop = lambda: stops.append(clock.seconds())
+    drain.stop_when_flushed(
+        reactor=clock,
+        entry=Entry(open_connections),
+        has_unsent_data=lambda: clock.seconds() < unsent_until,
+        flush_s=0.4,
+        longest_s=3.0,
+    )
+    clock.pump([0.01] * 500)
+    (stopped_at,) = stops
+    return stopped_at
+
+
+def test_exit_is_prompt_when_nothing_is_owed():
+    assert measure_stop() < 0.05
+    assert measure_stop(open_connections=3) < 0.2
+
+
+def test_exit_waits_for_answers_that_are_still_being_read():
+    """Guards against answers that end when the process does."""
+    assert 2.0 <= measure_stop(unsent_until=2.0) < 2.1
+    assert 2.0 <= measure_stop(open_connections=3, unsent_until=2.0) < 2.1
+
+
+def test_reader_that_never_reads_on_does_not_hold_the_exit_for_longer():
+    assert 3.0 <= measure_stop(open_connections=1, unsent_until=99.0) < 3.1
+
+
+def test_remaining_time_is_that_until_the_longest_drain_is_over():
+    harness = Harness()
+    assert harness.drain.remaining_s == drain.MAX_DRAIN_S
+    harness.drain.start()
+    harness.advance(10.0)
+    assert round(harness.drain.remaining_s, 3) == drain.MAX_DRAIN_S - 10.0
+    harness.advance(drain.MAX_DRAIN_S)
+    assert harness.drain.remaining_s == 0.0
--- a/bergamotdeal/settings/derived.py
+++ b/bergamotdeal/settings/derived.py
@@ -12,7 +12,7 @@
 """Watchers of a data centre that is cut off from the others."""
 
 FLUSH_MS = 400
-"""Time to send the last answers, which are small, over short links."""
+"""Time to close the connections to which nothing is owed any more."""
 
 EXIT_MARGIN_MS = 500
 """Part of the grace period reserved for the exit itself."""
--- a/bergamotdeal/settings/model.py
+++ b/bergamotdeal/settings/model.py
@@ -128,7 +128,9 @@
         milliseconds.
       longest_ms: Time after which the node exits despite open work, in
         milliseconds.
-      flush_ms: Time to send the last answers before the exit, in milliseconds.
+      flush_ms: Time to close connections before the exit, in milliseconds.
+        Answers that callers still read are sent until the longest time of the
+        drain and this time are over.
     """
 
     settle_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 1000
