End the use of a server whose later start has left

Cause: the health check doesn't tell when a server started; a delayed heartbeat of an earlier start under the same id did. The departure then named a start that the node did not know.

Change: the departure of a later start ends the one in use as well, which can't have outlived it. Departures of earlier starts end nothing, as before.

Tests: test_departure_of_a_later_start_ends_the_confirmed_one failed before. With real nodes it was not run.

--- a/bergamotdeal/node/server_life.py
+++ b/bergamotdeal/node/server_life.py
@@ -218,15 +218,19 @@
                 for known in (confirmed, candidate)
                 if known is not None and known.server_id == server_id
             ]
-        if (
-            confirmed is not None
-            and confirmed.server_id == server_id
-            and confirmed.born in (born, _UNKNOWN)
-        ):
+        # Also one whose heartbeats are still to come, delayed.
+        leaving = _name_instance(server_id, born)
+        if confirmed is None or confirmed.server_id != server_id:
+            return [leaving]
+        if confirmed.born in (born, _UNKNOWN):
             confirmed.born = born
             return [confirmed.instance]
-        # Also one whose heartbeats are still to come, delayed.
-        return [_name_instance(server_id, born)]
+        if confirmed.born < born:
+            # The later start has ended the confirmed one. A delayed heartbeat
+            # may have told its start time as that of the server that answered
+            # the health check.
+            return [confirmed.instance, leaving]
+        return [leaving]
 
 
 def _name_instance(server_id: str, born: int) -> str:
--- a/bergamotdeal/node/tests/test_server_life.py
+++ b/bergamotdeal/node/tests/test_server_life.py
@@ -94,3 +94,28 @@
     tracker.forget_confirmed()
     assert tracker.record_heartbeat("i-1", born=1000, sequence=9) == checked
     assert tracker.record_heartbeat("i-1", born=2000, sequence=1) != checked
+
+
+def test_departure_of_a_later_start_ends_the_confirmed_one():
+    """Guards against a delayed heartbeat of an earlier start.
+
+    After a restart of the node it gives its start time to the server that the
+    health check found, whose departure then names an unknown start.
+    """
+    tracker = server_life.ServerInstanceTracker()
+    checked = tracker.record_health_check("i-1")
+    assert tracker.record_heartbeat("i-1", born=1000, sequence=90) == checked
+    assert tracker.record_departure("i-1", born=2000) == checked
+    assert tracker.has_departed(checked)
+    late = tracker.record_heartbeat("i-1", born=2000, sequence=9)
+    assert tracker.has_departed(late)
+    later = tracker.record_heartbeat("i-1", born=3000, sequence=1)
+    assert not tracker.has_departed(later)
+
+
+def test_departure_of_an_earlier_start_leaves_the_confirmed_one():
+    tracker = server_life.ServerInstanceTracker()
+    current = tracker.record_heartbeat("i-1", born=2000, sequence=1)
+    tracker.confirm(current)
+    assert tracker.record_departure("i-1", born=1000) != current
+    assert not tracker.has_departed(current)
