Survive SIGHUP during the start

Cause: the handlers were set after the start; the default action of SIGHUP ends the process.

Change: SIGHUP is ignored from the first line on, as the settings are read later and the watch of the file finds later changes; all handlers are set before the node opens its listeners.

--- a/bergamotdeal/cli/node.py
+++ b/bergamotdeal/cli/node.py
@@ -1,5 +1,7 @@
 """Command that runs a node."""
 
+import signal
+
 import click
 
 from bergamotdeal.cli import exit_codes
@@ -16,6 +18,8 @@
 )
 def node(path: str) -> None:
     """Run the node beside a backend server."""
+    # The settings are read after this; the node's own handler comes later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = files.read_settings(path)
     # Imported late, so that --help doesn't load the reactor and protocols.
     from twisted.internet import error
--- a/bergamotdeal/node/process.py
+++ b/bergamotdeal/node/process.py
@@ -44,12 +44,12 @@
         del number, frame
         reactor.callFromThread(application.reload_settings)
 
-    application.observe_failures()
-    application.start()
     # The reactor's own handlers would stop it without draining.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle_termination)
     signal.signal(signal.SIGHUP, handle_hangup)
+    application.observe_failures()
+    application.start()
     tune_garbage_collector()
     reactor.run(installSignalHandlers=False)
 
