Answer pipelined requests at a planned stop

Cause: whether the response closes the connection was decided without a look at the requests that wait.

Test: test_draining_channel_answers_all_that_was_read_and_closes failed before.

--- a/bergamotdeal/node/http_exchange.py
+++ b/bergamotdeal/node/http_exchange.py
@@ -13,8 +13,8 @@
     """Connection as an exchange sees it."""
 
     @property
-    def is_draining(self) -> bool:
-        """Whether the connection closes after its next response."""
+    def closes_after_response(self) -> bool:
+        """Whether the connection closes after the response in progress."""
 
     def send_response(self, data: bytes, *, close: bool) -> None:
         """Writes the response to the current request.
@@ -103,7 +103,7 @@
             return
         self._responded = True
         channel = self._channel
-        close = channel.is_draining or not self._keep_alive
+        close = channel.closes_after_response or not self._keep_alive
         data = http_message.render_response(
             answer, headers, close=close, is_head=self._method == "HEAD"
         )
--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -70,9 +70,9 @@
         self._is_answered_early = False
 
     @property
-    def is_draining(self) -> bool:
-        """Whether the connection closes after its next response."""
-        return self.factory.is_draining
+    def closes_after_response(self) -> bool:
+        """Whether no request that was read waits behind the current one."""
+        return self.factory.is_draining and not self._pipelined
 
     @property
     def is_idle(self) -> bool:
@@ -391,7 +391,7 @@
       max_body_bytes: Maximum size of a request body in bytes.
       idle_timeout_s: Idle time in seconds after which a connection is closed.
       channels: Open connections.
-      is_draining: Whether each connection closes after its next response.
+      is_draining: Whether connections close when all requests are answered.
       has_room: Returns whether there is memory for a number of bytes of a
         request; the second argument builds it without its body.
       held_bytes: Bytes of the bodies that are being received or queued.
@@ -432,7 +432,7 @@
         self.is_draining = False
 
     def drain_connections(self) -> None:
-        """Closes each connection after its next response."""
+        """Closes each connection when all that was read is answered."""
         self.is_draining = True
 
     def close_idle_connections(self) -> None:
--- a/bergamotdeal/node/tests/test_http_server.py
+++ b/bergamotdeal/node/tests/test_http_server.py
@@ -310,3 +310,18 @@
     assert [each.is_refused for each in harness.requests] == [not has_room]
     assert harness.factory.held_bytes == 0
     assert not harness.transport.disconnecting
+
+
+def test_draining_channel_answers_all_that_was_read_and_closes():
+    """Guards against pipelined requests that a planned stop drops."""
+    harness = Harness()
+    harness.channel.dataReceived(3 * SECOND)
+    harness.channel.factory.drain_connections()
+    for number in (1, 2, 3):
+        assert len(harness.requests) == number
+        assert not harness.transport.disconnecting
+        harness.respond()
+    assert harness.transport.disconnecting
+    responses = harness.transport.value().lower()
+    assert responses.count(b"http/1.1 200") == 3
+    assert responses.count(b"connection: close") == 1
