Spread the choice of removers over turns of the event loop

Cause: after each listing a node chose the remover of each dead registry entry in one turn, which takes time in proportion to entries and members.

Change: 20 choices a turn. A fleet that removes nothing is not affected.

Test: test_choices_of_removers_leave_the_event_loop_to_others (500 choices in one turn before).

--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -45,6 +45,10 @@
 SEARCH_INTERVAL_S = 0.15
 """Time for contacted hosts to become known before more are contacted."""
 
+CHOICES_PER_TURN = 20
+"""Entries of gone hosts for which a remover is chosen in one turn of the event
+loop; each choice takes time in proportion to the fleet."""
+
 MAX_REMOVALS_PER_POLL = 20
 """Entries of hosts that are gone which one node removes after one listing."""
 
@@ -401,7 +405,11 @@
             if member.state is core.MemberState.ALIVE
         }
         removal_count = 0
-        for host_id, version in gone_by_host.items():
+        for number, (host_id, version) in enumerate(gone_by_host.items(), 1):
+            if number % CHOICES_PER_TURN == 0:
+                yield task.deferLater(self._reactor, 0.0)
+                if not self._running:
+                    return
             remover = rendezvous.select_name(host_id, digests_by_member)
             if remover != self._host_id:
                 continue
--- a/bergamotdeal/node/tests/test_registry.py
+++ b/bergamotdeal/node/tests/test_registry.py
@@ -395,6 +395,34 @@
     assert 0 < deletes <= 3 * registry_task.MAX_REMOVALS_PER_POLL
 
 
+def test_choices_of_removers_leave_the_event_loop_to_others(monkeypatch):
+    """Guards against a listing of dead entries that blocks the event loop."""
+    harness = Harness()
+    harness.write_gone_hosts(500)
+    for number in range(100):
+        other = make_member(f"other-{number}")
+        harness.membership.members_by_host_id[other.host_id] = other
+    harness.task.start()
+    harness.run_long(registry.GONE_AFTER_S - 60)
+    choices_by_turn = [0]
+    select_name = registry_task.rendezvous.select_name
+    call_later = harness.clock.callLater
+
+    def count_choice(*arguments):
+        choices_by_turn[-1] += 1
+        return select_name(*arguments)
+
+    def count_turn(*arguments):
+        choices_by_turn.append(0)
+        return call_later(*arguments)
+
+    monkeypatch.setattr(registry_task.rendezvous, "select_name", count_choice)
+    monkeypatch.setattr(harness.clock, "callLater", count_turn)
+    harness.run_long(2 * registry_task.MAX_POLL_INTERVAL_S)
+    assert sum(choices_by_turn) >= 500
+    assert max(choices_by_turn) <= registry_task.CHOICES_PER_TURN
+
+
 # Guards against a living host whose entry was removed while it was cut off and
 # which is not found by hosts that start after its return.
 @pytest.mark.parametrize("is_suspended", [False, True])
