Count the memory of slow readers until it is freed

Cause: the count took the unsent bytes of a connection's buffer, while Twisted keeps the whole buffer until less than 128 KiB of it are unsent.

Ruled out: copies in the engine, which are freed when the answer is written.

Change: the whole buffer counts. The progress of a reader is still measured by what is unsent, so that none is aborted sooner.

--- a/bergamotdeal/node/connection_buffers.py
+++ b/bergamotdeal/node/connection_buffers.py
@@ -20,14 +20,17 @@
     """Bytes that wait to be sent on one connection.
 
     Attributes:
-      unsent_bytes: Number of bytes at the last check.
+      held_bytes: Number of buffered bytes at the last check, sent ones that are
+        still held included.
+      unsent_bytes: Number of unsent bytes at the last check.
       progressed_at: Time of the last progress, in monotonic seconds.
     """
 
-    __slots__ = ("progressed_at", "unsent_bytes")
+    __slots__ = ("held_bytes", "progressed_at", "unsent_bytes")
 
-    def __init__(self, *, unsent_bytes: int, progressed_at: float) -> None:
-        self.unsent_bytes = unsent_bytes
+    def __init__(self, *, progressed_at: float) -> None:
+        self.held_bytes = 0
+        self.unsent_bytes = 0
         self.progressed_at = progressed_at
 
 
@@ -69,19 +72,23 @@
         Args:
           transport: Transport that was written to.
         """
-        unsent_bytes = transports.get_unsent_bytes(transport)
-        if not unsent_bytes:
+        if not transports.has_unsent_data(transport):
             return
         output = self._outputs_by_transport.get(transport)
         if output is None:
-            output = _Output(
-                unsent_bytes=0, progressed_at=self._reactor.seconds()
-            )
+            output = _Output(progressed_at=self._reactor.seconds())
             self._outputs_by_transport[transport] = output
-        self._output_bytes += unsent_bytes - output.unsent_bytes
-        output.unsent_bytes = unsent_bytes
+        self._measure(transport, output)
         self._start_checks()
 
+    def _measure(
+        self, transport: interfaces.ITransport, output: _Output
+    ) -> None:
+        held_bytes = transports.get_buffered_bytes(transport)
+        self._output_bytes += held_bytes - output.held_bytes
+        output.held_bytes = held_bytes
+        output.unsent_bytes = transports.get_unsent_bytes(transport)
+
     # Messages that are arriving.
 
     def update_input(
@@ -145,12 +152,11 @@
     def _check_output(
         self, transport: interfaces.ITransport, output: _Output, now: float
     ) -> None:
-        unsent_bytes = transports.get_unsent_bytes(transport)
-        if unsent_bytes < output.unsent_bytes:
+        last_unsent_bytes = output.unsent_bytes
+        self._measure(transport, output)
+        if output.unsent_bytes < last_unsent_bytes:
             output.progressed_at = now
-        self._output_bytes += unsent_bytes - output.unsent_bytes
-        output.unsent_bytes = unsent_bytes
-        if not unsent_bytes:
+        if not output.unsent_bytes:
             del self._outputs_by_transport[transport]
         elif now - output.progressed_at > STALL_TIMEOUT_S:
             transport.abortConnection()
--- a/bergamotdeal/node/tests/test_connection_buffers.py
+++ b/bergamotdeal/node/tests/test_connection_buffers.py
@@ -77,6 +77,24 @@
     assert not clock.getDelayedCalls()
 
 
+def test_sent_bytes_count_while_the_buffer_holds_them(
+    clock, body_memory, buffers
+):
+    """Guards against readers that hold more than the node counts."""
+    transport = Transport()
+    transport.dataBuffer = bytes(LARGE)
+    buffers.watch_output(transport)
+    transport.offset = LARGE - 100
+    advance(clock, 0.1)
+    assert body_memory.used_bytes == LARGE
+    transport.dataBuffer, transport.offset = bytes(100), 0
+    advance(clock, 0.1)
+    assert body_memory.used_bytes == 100
+    transport.dataBuffer = b""
+    advance(clock, 0.1)
+    assert body_memory.used_bytes == 0
+
+
 def test_lost_connection_buffers_nothing(clock, body_memory, buffers):
     transport = Transport()
     transport.write_unsent(LARGE)
--- a/bergamotdeal/utils/transport.py
+++ b/bergamotdeal/utils/transport.py
@@ -90,6 +90,20 @@
     return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
 
 
+def get_buffered_bytes(transport: interfaces.ITransport) -> int:
+    """Returns the number of bytes that the write buffer of a transport holds.
+
+    Bytes that are sent are held with the unsent ones until the buffer is
+    copied or empty.
+
+    Args:
+      transport: A transport; zero unless it is an open TCP connection.
+    """
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return 0
+    return len(transport.dataBuffer) + transport._tempDataLen
+
+
 def disable_nagle(transport: interfaces.ITransport) -> None:
     """Disables Nagle's algorithm so that small writes are sent at once.
 
