Bound the work of a node for the crash reports of a crowd

A crash of a server with hundreds of requests reports each of them, and each arrives alone as a rumour. Found in the read of the change: for each the log looked for reports to forget, and the registry task for confirmed crashes.

--- a/bergamotdeal/membership/crashes.py
+++ b/bergamotdeal/membership/crashes.py
@@ -20,6 +20,9 @@
 """Age up to which a report is remembered. A copy from a host that was suspended
 is too young, and would be taken for a new report if it were forgotten."""
 
+_SWEEP_INTERVAL_S = 10.0
+"""Time between searches for reports to forget; a crash reports a crowd."""
+
 _EMPTY_DIGEST = 1
 """Digest of no reports; zero stands for nodes that send no digest."""
 
@@ -38,6 +41,7 @@
 
     def __init__(self) -> None:
         self._known_by_id: dict[tuple[str, str], _KnownReport] = {}
+        self._next_sweep_at = 0.0
 
     def add_new(
         self, reports: tuple[core.CrashReport, ...], now: float
@@ -69,7 +73,7 @@
     def list_current(self, now: float) -> tuple[core.CrashReport, ...]:
         """Returns the reports that have not expired, with their present age."""
         return tuple(
-            msgspec.structs.replace(known.report, age_s=now - known.crashed_at)
+            _update_age(known, now)
             for known in self._known_by_id.values()
             if _is_current(known, now)
         )
@@ -81,7 +85,7 @@
         known = self._known_by_id.get(_get_id(report))
         if known is None or not _is_current(known, now):
             return None
-        return msgspec.structs.replace(report, age_s=now - known.crashed_at)
+        return _update_age(known, now)
 
     def list_missing(
         self, reports: tuple[core.CrashReport, ...], now: float
@@ -103,15 +107,17 @@
           host_id: Id of the host.
           now: Current time.
         """
-        reports = self.list_current(now)
         crash_counts = collections.Counter(
-            report.fingerprint for report in reports
+            known.report.fingerprint
+            for known in self._known_by_id.values()
+            if _is_current(known, now)
         )
         return tuple(
-            report
-            for report in reports
-            if report.host_id == host_id
-            and crash_counts[report.fingerprint] > 1
+            _update_age(known, now)
+            for known in self._known_by_id.values()
+            if known.report.host_id == host_id
+            and _is_current(known, now)
+            and crash_counts[known.report.fingerprint] > 1
         )
 
     def compute_digest(self, now: float) -> int:
@@ -124,9 +130,11 @@
 
     def _evict(self, now: float) -> None:
         known_by_id = self._known_by_id
-        for report_id, known in list(known_by_id.items()):
-            if now - known.crashed_at >= _RETENTION_S:
-                del known_by_id[report_id]
+        if now >= self._next_sweep_at:
+            self._next_sweep_at = now + _SWEEP_INTERVAL_S
+            for report_id, known in list(known_by_id.items()):
+                if now - known.crashed_at >= _RETENTION_S:
+                    del known_by_id[report_id]
         excess = len(known_by_id) - MAX_REPORTS
         if excess > 0:
             oldest_first = sorted(
@@ -144,6 +152,10 @@
     return now - known.crashed_at < REPORT_TTL_S
 
 
+def _update_age(known: _KnownReport, now: float) -> core.CrashReport:
+    return msgspec.structs.replace(known.report, age_s=now - known.crashed_at)
+
+
 def _compute_digest(report: core.CrashReport) -> int:
     text = f"{report.death_id} {report.fingerprint}"
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/bergamotdeal/node/registry.py
+++ b/bergamotdeal/node/registry.py
@@ -138,6 +138,7 @@
         self._introductions = registry.ContactTracker()
         self._crash_archive = registry.CrashArchive(host_id=self._host_id)
         self._confirmed_ids: set[str] = set()
+        self._crash_timer = None
         self._search_timer = None
         self._backoff = backoff.ExponentialBackoff(
             rng=rng,
@@ -165,7 +166,7 @@
         self._running = False
         if self._isolation_checks.running:
             self._isolation_checks.stop()
-        for timer in (self._poll_timer, self._search_timer):
+        for timer in (self._poll_timer, self._search_timer, self._crash_timer):
             if timer is not None and timer.active():
                 timer.cancel()
 
@@ -179,6 +180,14 @@
 
     def handle_crash_reports(self) -> None:
         """Writes the entry soon if a crash of the own server is confirmed."""
+        # The reports of one crash arrive one after the other.
+        if self._running and self._crash_timer is None:
+            self._crash_timer = self._reactor.callLater(
+                CRASH_WRITE_DELAY_S * self._rng.random(), self._write_crashes
+            )
+
+    def _write_crashes(self) -> None:
+        self._crash_timer = None
         confirmed_ids = {
             f"{report.death_id} {report.fingerprint}"
             for report in self._membership.list_confirmed_crashes()
@@ -186,7 +195,7 @@
         if confirmed_ids <= self._confirmed_ids:
             return
         self._confirmed_ids = confirmed_ids
-        self._schedule_poll(CRASH_WRITE_DELAY_S * self._rng.random())
+        self._schedule_poll(0.0)
 
     def _check_isolation(self) -> None:
         """Polls soon after an isolation in which the entry may have gone."""
