Double the quarantine with each further crash

A request that comes for minutes crashed servers each time that its quarantine of 60 s was over, as often as it came.

Cause: the duration did not depend on the number of crashes.

Change: each crash beyond those that a quarantine needs doubles the duration, up to the 300 s for which crashes count. Two crashes on two hosts, and three on one, are quarantined for duration_ms, as before.

--- a/bergamotdeal/presets/model.py
+++ b/bergamotdeal/presets/model.py
@@ -298,7 +298,8 @@
       enabled: Whether requests that crash servers are quarantined.
       deaths: Number of servers on distinct hosts that crashed running the
         request before it is quarantined; one more if all were on one host.
-      duration_ms: Milliseconds for which the request is refused.
+      duration_ms: Milliseconds for which the request is refused; each further
+        death doubles them.
     """
 
     enabled: bool = True
--- a/bergamotdeal/quarantine/register.py
+++ b/bergamotdeal/quarantine/register.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Collection
+import math
 
 import msgspec
 
@@ -48,8 +49,9 @@
     """Register of server deaths by request fingerprint.
 
     A fingerprint that was running when enough distinct servers died is
-    quarantined for a limited time. Each start of a server counts as a server of
-    its own; if all were on the same host, one more death is needed.
+    quarantined for a limited time, which each further death doubles. Each start
+    of a server counts as a server of its own; if all were on the same host, one
+    more death is needed.
 
     For a request that is always in flight, running at the time of a death is
     weak evidence. A fingerprint that completed several runs during the lifetime
@@ -167,20 +169,25 @@
         if evidence is None:
             return False
         deaths = evidence.recent_deaths(now)
-        if not self._are_enough(deaths):
-            return False
         if evidence.completed_runs >= _EXONERATING_RUNS_PER_DEATH * len(deaths):
             return False
-        latest = max(death.happened_at for death in deaths)
-        return now - latest < self._policy.duration_ms / _MS_PER_S
+        return now < self._compute_end(deaths)
+
+    def _compute_end(self, deaths: list[_Death]) -> float:
+        """Returns when the quarantine for some deaths ends.
 
-    def _are_enough(self, deaths: list[_Death]) -> bool:
+        Each death beyond those that are needed doubles its duration, so that a
+        request that comes back each time crashes few servers.
+        """
         needed = self._policy.deaths
-        host_ids = {death.host_id for death in deaths}
-        return (
-            len(host_ids) >= needed
-            or len(deaths) >= needed + _EXTRA_DEATHS_OF_ONE_HOST
-        )
+        if len({death.host_id for death in deaths}) < needed:
+            needed += _EXTRA_DEATHS_OF_ONE_HOST
+        surplus = len(deaths) - needed
+        if surplus < 0:
+            return -math.inf
+        duration_s = self._policy.duration_ms / _MS_PER_S * 2**surplus
+        latest = max(death.happened_at for death in deaths)
+        return latest + min(duration_s, crashes.REPORT_TTL_S)
 
     def _add_report(self, report: membership.CrashReport, now: float) -> None:
         evidence_by_fingerprint = self._evidence_by_fingerprint
--- a/bergamotdeal/quarantine/tests/test_register.py
+++ b/bergamotdeal/quarantine/tests/test_register.py
@@ -1,5 +1,7 @@
 """Tests of the quarantine register."""
 
+import pytest
+
 from bergamotdeal.membership import core as membership
 from bergamotdeal.presets import model
 from bergamotdeal.quarantine import register
@@ -43,6 +45,30 @@
     assert not quarantine.is_quarantined("request", 63.0)
 
 
+@pytest.mark.parametrize(
+    ("host_ids", "duration_s"),
+    [
+        ("ab", 60),
+        ("abc", 120),
+        ("abcd", 240),
+        ("abcde", 300),
+        ("aaa", 60),
+        ("aaaa", 120),
+        ("aab", 120),
+    ],
+)
+def test_each_further_death_doubles_the_duration(host_ids, duration_s):
+    """Guards against a request that crashes servers once a minute for ever."""
+    entry = _make_register("z")
+    for number, host_id in enumerate(host_ids):
+        reports = _record_death_with(
+            _make_register(host_id), "poison", death_id=str(number)
+        )
+        entry.add_reports(reports, 0.0)
+    assert entry.is_quarantined("poison", duration_s - 0.1)
+    assert not entry.is_quarantined("poison", duration_s + 0.1)
+
+
 def test_deaths_on_one_host_with_different_requests_quarantine_nothing():
     """Guards against a host that dies often for a reason of its own."""
     quarantine = _make_register("a")
