Give servers the caller's time to read a large body

What callers saw: 502 after 3 s for a request with a large body whose server read nothing of it for 3 s.

Cause: TCP_USER_TIMEOUT of 3 s on connections to servers. The kernel also counts the time for which the other side's window is closed, though probes are acknowledged.

Ruled out: the memory limit and the node's own time limits.

Change: for a request of more than 64 KiB the timeout is as long as its caller waits.

Test: test_request_waits_for_a_server_that_reads_late (real nodes; 2,900,000 bytes got 502 before, 200 now; 1,000 bytes passed before and now; 1 run each). Suspected, not shown: that this is the 502 of test_body_memory[9-chunked] in the users' runs.

--- a/bergamotdeal/node/server_connection.py
+++ b/bergamotdeal/node/server_connection.py
@@ -88,6 +88,7 @@
         self._is_reusable = True
         self._parse_failure_kind = messages.RunFailure.LOST
         self._is_closed = False
+        self._has_long_timeout = False
 
     @property
     def is_available(self) -> bool:
@@ -118,10 +119,19 @@
         self._late_answers = 0
         self._reset_answer()
         request = self._dialect.render_request(run, server_id)
+        self._allow_slow_reading(len(request), run.deadline_ms)
         transport.write_now(self.transport, request)
         if self._buffers is not None:
             self._buffers.watch_output(self.transport)
 
+    def _allow_slow_reading(self, size_bytes: int, deadline_ms: int) -> None:
+        """Lets a server read a large request as slowly as its caller waits."""
+        is_large = size_bytes > transport.WINDOW_BYTES
+        if is_large or self._has_long_timeout:
+            self._has_long_timeout = is_large
+            wait_ms = deadline_ms if is_large else 0
+            transport.set_unacked_timeout(self.transport, wait_ms)
+
     def _reset_answer(self) -> None:
         self._headers: rpc.Headers = []
         self._body_parts: list[bytes] = []
--- a/bergamotdeal/utils/transport.py
+++ b/bergamotdeal/utils/transport.py
@@ -48,6 +48,10 @@
 UNACKED_TIMEOUT_MS = 3000
 """Maximum time that sent bytes may stay unacknowledged."""
 
+WINDOW_BYTES = 64 * 1024
+"""Bytes that a receiver takes before it reads. More of them wait while its
+window is closed, which the kernel counts as unacknowledged as well."""
+
 
 def enable_dead_peer_detection(transport: interfaces.ITransport) -> None:
     """Enables TCP keep-alive and the user timeout on a connection.
@@ -70,6 +74,23 @@
         transport.socket.setsockopt(level, option, value)
 
 
+def set_unacked_timeout(
+    transport: interfaces.ITransport, timeout_ms: int
+) -> None:
+    """Sets the time after which a peer that acknowledges nothing is gone.
+
+    Args:
+      transport: A connected transport; ignored unless it is a TCP connection.
+      timeout_ms: The time in milliseconds; ``UNACKED_TIMEOUT_MS`` at least.
+    """
+    if isinstance(transport, tcp.Connection):
+        transport.socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            max(UNACKED_TIMEOUT_MS, timeout_ms),
+        )
+
+
 def has_unsent_data(transport: interfaces.ITransport) -> bool:
     """Returns whether written bytes are still buffered in the process.
 
