--- a/bergamotdeal/node/http_server.py
+++ b/bergamotdeal/node/http_server.py
@@ -71,7 +71,7 @@
 
     @property
     def closes_after_response(self) -> bool:
-        """Whether no request that was read waits behind the current one."""
+        """Whether the connection closes after the response in progress."""
         return self.factory.is_draining and not self._pipelined
 
     @property
