--- a/tests/integration/test_mixed_versions.py
+++ b/tests/integration/test_mixed_versions.py
@@ -241,6 +241,16 @@
         started.assert_epochs_never_decreased()
 
 
+def run_in_previous(previous_root, script, data):
+    """Returns what a script of the previous version writes for some input."""
+    return subprocess.run(
+        [sys.executable, "-c", script, str(previous_root)],
+        input=data,
+        check=True,
+        capture_output=True,
+    ).stdout
+
+
 def build_follower(host_id):
     return follower.Follower(
         host_id=host_id,
@@ -274,12 +284,9 @@
     source = build_follower("source")
     source.handle(preset_messages.StoreRead(document=document), 0.0)
     answer = source.answer_pull(gossip.PresetRequest(known_digests=()))
-    served_again = subprocess.run(
-        [sys.executable, "-c", PULL_SCRIPT, str(previous_root)],
-        input=gossip_codec.encode_bulk(answer),
-        check=True,
-        capture_output=True,
-    ).stdout
+    served_again = run_in_previous(
+        previous_root, PULL_SCRIPT, gossip_codec.encode_bulk(answer)
+    )
     target = build_follower("target")
     target.handle(
         preset_messages.EpochAdvertised(epoch=1, host_id="previous"), 0.0
@@ -319,16 +326,11 @@
             crash_reports=(report,),
         ),
     ]
-    recoded = subprocess.run(
-        [sys.executable, "-c", RECODE_SCRIPT, str(previous_root)],
-        input=json.dumps([gossip_codec.encode_bulk(m).hex() for m in sent]),
-        check=True,
-        capture_output=True,
-        text=True,
-    ).stdout
+    lines = json.dumps([gossip_codec.encode_bulk(m).hex() for m in sent])
+    recoded = run_in_previous(previous_root, RECODE_SCRIPT, lines.encode())
     assert [
         gossip_codec.decode_bulk(bytes.fromhex(line)).unwrap()
-        for line in recoded.split()
+        for line in recoded.decode().split()
     ] == [
         gossip.SyncRequest(sender=member, epoch=3, digests=(5, 6)),
         gossip.SyncResponse(buckets=(1,), entries=(known,)),
@@ -345,12 +347,9 @@
     with_crashes = msgspec.structs.replace(
         entry, crashes=registry.MAX_CRASHES * (crash,)
     )
-    recoded = subprocess.run(
-        [sys.executable, "-c", RECODE_ENTRY_SCRIPT, str(previous_root)],
-        input=registry.encode(with_crashes),
-        check=True,
-        capture_output=True,
-    ).stdout
+    recoded = run_in_previous(
+        previous_root, RECODE_ENTRY_SCRIPT, registry.encode(with_crashes)
+    )
     assert recoded == registry.encode(entry)
 
 
