--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -13,6 +13,7 @@
 import shlex
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -83,6 +84,15 @@
         self._file.flush()
 
 
+def reset(writer):
+    """Resets a connection, as the kernel of a crashed server does."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def read_head(reader):
     """Reads the head of a message: the first line and the headers."""
     data = await reader.readuntil(b"\r\n\r\n")
@@ -501,6 +511,9 @@
     record = Record(folder)
     try:
         async def bounded():
+            # Connections that are open at the end are cancelled with it.
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda *_: None)
             async with asyncio.timeout(110):
                 return await main(record, trouble)
         broken = asyncio.run(bounded())
