Log what requests still wait for when a drain ends

DRAIN_FINISHED said neither that the longest time had passed nor what was open, so that a request lost in a face, in the engine or in a write buffer looked the same.

Change: what an open request waits for is one of a closed set of data classes (bergamotdeal/shutdown); the event names the time and the count of each.

--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -11,6 +11,7 @@
 from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
+from bergamotdeal.calls import open_work
 from bergamotdeal.calls import overdue
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
@@ -151,6 +152,14 @@
         """Returns whether no exchange, call or run is open."""
         return self._dispatcher.is_idle() and self._executor.is_idle()
 
+    def count_open_by_state(self) -> dict[str, int]:
+        """Counts the open exchanges and runs by what they wait for."""
+        return open_work.count_by_state(
+            run_table=self._run_table,
+            exchange_table=self._dispatcher.exchange_table,
+            own_host_id=self._state.identity.host_id,
+        )
+
     @property
     def held_bytes(self) -> int:
         """Bytes of the bodies of all requests in progress."""
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -12,7 +12,6 @@
 from bergamotdeal.node import announcements
 from bergamotdeal.node import body_admission
 from bergamotdeal.node import bulk_server
-from bergamotdeal.node import drain
 from bergamotdeal.node import environment
 from bergamotdeal.node import faces
 from bergamotdeal.node import failure_observer
@@ -30,6 +29,7 @@
 from bergamotdeal.node import server_publisher
 from bergamotdeal.node import server_report
 from bergamotdeal.node import settings_watch
+from bergamotdeal.node import shutdown
 from bergamotdeal.node import startup_hold
 from bergamotdeal.node import status as node_status
 from bergamotdeal.node import status_report
@@ -44,7 +44,6 @@
 from bergamotdeal.telemetry import records
 
 INCARNATION_BYTES = 16
-MS_PER_S = 1000
 
 
 class InvalidPresetError(Exception):
@@ -146,7 +145,6 @@
             token=settings.admin.token,
             record=self._record,
         )
-        self._flush_s = settings.drain.flush_ms / MS_PER_S
         self._settings_watch = settings_watch.SettingsWatch(
             platform_hooks=platform_hooks,
             reactor=reactor,
@@ -158,17 +156,17 @@
         self._platform_listeners: list[environment.PlatformListener] = []
         if platform_hooks.build_listeners is not None:
             self._platform_listeners = platform_hooks.build_listeners(self)
-        self._drain = drain.Drain(
+        self._shutdown = shutdown.Shutdown(
             reactor=reactor,
-            is_idle=self._engine.is_idle,
+            settings=settings.drain,
+            engine=self._engine,
+            post=self._dispatcher.post,
+            record=self._record,
+            entry=self._entry,
+            egress=self._egress,
             on_started=self._handle_drain_started,
-            on_finished=self._handle_drain_finished,
-            on_entry_closed=lambda remaining_s: self._dispatcher.post(
-                messages.DrainStarted(remaining_s=remaining_s)
-            ),
-            settle_s=settings.drain.settle_ms / MS_PER_S,
-            entry_open_s=settings.drain.entry_open_ms / MS_PER_S,
-            max_drain_s=settings.drain.longest_ms / MS_PER_S,
+            list_tasks=self._list_tasks,
+            has_unsent_data=self._bodies.buffers.has_unsent_data,
         )
         self._dispatcher.attach_tasks(
             face_tasks=[self._entry, self._egress],
@@ -185,7 +183,7 @@
     @property
     def is_accepting(self) -> bool:
         """Whether the node is ready to take calls and is not draining."""
-        return self._has_preset and not self._drain.is_draining
+        return self._has_preset and not self._shutdown.is_draining
 
     def _can_serve(self) -> bool:
         """Returns whether requests of callers can reach all services."""
@@ -235,7 +233,7 @@
 
     def start_drain(self) -> None:
         """Starts a graceful shutdown; later calls have no effect."""
-        self._drain.start()
+        self._shutdown.start()
 
     # Called by the platform's listeners.
 
@@ -270,7 +268,7 @@
             incarnation=self._incarnation,
             uptime_s=self._reactor.seconds() - self._started_at,
             is_ready=self.is_ready,
-            is_draining=self._drain.is_draining,
+            is_draining=self._shutdown.is_draining,
             presets=self._presets,
             server=self._publisher.announcement,
             engine=self._engine,
@@ -465,36 +463,24 @@
 
     # Drain and stop.
 
-    def _handle_drain_started(self) -> None:
-        self._emit(catalogue.EventCode.DRAIN_STARTED)
-        started = messages.DrainStarted(
-            entry_open=self._settings.drain.entry_open_ms > 0
-        )
-        self._dispatcher.post(started)
+    def _handle_drain_started(self, started: messages.DrainStarted) -> None:
         self._membership.deliver(started)
-        self._entry.start_draining()
         self._quotas.start_drain()
 
-    def _handle_drain_finished(self) -> None:
-        self._emit(catalogue.EventCode.DRAIN_FINISHED)
-        for face in (self._entry, self._egress):
-            face.stop(self._reactor)
-        self._admin.stop()
-        self._server.stop()
-        if self._registry is not None:
-            self._registry.stop()
-        for listener in self._platform_listeners:
-            listener.stop()
-        for each in (self._presets, self._quotas, self._membership, self._peer):
-            each.stop()
-        self._settings_watch.stop()
-        drain.stop_when_flushed(
-            reactor=self._reactor,
-            entry=self._entry,
-            has_unsent_data=self._bodies.buffers.has_unsent_data,
-            flush_s=self._flush_s,
-            longest_s=self._drain.remaining_s + self._flush_s,
-        )
+    def _list_tasks(self) -> list[shutdown.Task]:
+        """Returns the tasks in the order in which they stop."""
+        optional = [] if self._registry is None else [self._registry]
+        return [
+            self._admin,
+            self._server,
+            *optional,
+            *self._platform_listeners,
+            self._presets,
+            self._quotas,
+            self._membership,
+            self._peer,
+            self._settings_watch,
+        ]
 
     def _emit(self, code: catalogue.EventCode, **fields) -> None:
         self._record(records.EventRecord(code=code, fields=fields))
--- a/bergamotdeal/node/drain.py
+++ b/bergamotdeal/node/drain.py
@@ -58,13 +58,17 @@
         """Whether the node is draining."""
         return self._started_at is not None
 
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the start of the drain in seconds."""
+        if self._started_at is None:
+            return 0.0
+        return self._reactor.seconds() - self._started_at
+
     @property
     def remaining_s(self) -> float:
         """Rest of the longest time of the drain in seconds."""
-        if self._started_at is None:
-            return self._max_drain_s
-        elapsed_s = self._reactor.seconds() - self._started_at
-        return max(0.0, self._max_drain_s - elapsed_s)
+        return max(0.0, self._max_drain_s - self.elapsed_s)
 
     def start(self) -> None:
         """Starts the drain; a second call does nothing."""
@@ -80,7 +84,7 @@
             callback(remaining_s)
 
     def _check_progress(self) -> None:
-        elapsed_s = self._reactor.seconds() - self._started_at
+        elapsed_s = self.elapsed_s
         if elapsed_s >= self._entry_open_s:
             self._close_entry_once(self.remaining_s)
         is_settled = elapsed_s >= self._settle_s and self._is_idle()
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -181,7 +181,9 @@
         "held {requests} requests after the start, the longest {longest_ms} ms"
     ),
     EventCode.DRAIN_STARTED: "drain started",
-    EventCode.DRAIN_FINISHED: "drain finished",
+    EventCode.DRAIN_FINISHED: (
+        "drain finished after {elapsed_ms} ms, open requests: {open}"
+    ),
     EventCode.SERVER_ANNOUNCED: "server of {service} announced {slots} slots",
     EventCode.SERVER_STOPPED: "backend server stopped",
     EventCode.SERVER_LEAVING: "backend server {server} leaves",
