Answer all open requests when a drain runs out of time

Cause: the tasks are stopped one after the other at the end of a drain, and none tells the call engine, whose open exchanges and runs are dropped with the process.

Change: the engine gets DrainEnded before the tasks stop and answers each open request by its state. What waits is refused first, as not run, so that no slot that becomes free starts it; runs at the server and calls at other nodes end as unknown. Nothing is retried or accepted afterwards.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -117,18 +117,17 @@
         """Cancels the exchange of a caller that has disconnected."""
         exchange = self.exchange_table.find(origin_id)
         if exchange is not None:
-            is_unsent = self._cancel_dispatch(exchange)
-            self._refuse(exchange, _KINDS.CANCELLED, is_unsent=is_unsent)
+            self.end(exchange, _KINDS.CANCELLED)
 
     def cancel_child_calls(self, run: runs.Run) -> None:
         """Cancels the open calls of a run."""
         for origin_id in list(run.child_origin_ids):
             self.handle_caller_disconnect(origin_id)
 
-    def expire(self, exchange: exchanges.Exchange) -> None:
-        """Answers a request whose deadline has passed."""
+    def end(self, exchange: exchanges.Exchange, kind: _KINDS) -> None:
+        """Cancels the dispatch in flight, if any, and answers with an error."""
         is_unsent = self._cancel_dispatch(exchange)
-        self._refuse(exchange, _KINDS.DEADLINE_EXCEEDED, is_unsent=is_unsent)
+        self._refuse(exchange, kind, is_unsent=is_unsent)
 
     def record_hold(self, number: int, *, is_held: bool) -> None:
         """Records whether a dispatch waits for its link to open."""
@@ -375,6 +374,8 @@
           Whether the call was retried.
         """
         state = self._state
+        if state.is_exiting:
+            return False
         max_lost_dispatches = state.preset.quarantine.deaths
         if not truth.is_retry_safe(
             exchange,
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -8,6 +8,7 @@
 from bergamotdeal.calls import dispatch
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import execution
+from bergamotdeal.calls import final_answers
 from bergamotdeal.calls import intake as call_intake
 from bergamotdeal.calls import local_server
 from bergamotdeal.calls import messages
@@ -117,6 +118,14 @@
             cancel_child_calls=self._dispatcher.cancel_child_calls,
         )
 
+        self._final_answers = final_answers.FinalAnswers(
+            state=state,
+            run_table=self._run_table,
+            server=self._server,
+            executor=self._executor,
+            dispatcher=self._dispatcher,
+        )
+
     def handle(
         self, event: messages.Event, now: float
     ) -> list[messages.Effect]:
@@ -136,9 +145,12 @@
         state.now = now
         state.effects = []
         self._handle_safely(event)
+        self._handle_local_events()
+        return state.effects
+
+    def _handle_local_events(self) -> None:
         while self._local_events:
             self._handle_safely(self._local_events.popleft())
-        return state.effects
 
     def next_wakeup(self) -> float | None:
         """Returns when ``TimePassed`` is due, in monotonic seconds, or None."""
@@ -329,6 +341,8 @@
                 self._record_hold(event)
             case messages.DrainStarted():
                 self._state.record_drain(event)
+            case messages.DrainEnded():
+                self._end_open_requests()
             case messages.PresetConfirmed():
                 self._state.confirmed_at = self._state.now
             case messages.PeerCrashesReported():
@@ -336,6 +350,14 @@
             case _:
                 self._handle_server_condition(event)
 
+    def _end_open_requests(self) -> None:
+        """Gives all open requests their final answers."""
+        self._state.is_exiting = True
+        self._final_answers.end_runs()
+        # The runs' answers end the exchanges whose target is this node.
+        self._handle_local_events()
+        self._final_answers.end_exchanges()
+
     def _handle_server_condition(self, event: messages.Event) -> None:
         """Handles what the backend server reports about its condition."""
         match event:
@@ -405,7 +427,7 @@
     def _expire(self, item: object) -> None:
         match item:
             case exchanges.Exchange():
-                self._dispatcher.expire(item)
+                self._dispatcher.end(item, errors.ErrorKind.DEADLINE_EXCEEDED)
             case runs.Run():
                 self._executor.expire(item)
             case local_server.LostRun(run_id=run_id):
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -104,7 +104,7 @@
             return
         refusal = self._acceptance.find_refusal(run)
         if refusal is not None:
-            self._refuse(run, refusal)
+            self.refuse(run, refusal)
         elif self._ticket_manager.must_issue(run):
             threshold = self._server.threshold(run.class_name)
             answer = self._ticket_manager.issue(run, threshold=threshold)
@@ -148,7 +148,7 @@
         if is_shed_status and not run.calls_made:
             self._free_slot(run, completed=False)
             self._server.untrack_run(run.run_id)
-            self._refuse(run, _KINDS.SERVER_SHED)
+            self.refuse(run, _KINDS.SERVER_SHED)
             return
         self._free_slot(run, completed=not run.is_abandoned)
         self._server.untrack_run(run.run_id, completed=True)
@@ -170,7 +170,7 @@
         if event.failure in failures.NOT_RUN_FAILURES:
             if not run.calls_made:
                 self._server.untrack_run(run.run_id)
-                self._refuse(run, kind)
+                self.refuse(run, kind)
                 return
             # A request that has made calls did run, whatever the server says.
             kind = _KINDS.SERVER_ANSWER_INVALID
@@ -187,7 +187,7 @@
         cancelled.
         """
         if run.is_answered or (run.is_held and run.is_unsent):
-            self._abort_run(run)
+            self.abort(run, failures.build_deadline_answer(run))
             return
         self._end_call(run, failures.build_deadline_answer(run))
 
@@ -234,7 +234,7 @@
             case table.Execute():
                 refusal = self._acceptance.find_refusal(run)
                 if refusal is not None:
-                    self._refuse(run, refusal)
+                    self.refuse(run, refusal)
                 else:
                     self._admit(run)
             case table.Join():
@@ -244,7 +244,7 @@
                 self._finish_without_run(run, msgspec.structs.replace(answer))
             case table.Reject(kind=kind, may_run_later=may_run_later):
                 run.call.may_have_run |= may_run_later
-                self._refuse(run, kind)
+                self.refuse(run, kind)
 
     def _admit(self, run: runs.Run) -> None:
         state = self._state
@@ -289,7 +289,7 @@
             case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
                 self._end_queued(run, failures.build_deadline_answer(run))
             case admission.Refuse(kind=kind):
-                self._refuse(run, kind)
+                self.refuse(run, kind)
             case admission.Preempt():
                 self._preempt(run)
 
@@ -384,13 +384,12 @@
         run.is_abandoned = run.ticket_record is None
         self._answer_call(run, answer)
         if self._is_cancellable(run):
-            self._abort_run(run)
+            self.abort(run, failures.build_deadline_answer(run))
             return
         self._set_timer(run, run.deadline + _grace_ms(run) / 1000)
 
-    def _abort_run(self, run: runs.Run) -> None:
-        """Aborts a run whose call is answered."""
-        answer = failures.build_deadline_answer(run)
+    def abort(self, run: runs.Run, answer: rpc.Answer) -> None:
+        """Aborts a run on the backend server and answers its open calls."""
         self._state.emit(messages.CancelRun(run_id=run.run_id))
         self._free_slot(run, completed=False)
         self._server.untrack_run(run.run_id)
@@ -420,7 +419,7 @@
             return
         self.apply_decisions(decisions)
 
-    def _refuse(self, run: runs.Run, kind: _KINDS) -> None:
+    def refuse(self, run: runs.Run, kind: _KINDS) -> None:
         """Refuses a call that did not run and the calls that joined it."""
         self._acceptance.release(run)
         calls = [run, *run.joined]
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -150,6 +150,8 @@
     def find_refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
         """Returns the reason to refuse a request on arrival, or None."""
         state = self._state
+        if state.is_exiting:
+            return _KINDS.DRAINING
         if exchange.depth > rpc.MAX_CALL_DEPTH:
             return _KINDS.CALL_TOO_DEEP
         if exchange.route is _NO_ROUTE:
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -260,6 +260,10 @@
     remaining_s: float = math.inf
 
 
+class DrainEnded(msgspec.Struct, kw_only=True):
+    """End of the node's drain; the process exits once answers are sent."""
+
+
 class MembersChanged(msgspec.Struct, kw_only=True):
     """Change of the membership view.
 
@@ -349,6 +353,7 @@
     | ServerCold
     | ServerConditionRejected
     | DrainStarted
+    | DrainEnded
     | MembersChanged
     | PresetInForce
     | PresetConfirmed
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -48,6 +48,8 @@
       cost_model: Costs of requests and capacity of the fleet.
       draining: Whether the node refuses calls of other nodes.
       is_entry_closed: Whether the node also refuses new requests of callers.
+      is_exiting: Whether the drain has ended, so that nothing can be started
+        or sent any more but answers.
       unmatched_calls_end_at: Time until which a draining node accepts calls
         that can't be traced to a run, in monotonic seconds.
       now: Time of the current event in monotonic seconds.
@@ -79,6 +81,7 @@
         self.service = ""
         self.draining = False
         self.is_entry_closed = False
+        self.is_exiting = False
         self.unmatched_calls_end_at = math.inf
         self.now = 0.0
         self.timers = deadlines.TimerQueue()
--- a/bergamotdeal/node/shutdown.py
+++ b/bergamotdeal/node/shutdown.py
@@ -100,6 +100,7 @@
             elapsed_ms=round(self._drain.elapsed_s * MS_PER_S),
             open=_describe(open_by_state),
         )
+        self._post(messages.DrainEnded())
         for face in (self._entry, self._egress):
             face.stop(self._reactor)
         for task in self._list_tasks():
