Withdraw calls that wait at other nodes before a drain ends

Cause: only the target knows whether its server has received a call, and nobody asks it before the link closes.

Change: 0.2 s before the longest time of a drain the node refuses what waits here and withdraws the calls that wait elsewhere; a target that has not passed the call on answers with a refusal. What a server works on goes on until the end, and so do the calls of the own server's runs.

--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -374,7 +374,7 @@
           Whether the call was retried.
         """
         state = self._state
-        if state.is_exiting:
+        if state.is_ending:
             return False
         max_lost_dispatches = state.preset.quarantine.deaths
         if not truth.is_retry_safe(
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -324,6 +324,8 @@
         match event:
             case messages.CallerDisconnected():
                 self._dispatcher.handle_caller_disconnect(event.origin_id)
+            case messages.PeerCancelled(only_waiting=True):
+                self._final_answers.refuse_withdrawn(event)
             case messages.PeerCancelled():
                 self._executor.cancelled(event.link_id, event.number)
             case messages.PeerLinkClosed():
@@ -339,10 +341,12 @@
                 apply_decisions(self._server.suspend())
             case messages.DispatchHeld() | messages.RunHeld():
                 self._record_hold(event)
-            case messages.DrainStarted():
-                self._state.record_drain(event)
-            case messages.DrainEnded():
-                self._end_open_requests()
+            case (
+                messages.DrainStarted()
+                | messages.DrainEnding()
+                | messages.DrainEnded()
+            ):
+                self._handle_drain(event)
             case messages.PresetConfirmed():
                 self._state.confirmed_at = self._state.now
             case messages.PeerCrashesReported():
@@ -350,13 +354,17 @@
             case _:
                 self._handle_server_condition(event)
 
-    def _end_open_requests(self) -> None:
-        """Gives all open requests their final answers."""
-        self._state.is_exiting = True
-        self._final_answers.end_runs()
-        # The runs' answers end the exchanges whose target is this node.
-        self._handle_local_events()
-        self._final_answers.end_exchanges()
+    def _handle_drain(self, event: messages.Event) -> None:
+        match event:
+            case messages.DrainStarted():
+                self._state.record_drain(event)
+            case messages.DrainEnding():
+                self._final_answers.refuse_waiting()
+            case messages.DrainEnded():
+                self._final_answers.end_runs()
+                # The runs' answers end the exchanges whose target is this node.
+                self._handle_local_events()
+                self._final_answers.end_exchanges()
 
     def _handle_server_condition(self, event: messages.Event) -> None:
         """Handles what the backend server reports about its condition."""
--- a/bergamotdeal/calls/messages.py
+++ b/bergamotdeal/calls/messages.py
@@ -76,10 +76,18 @@
 
 
 class PeerCancelled(msgspec.Struct, kw_only=True):
-    """Cancellation of a call by its origin."""
+    """Cancellation of a call by its origin.
+
+    Attributes:
+      link_id: Number of the link.
+      number: Number of the call.
+      only_waiting: Whether the call is refused if it waits and goes on if the
+        backend server has received it.
+    """
 
     link_id: int
     number: int
+    only_waiting: bool = False
 
 
 class PeerLinkClosed(msgspec.Struct, kw_only=True):
@@ -260,6 +268,13 @@
     remaining_s: float = math.inf
 
 
+class DrainEnding(msgspec.Struct, kw_only=True):
+    """Last moment of the node's drain at which waiting requests can be refused.
+
+    ``DrainEnded`` follows once other nodes had the time to answer.
+    """
+
+
 class DrainEnded(msgspec.Struct, kw_only=True):
     """End of the node's drain; the process exits once answers are sent."""
 
@@ -353,6 +368,7 @@
     | ServerCold
     | ServerConditionRejected
     | DrainStarted
+    | DrainEnding
     | DrainEnded
     | MembersChanged
     | PresetInForce
@@ -378,10 +394,11 @@
 
 
 class SendCancel(msgspec.Struct, kw_only=True):
-    """Cancellation of a call to send to its target."""
+    """Cancellation of a call to send; ``PeerCancelled`` at its target."""
 
     host_id: str
     number: int
+    only_waiting: bool = False
 
 
 class SendAnswer(msgspec.Struct, kw_only=True):
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -48,6 +48,8 @@
       cost_model: Costs of requests and capacity of the fleet.
       draining: Whether the node refuses calls of other nodes.
       is_entry_closed: Whether the node also refuses new requests of callers.
+      is_ending: Whether the drain is about to end, so that no call is sent
+        once more.
       is_exiting: Whether the drain has ended, so that nothing can be started
         or sent any more but answers.
       unmatched_calls_end_at: Time until which a draining node accepts calls
@@ -81,6 +83,7 @@
         self.service = ""
         self.draining = False
         self.is_entry_closed = False
+        self.is_ending = False
         self.is_exiting = False
         self.unmatched_calls_end_at = math.inf
         self.now = 0.0
--- a/bergamotdeal/calls/tests/test_shutdown.py
+++ b/bergamotdeal/calls/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import msgspec
 import pytest
 
 from bergamotdeal.calls import messages
@@ -9,6 +10,7 @@
 from bergamotdeal.calls.tests import test_host_routes
 from bergamotdeal.calls.tests import test_quotas
 from bergamotdeal.errors import core as errors
+from bergamotdeal.rpc import core as rpc
 from bergamotdeal.shutdown import core as shutdown
 
 GET = scenarios.get_request("orderline")
@@ -200,3 +202,84 @@
         reply = call(sim, host_id, f"late at {host_id}")
         assert (reply.done, reply.outcome) == (True, NOT_RUN)
         assert sim.runs_of(f"late at {host_id}") == []
+
+
+# Guards against callers of a stopping node that are told nothing certain about
+# requests that wait at another node (review/12, related path).
+def test_request_that_waits_at_another_node_is_told_not_run():
+    sim, _ = make_busy_host()
+    reply = call(sim, "entry-1", "queued")
+    sim.send_event("entry-1", messages.DrainStarted())
+    sim.send_event("entry-1", messages.DrainEnding())
+    sim.run_for(0.01)
+    assert (reply.done, reply.outcome) == (True, NOT_RUN)
+    sim.run_for(9.0)
+    assert sim.runs_of("queued") == []
+
+
+def test_request_at_another_nodes_server_goes_on_until_the_drain_ends():
+    sim, _ = make_busy_host()
+    program = scenarios.work_program(5.0)
+    sim.add_node("orderline-2", service="orderline", program=program)
+    sim.drain(HOST)
+    reply = call(sim, "entry-1", "remote")
+    sim.send_event("entry-1", messages.DrainStarted())
+    sim.send_event("entry-1", messages.DrainEnding())
+    sim.run_for(0.01)
+    assert not reply.done
+    sim.run_until(lambda: reply.done)
+    assert reply.outcome is errors.Outcome.COMPLETED
+
+
+# Guards against a run that starts in the last moments of a drain and is then
+# given up at its server.
+def test_waiting_request_is_refused_before_the_drain_ends():
+    sim, running = make_busy_host()
+    reply = call(sim, HOST, "queued")
+    sim.send_event(HOST, messages.DrainStarted())
+    sim.send_event(HOST, messages.DrainEnding())
+    assert (reply.outcome, running.done) == (NOT_RUN, False)
+    sim.run_until(lambda: running.done)
+    assert running.outcome is errors.Outcome.COMPLETED
+    assert sim.runs_of("queued") == []
+
+
+# Guards against work of the server that is lost because one of its calls is
+# refused although the drain would have waited for it.
+@pytest.mark.parametrize(
+    ("request_id", "is_own"), [("r1.1", True), ("r2", False)]
+)
+def test_call_of_the_own_server_is_not_withdrawn(request_id, is_own):
+    node = test_host_routes.Node()
+    assert test_host_routes.select_effects(
+        node.send_request(request_id="r1"), messages.StartRun
+    )
+    own = msgspec.structs.replace(test_host_routes.OWN, server=None)
+    far = msgspec.structs.replace(test_host_routes.OWN, host_id="far")
+    members_by_id = {"a": own, "far": far}
+    node.handle(messages.MembersChanged(members_by_id=members_by_id))
+    arrival = messages.CallArrived(
+        origin_id=2,
+        face=messages.Face.ENTRY,
+        request=rpc.Request(
+            service="",
+            method="GET",
+            path="/kits/8",
+            headers=[],
+            body=b"",
+            authority="kits.example",
+        ),
+        user_request_id=request_id,
+        deadline_ms=5000,
+    )
+    (sent,) = test_host_routes.select_effects(
+        node.handle(arrival), messages.SendCall
+    )
+    effects = node.handle(messages.DrainEnding())
+    withdrawn = [
+        (effect.host_id, effect.number, effect.only_waiting)
+        for effect in test_host_routes.select_effects(
+            effects, messages.SendCancel
+        )
+    ]
+    assert withdrawn == ([] if is_own else [("far", sent.call.number, True)])
--- a/bergamotdeal/node/drain.py
+++ b/bergamotdeal/node/drain.py
@@ -10,6 +10,10 @@
 SETTLE_S = 1.0
 """Minimum time before the exit, in which other nodes learn of the drain."""
 
+WITHDRAWAL_S = 0.2
+"""Part of the longest time of a drain in which other nodes can answer whether
+they have started what they were sent."""
+
 MAX_DRAIN_S = 60.0
 """Time after which the node exits even if work is still in progress."""
 
@@ -22,6 +26,8 @@
       is_idle: Returns whether every exchange, call and run has ended.
       on_started: Called once when the drain starts.
       on_finished: Called once when the node may exit.
+      on_ending: Called once shortly before the longest time is over, if work is
+        still in progress.
       on_entry_closed: Called once when the entry listener must start to refuse
         callers, with the time in seconds until the exit at the latest.
       settle_s: Minimum time in seconds before the exit, in which other nodes
@@ -38,6 +44,7 @@
         is_idle: Callable[[], bool],
         on_started: Callable[[], None],
         on_finished: Callable[[], None],
+        on_ending: Callable[[], None] | None = None,
         on_entry_closed: Callable[[float], None] | None = None,
         settle_s: float = SETTLE_S,
         entry_open_s: float = 0.0,
@@ -47,6 +54,7 @@
         self._is_idle = is_idle
         self._on_started = on_started
         self._on_finished = on_finished
+        self._on_ending = on_ending
         self._on_entry_closed = on_entry_closed
         self._settle_s = max(settle_s, entry_open_s)
         self._entry_open_s = entry_open_s
@@ -87,6 +95,10 @@
         elapsed_s = self.elapsed_s
         if elapsed_s >= self._entry_open_s:
             self._close_entry_once(self.remaining_s)
+        if elapsed_s >= self._max_drain_s - WITHDRAWAL_S:
+            callback, self._on_ending = self._on_ending, None
+            if callback is not None:
+                callback()
         is_settled = elapsed_s >= self._settle_s and self._is_idle()
         if is_settled or elapsed_s >= self._max_drain_s:
             self._on_finished()
--- a/bergamotdeal/node/outgoing.py
+++ b/bergamotdeal/node/outgoing.py
@@ -121,12 +121,17 @@
     def send_cancel(self, effect: calls.SendCancel) -> None:
         """Tells a host that the answer to a call is no longer needed.
 
+        A call that is cancelled only while it waits may still be answered.
+
         Args:
           effect: The host and the call's number.
         """
         outgoing = self._links_by_host_id.get(effect.host_id)
         if outgoing is None:
             return
+        if effect.only_waiting:
+            self._withdraw(outgoing, effect.number)
+            return
         if outgoing.waiting.pop(effect.number, None) is not None:
             return
         if effect.number in outgoing.unanswered and outgoing.is_open:
@@ -154,6 +159,11 @@
             return
         outgoing.link.check(now, has_pending_calls=has_pending_calls)
 
+    def _withdraw(self, outgoing: _OutgoingLink, number: int) -> None:
+        is_sent = outgoing.is_open and number in outgoing.unanswered
+        if is_sent and outgoing.link.peer_hello.can_withdraw:
+            outgoing.link.send(messages.WithdrawFrame(number=number))
+
     def _is_stale(self, outgoing: _OutgoingLink) -> bool:
         member = self._members_by_id.get(outgoing.host_id)
         if member is None or not outgoing.is_open:
--- a/bergamotdeal/node/peer.py
+++ b/bergamotdeal/node/peer.py
@@ -227,6 +227,14 @@
                 self._post(
                     calls.PeerCancelled(link_id=link_id, number=frame.number)
                 )
+            case messages.WithdrawFrame():
+                self._post(
+                    calls.PeerCancelled(
+                        link_id=link_id,
+                        number=frame.number,
+                        only_waiting=True,
+                    )
+                )
             case messages.BulkRequest():
                 self._answer_bulk(link, frame)
             case _:
--- a/bergamotdeal/node/peer_link.py
+++ b/bergamotdeal/node/peer_link.py
@@ -403,6 +403,7 @@
             nonce=self._rng.randbytes(handshake.NONCE_BYTES),
             data_centre=self._data_centre,
             can_inflate=True,
+            can_withdraw=True,
         )
         return PeerLink(
             hello=hello,
--- a/bergamotdeal/node/shutdown.py
+++ b/bergamotdeal/node/shutdown.py
@@ -68,6 +68,7 @@
             is_idle=engine.is_idle,
             on_started=self._handle_started,
             on_finished=self._handle_finished,
+            on_ending=lambda: post(messages.DrainEnding()),
             on_entry_closed=self._handle_entry_closed,
             settle_s=settings.settle_ms / MS_PER_S,
             entry_open_s=settings.entry_open_ms / MS_PER_S,
--- a/bergamotdeal/node/tests/test_outgoing.py
+++ b/bergamotdeal/node/tests/test_outgoing.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from twisted.internet import error
 from twisted.internet import testing
 from twisted.python import failure
@@ -249,6 +250,25 @@
     assert target.frames == []
 
 
+# Guards against a withdrawal that an older node takes for a malformed frame.
+@pytest.mark.parametrize("is_known", [True, False])
+def test_call_is_withdrawn_only_from_a_node_that_knows_withdrawals(is_known):
+    harness = Harness()
+    harness.call(1)
+    link, target = harness.accept()
+    link.peer_hello.can_withdraw = is_known
+    withdrawal = messages.SendCancel(
+        host_id=TARGET, number=1, only_waiting=True
+    )
+    harness.links.send_cancel(withdrawal)
+    harness.exchange_bytes(link, target)
+    expected = [frames.WithdrawFrame(number=1)] if is_known else []
+    assert target.frames[1:] == expected
+    target.link.send(answer_frame(1))
+    harness.exchange_bytes(link, target)
+    assert [event.number for event in harness.events] == [1]
+
+
 def test_unused_link_is_closed_after_timeout():
     harness = Harness()
     harness.call(1)
--- a/bergamotdeal/wire/codec.py
+++ b/bergamotdeal/wire/codec.py
@@ -18,6 +18,14 @@
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("frame.capnp")))
 
+_FIELDS_BY_TYPE = {
+    messages.CancelFrame: "cancel",
+    messages.WithdrawFrame: "withdraw",
+    messages.Ping: "ping",
+    messages.Pong: "pong",
+}
+"""Fields of the frames that have only a number."""
+
 
 def encode(frame: messages.Frame) -> bytes:
     """Encodes a frame.
@@ -42,12 +50,13 @@
             answer.head = heads.encode_answer(frame)
             if frame.answer.body:
                 answer.body = frame.answer.body
-        case messages.CancelFrame():
-            builder.cancel = frame.number
-        case messages.Ping():
-            builder.ping = frame.number
-        case messages.Pong():
-            builder.pong = frame.number
+        case (
+            messages.CancelFrame()
+            | messages.WithdrawFrame()
+            | messages.Ping()
+            | messages.Pong()
+        ):
+            setattr(builder, _FIELDS_BY_TYPE[type(frame)], frame.number)
         case messages.Hello():
             hello = builder.init("hello")
             hello.hostId = frame.host_id
@@ -55,6 +64,7 @@
             hello.nonce = frame.nonce
             hello.dataCentre = frame.data_centre
             hello.canInflate = frame.can_inflate
+            hello.canWithdraw = frame.can_withdraw
         case messages.Proof():
             builder.proof = frame.digest
         case messages.BulkRequest():
@@ -101,6 +111,8 @@
             )
         case "cancel":
             return messages.CancelFrame(number=reader.cancel)
+        case "withdraw":
+            return messages.WithdrawFrame(number=reader.withdraw)
         case "ping":
             return messages.Ping(number=reader.ping)
         case "pong":
@@ -112,6 +124,7 @@
                 nonce=bytes(reader.hello.nonce),
                 data_centre=reader.hello.dataCentre,
                 can_inflate=reader.hello.canInflate,
+                can_withdraw=reader.hello.canWithdraw,
             )
         case "proof":
             return messages.Proof(digest=bytes(reader.proof))
--- a/bergamotdeal/wire/frame.capnp
+++ b/bergamotdeal/wire/frame.capnp
@@ -9,6 +9,8 @@
   dataCentre @3 :Text;
   # Absent on older nodes, which know no compressed frames.
   canInflate @4 :Bool;
+  # Absent on older nodes, which know no withdraw frames.
+  canWithdraw @5 :Bool;
 }
 
 # Reading single Cap'n Proto fields is too expensive for every call, so all
@@ -40,5 +42,7 @@
     # Anti-entropy and preset transfers; each payload is a Bulk message.
     bulkRequest @7 :Data;
     bulkResponse @8 :Data;
+    # Sent only to nodes that say in their greeting that they know it.
+    withdraw @9 :UInt64;
   }
 }
--- a/bergamotdeal/wire/messages.py
+++ b/bergamotdeal/wire/messages.py
@@ -14,6 +14,7 @@
       nonce: Random bytes that the proofs of both sides cover.
       data_centre: Data centre of the sender's host; empty on older nodes.
       can_inflate: Whether the sender reads compressed frames.
+      can_withdraw: Whether the sender reads withdrawals.
     """
 
     host_id: str
@@ -21,6 +22,7 @@
     nonce: bytes
     data_centre: str = ""
     can_inflate: bool = False
+    can_withdraw: bool = False
 
 
 class Proof(msgspec.Struct, kw_only=True):
@@ -64,6 +66,18 @@
     number: int
 
 
+class WithdrawFrame(msgspec.Struct, kw_only=True):
+    """The withdrawal of a call that waits for the backend server.
+
+    A call that waits is refused; one that the server has received goes on.
+
+    Attributes:
+      number: Number of the call.
+    """
+
+    number: int
+
+
 class Ping(msgspec.Struct, kw_only=True):
     """A heartbeat; the receiver echoes its number in a pong."""
 
@@ -102,6 +116,7 @@
     | CallFrame
     | AnswerFrame
     | CancelFrame
+    | WithdrawFrame
     | Ping
     | Pong
     | BulkRequest
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -359,7 +359,7 @@
                 self.calls_sent.append((host_id, effect.host_id, effect.call))
                 self.links.send_call(host_id, effect.host_id, effect.call)
             case messages.SendCancel():
-                self.links.send_cancel(host_id, effect.host_id, effect.number)
+                self.links.send_cancel(host_id, effect)
             case messages.SendAnswer():
                 self.links.send_answer(host_id, effect)
             case messages.ReplyToCaller():
--- a/standins/fleet_link.py
+++ b/standins/fleet_link.py
@@ -108,13 +108,19 @@
         frame = Frame(source=origin, target=target, content=call)
         self._transmit(link, frame, target, event)
 
-    def send_cancel(self, origin: str, target: str, number: int) -> None:
-        """Sends a cancel frame."""
+    def send_cancel(self, origin: str, cancel: messages.SendCancel) -> None:
+        """Sends a cancel or withdraw frame."""
+        target, number = cancel.host_id, cancel.number
         link = self._links_by_endpoints.get((origin, target))
         if link is None:
             return
-        link.pending.discard(number)
-        event = messages.PeerCancelled(link_id=link.link_id, number=number)
+        if not cancel.only_waiting:
+            link.pending.discard(number)
+        event = messages.PeerCancelled(
+            link_id=link.link_id,
+            number=number,
+            only_waiting=cancel.only_waiting,
+        )
         frame = Frame(source=origin, target=target, content=number)
         self._transmit(link, frame, target, event)
 
--- a/tests/integration/test_mixed_versions.py
+++ b/tests/integration/test_mixed_versions.py
@@ -5,17 +5,14 @@
 """
 
 import http.client
-import io
 import json
 import pathlib
 import random
 import signal
 import subprocess
 import sys
-import tarfile
 import threading
 import time
-import tomllib
 
 import msgspec
 import pytest
@@ -32,10 +29,10 @@
 from bergamotdeal.quotas.tests import model as quota_model
 from bergamotdeal.wire import gossip as gossip_codec
 from standins import cluster as clusters
+from standins import previous
 from tests.integration import fleet as fleets
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
-DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 ENTRY_COUNT = 4
 SERVICE = "orderline"
 KEY = "key-of-acme"
@@ -202,17 +199,7 @@
 
 @pytest.fixture(scope="module")
 def previous_root(tmp_path_factory):
-    commit = tomllib.loads(DEPLOY_FILE.read_text())["production"]
-    archive = subprocess.run(
-        ["git", "archive", commit, "bergamotdeal"],
-        cwd=ROOT,
-        check=True,
-        capture_output=True,
-    ).stdout
-    folder = tmp_path_factory.mktemp("previous")
-    with tarfile.open(fileobj=io.BytesIO(archive)) as packed:
-        packed.extractall(folder, filter="data")
-    return folder
+    return previous.extract(tmp_path_factory.mktemp("previous"), "bergamotdeal")
 
 
 @pytest.fixture
