Take and start in a drain only what likely ends before the exit

Cause: a request whose id names no run of the server passed during a fixed half of the rest of the drain, whatever it needs. Runs that waited in the queue started up to the exit in the same way.

Change: both sides keep the mean and mean deviation of the durations of each route; in a drain a request that can't be traced is accepted, and a queued run started, only if it likely ends before the exit. Without a completed request the time limit counts at the entry.

Conclusion: what a stopping node can't finish is told not run at once.

--- a/bergamotdeal/calls/acceptance.py
+++ b/bergamotdeal/calls/acceptance.py
@@ -78,6 +78,14 @@
                 return _KINDS.RETRIES_EXHAUSTED
         return None
 
+    def can_end_before_exit(self, run: runs.Run) -> bool:
+        """Returns whether a run that starts now likely ends before the exit."""
+        state = self._state
+        duration_s = state.run_durations.estimate_s(run.call.route_name)
+        if duration_s is None or not run.call.route_name:
+            return True
+        return min(run.deadline, state.now + duration_s) <= state.exits_at
+
     def may_retry(self, call: rpc.Call) -> bool:
         """Returns whether a retry of a call is likely to be accepted."""
         return not self._budget.is_exhausted(
--- a/bergamotdeal/calls/dispatch.py
+++ b/bergamotdeal/calls/dispatch.py
@@ -472,7 +472,10 @@
             parent.child_origin_ids.discard(exchange.origin_id)
             parent.threshold = min(parent.threshold, answer.threshold)
             parent.repeatable = parent.repeatable and exchange.repeatable
-        if answer.error is not None:
+        if answer.error is None:
+            duration_s = state.now - exchange.arrived_at
+            state.exchange_durations.record(exchange.route.prefix, duration_s)
+        else:
             explanations.record_error_answer(
                 state=state, exchange=exchange, answer=answer
             )
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -1,5 +1,6 @@
 """Target side of a call: tickets, admission, the run and its answer."""
 
+import collections
 from collections.abc import Callable
 
 import msgspec
@@ -17,7 +18,6 @@
 from bergamotdeal.calls import ticketing as call_ticketing
 from bergamotdeal.calls import truth
 from bergamotdeal.errors import core as errors
-from bergamotdeal.retries import allowance
 from bergamotdeal.retries import server_budget
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.telemetry import catalogue
@@ -26,12 +26,6 @@
 _CODES = catalogue.EventCode
 _KINDS = errors.ErrorKind
 
-RUN_GRACE_MS = 1000
-"""Time that a run which can't be cancelled may take beyond its deadline."""
-
-TICKET_RUN_GRACE_MS = 5000
-"""Same for a run under a ticket, whose late answer may still be requested."""
-
 
 class Executor:
     """Executor of calls on the local backend server.
@@ -95,7 +89,9 @@
         link_id, call = event.link_id, event.call
         if (link_id, call.number) in self._runs.runs_by_call:
             return
-        run = self._open(link_id, call)
+        run = frames.build_run(
+            self._state, self._runs.allocate_id(), link_id, call
+        )
         run.has_room = event.has_room
         self._runs.add(run)
         self._acceptance.record_arrival(call)
@@ -211,24 +207,6 @@
             self.apply_decisions(self._server.withdraw(run.run_id))
         self._finish_run(run, answer)
 
-    def _open(self, link_id: int, call: rpc.Call) -> runs.Run:
-        state = self._state
-        if call.route_name:
-            route = state.find_call_route(call)
-        else:
-            route = state.route_for(call.request)
-        margin_ms = min(state.preset.hop_margin_ms, call.deadline_ms // 2)
-        return runs.Run(
-            run_id=self._runs.allocate_id(),
-            link_id=link_id,
-            call=call,
-            route=route,
-            class_name=state.classify_call(call, route),
-            deadline=state.now + (call.deadline_ms - margin_ms) / 1000,
-            target=engine_state.compute_target(call.target_ms, state.now),
-            allowance=allowance.Allowance(tokens=call.tokens),
-        )
-
     def _present_ticket(self, run: runs.Run) -> None:
         match self._ticket_manager.present(run):
             case table.Execute():
@@ -271,20 +249,27 @@
 
     def apply_decisions(self, decisions: list[admission.Decision]) -> None:
         """Carries out the decisions of admission."""
-        for decision in decisions:
+        pending = collections.deque(decisions)
+        while pending:
+            decision = pending.popleft()
             run = self._runs.runs_by_id.get(decision.job_id)
             if run is None:
                 continue
             try:
-                self._apply(decision, run)
+                pending.extend(self._apply(decision, run))
             except Exception:
                 # This failure must not fail the call of the current event.
                 self._state.record_failure()
                 self.fail(run)
 
-    def _apply(self, decision: admission.Decision, run: runs.Run) -> None:
+    def _apply(
+        self, decision: admission.Decision, run: runs.Run
+    ) -> list[admission.Decision]:
+        """Carries out a decision and returns those that follow from it."""
         match decision:
             case admission.Start():
+                if not self._acceptance.can_end_before_exit(run):
+                    return self._decline(run)
                 self._start_run(run)
             case admission.Refuse(kind=_KINDS.DEADLINE_EXCEEDED):
                 self._end_queued(run, failures.build_deadline_answer(run))
@@ -292,6 +277,13 @@
                 self.refuse(run, kind)
             case admission.Preempt():
                 self._preempt(run)
+        return []
+
+    def _decline(self, run: runs.Run) -> list[admission.Decision]:
+        """Refuses a run that could not end before the node exits."""
+        decisions = self._server.finish(run.run_id, completed=False)
+        self.refuse(run, _KINDS.DRAINING)
+        return decisions
 
     def _start_run(self, run: runs.Run) -> None:
         """Sends a request to the local backend server."""
@@ -309,7 +301,7 @@
             state.cost_model.record_run_start(run.call.route_name, state.now)
         answer_due_ms = 0
         if not self._is_cancellable(run):
-            remaining_ms += _grace_ms(run)
+            remaining_ms += overdue.get_grace_ms(run)
         elif run.call.route_name:
             answer_due_ms = overdue.compute_answer_due_ms(
                 state.cost_model.run_time_s(run.call.route_name),
@@ -386,7 +378,7 @@
         if self._is_cancellable(run):
             self.abort(run, failures.build_deadline_answer(run))
             return
-        self._set_timer(run, run.deadline + _grace_ms(run) / 1000)
+        self._set_timer(run, run.deadline + overdue.get_grace_ms(run) / 1000)
 
     def abort(self, run: runs.Run, answer: rpc.Answer) -> None:
         """Aborts a run on the backend server and answers its open calls."""
@@ -410,7 +402,10 @@
                 self._state.now,
                 completed=completed,
             )
-        self._server.observe_run_time(self._state.now - run.started_at)
+        run_s = self._state.now - run.started_at
+        self._server.observe_run_time(run_s)
+        if completed:
+            self._state.run_durations.record(run.call.route_name, run_s)
         try:
             decisions = self._server.finish(run.run_id, completed=completed)
         except Exception:
@@ -492,7 +487,3 @@
             answer.report = self._state.cost_model.report(
                 run.link_id, run.call.route_name, self._state.now
             )
-
-
-def _grace_ms(run: runs.Run) -> int:
-    return RUN_GRACE_MS if run.ticket_record is None else TICKET_RUN_GRACE_MS
--- a/bergamotdeal/calls/frames.py
+++ b/bergamotdeal/calls/frames.py
@@ -1,9 +1,10 @@
-"""Construction of the calls and jobs that stand for a request."""
+"""Construction of the calls, runs and jobs that stand for a request."""
 
 from bergamotdeal.admission import core as admission
 from bergamotdeal.calls import exchanges
 from bergamotdeal.calls import runs
 from bergamotdeal.calls import state as engine_state
+from bergamotdeal.retries import allowance
 from bergamotdeal.rpc import core as rpc
 from bergamotdeal.utils import hashing
 
@@ -74,3 +75,31 @@
         target=run.target,
         calls_made=run.call.prior_calls + run.call.is_internal,
     )
+
+
+def build_run(
+    state: engine_state.EngineState, run_id: int, link_id: int, call: rpc.Call
+) -> runs.Run:
+    """Builds the run of a call that has arrived.
+
+    Args:
+      state: State of the engine.
+      run_id: Number of the run.
+      link_id: Link on which the call arrived.
+      call: The call.
+    """
+    if call.route_name:
+        route = state.find_call_route(call)
+    else:
+        route = state.route_for(call.request)
+    margin_ms = min(state.preset.hop_margin_ms, call.deadline_ms // 2)
+    return runs.Run(
+        run_id=run_id,
+        link_id=link_id,
+        call=call,
+        route=route,
+        class_name=state.classify_call(call, route),
+        deadline=state.now + (call.deadline_ms - margin_ms) / 1000,
+        target=engine_state.compute_target(call.target_ms, state.now),
+        allowance=allowance.Allowance(tokens=call.tokens),
+    )
--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -192,14 +192,22 @@
         The origin of a route is an estimate from shares, and a caller's request
         that is taken for a call of the server would be cut off at the exit. A
         request whose id names no run is therefore accepted only while the
-        server has runs that may have made it and while it has time to end.
+        server has runs that may have made it and if it likely ends in time.
         """
         if exchange.is_matched:
             return True
         if not exchange.is_internal:
             return False
-        is_in_time = self._state.now < self._state.unmatched_calls_end_at
-        return is_in_time and self._run_table.has_running()
+        return self._run_table.has_running() and self._can_end_in_time(exchange)
+
+    def _can_end_in_time(self, exchange: exchanges.Exchange) -> bool:
+        """Returns whether a request likely ends before the node exits."""
+        state = self._state
+        duration_s = state.exchange_durations.estimate_s(exchange.route.prefix)
+        ends_at = exchange.deadline
+        if duration_s is not None:
+            ends_at = min(ends_at, state.now + duration_s)
+        return ends_at <= state.exits_at
 
     def _entry_refusal(self, exchange: exchanges.Exchange) -> _KINDS | None:
         if self._state.is_entry_closed and not self._may_pass_drain(exchange):
--- a/bergamotdeal/calls/overdue.py
+++ b/bergamotdeal/calls/overdue.py
@@ -1,4 +1,4 @@
-"""Detection of runs whose connection to the backend server hangs.
+"""Time limits of runs, and detection of those whose connection hangs.
 
 Some servers never answer a request that they can't queue, nor anything more on
 its connection.
@@ -12,6 +12,17 @@
 _MIN_DUE_S = 1.0
 _MS_PER_S = 1000
 
+RUN_GRACE_MS = 1000
+"""Time that a run which can't be cancelled may take beyond its deadline."""
+
+TICKET_RUN_GRACE_MS = 5000
+"""Same for a run under a ticket, whose late answer may still be requested."""
+
+
+def get_grace_ms(run: runs.Run) -> int:
+    """Returns how long a run that goes on may take beyond its deadline."""
+    return RUN_GRACE_MS if run.ticket_record is None else TICKET_RUN_GRACE_MS
+
 
 def compute_answer_due_ms(
     run_s: float, work_factor: float, remaining_ms: int
--- a/bergamotdeal/calls/state.py
+++ b/bergamotdeal/calls/state.py
@@ -17,6 +17,7 @@
 from bergamotdeal.pricing import book
 from bergamotdeal.routing import split
 from bergamotdeal.rpc import core as rpc
+from bergamotdeal.shutdown import durations
 from bergamotdeal.telemetry import catalogue
 from bergamotdeal.telemetry import records
 
@@ -24,10 +25,6 @@
 _MAX_CACHED_SERVICES = 256
 _MAX_CACHED_CALL_ROUTES = 4096
 
-_UNMATCHED_CALLS_SHARE = 0.5
-"""Share of the rest of a drain in which calls pass that can't be traced to a
-run; those accepted last have the other part to end."""
-
 
 class EngineState:
     """Shared state of the origin side and the target side.
@@ -52,8 +49,10 @@
         once more.
       is_exiting: Whether the drain has ended, so that nothing can be started
         or sent any more but answers.
-      unmatched_calls_end_at: Time until which a draining node accepts calls
-        that can't be traced to a run, in monotonic seconds.
+      exits_at: Time at which a draining node exits at the latest, in monotonic
+        seconds.
+      exchange_durations: Durations of the requests that this node sent.
+      run_durations: Durations of the local backend server's runs.
       now: Time of the current event in monotonic seconds.
       timers: Timers of all parts of the engine.
       effects: Effects of the current event.
@@ -85,7 +84,9 @@
         self.is_entry_closed = False
         self.is_ending = False
         self.is_exiting = False
-        self.unmatched_calls_end_at = math.inf
+        self.exits_at = math.inf
+        self.exchange_durations = durations.DurationEstimator()
+        self.run_durations = durations.DurationEstimator()
         self.now = 0.0
         self.timers = deadlines.TimerQueue()
         self.effects: list[messages.Effect] = []
@@ -94,9 +95,7 @@
         """Records the start or a new phase of the node's drain."""
         self.draining = True
         self.is_entry_closed = not event.entry_open
-        self.unmatched_calls_end_at = (
-            self.now + _UNMATCHED_CALLS_SHARE * event.remaining_s
-        )
+        self.exits_at = self.now + event.remaining_s
 
     def activate_preset(self, preset: model.Preset, epoch: int) -> None:
         """Activates a preset with its epoch."""
--- a/bergamotdeal/calls/tests/test_shutdown.py
+++ b/bergamotdeal/calls/tests/test_shutdown.py
@@ -283,3 +283,45 @@
         )
     ]
     assert withdrawn == ([] if is_own else [("far", sent.call.number, True)])
+
+
+# Guards against a run that starts in a drain, can't end before the exit and is
+# then given up at its server, though it could have been refused or run
+# elsewhere.
+@pytest.mark.parametrize(("remaining_s", "is_run"), [(2.0, True), (1.0, False)])
+def test_queued_run_starts_only_if_it_can_end_before_the_exit(
+    remaining_s, is_run
+):
+    node = test_host_routes.Node()
+    run_ids = []
+    for number in range(1, 30):
+        call = test_host_routes.make_call(number, request_id=f"r{number}")
+        effects = node.handle(messages.PeerCalled(link_id=1, call=call))
+        (start,) = test_host_routes.select_effects(effects, messages.StartRun)
+        run_ids.append(start.run_id)
+        node.now += 1.2
+        node.handle(
+            messages.RunAnswered(
+                run_id=start.run_id, status=200, headers=[], body=b""
+            )
+        )
+    started = []
+    for number in range(100, 108):
+        call = test_host_routes.make_call(number, request_id=f"r{number}")
+        effects = node.handle(messages.PeerCalled(link_id=1, call=call))
+        started += test_host_routes.select_effects(effects, messages.StartRun)
+    node.now += 1.2
+    node.handle(messages.DrainStarted(remaining_s=remaining_s))
+    effects = node.handle(
+        messages.RunAnswered(
+            run_id=started[0].run_id, status=200, headers=[], body=b""
+        )
+    )
+    runs = test_host_routes.select_effects(effects, messages.StartRun)
+    answers = test_host_routes.select_effects(effects, messages.SendAnswer)
+    refused = [a for a in answers if a.answer.error is not None]
+    assert bool(runs) == is_run
+    assert bool(refused) != is_run
+    for answer in refused:
+        assert answer.answer.error is errors.ErrorKind.DRAINING
+        assert answer.answer.outcome is NOT_RUN
--- a/bergamotdeal/node/shutdown.py
+++ b/bergamotdeal/node/shutdown.py
@@ -86,7 +86,10 @@
 
     def _handle_started(self) -> None:
         self._emit(catalogue.EventCode.DRAIN_STARTED)
-        started = messages.DrainStarted(entry_open=self._is_entry_kept_open)
+        started = messages.DrainStarted(
+            entry_open=self._is_entry_kept_open,
+            remaining_s=self._drain.remaining_s,
+        )
         self._post(started)
         self._on_started(started)
         self._entry.start_draining()
