--- a/bergamotdeal/calls/final_answers.py
+++ b/bergamotdeal/calls/final_answers.py
@@ -41,8 +41,8 @@
     def refuse_waiting(self) -> None:
         """Refuses what no server has received, here and at other nodes.
 
-        Calls of the local backend server go on, as the work above them would be
-        lost without them.
+        Calls of the local backend server's runs to other nodes go on, as the
+        work above them would be lost without them.
         """
         self._state.is_ending = True
         self._refuse_waiting_runs()
