Durations of runs are kept for routes only; test of the drain's ending

Cause: calls without a route name were recorded under an empty one, which nothing reads. No change of behaviour; the drain's announcement of its end, 0.2 s before it, has a unit test.

--- a/bergamotdeal/calls/acceptance.py
+++ b/bergamotdeal/calls/acceptance.py
@@ -82,7 +82,7 @@
         """Returns whether a run that starts now likely ends before the exit."""
         state = self._state
         duration_s = state.run_durations.estimate_s(run.call.route_name)
-        if duration_s is None or not run.call.route_name:
+        if duration_s is None:
             return True
         return min(run.deadline, state.now + duration_s) <= state.exits_at
 
--- a/bergamotdeal/calls/engine.py
+++ b/bergamotdeal/calls/engine.py
@@ -117,7 +117,6 @@
             send_answer=self._send_answer,
             cancel_child_calls=self._dispatcher.cancel_child_calls,
         )
-
         self._final_answers = final_answers.FinalAnswers(
             state=state,
             run_table=self._run_table,
--- a/bergamotdeal/calls/execution.py
+++ b/bergamotdeal/calls/execution.py
@@ -395,17 +395,17 @@
             run=run.run_id,
             result="completed" if completed else "not completed",
         )
+        run_s = self._state.now - run.started_at
         if run.call.route_name:
             self._state.cost_model.record_run_end(
                 run.call.route_name,
-                self._state.now - run.started_at,
+                run_s,
                 self._state.now,
                 completed=completed,
             )
-        run_s = self._state.now - run.started_at
+            if completed:
+                self._state.run_durations.record(run.call.route_name, run_s)
         self._server.observe_run_time(run_s)
-        if completed:
-            self._state.run_durations.record(run.call.route_name, run_s)
         try:
             decisions = self._server.finish(run.run_id, completed=completed)
         except Exception:
--- a/bergamotdeal/node/drain.py
+++ b/bergamotdeal/node/drain.py
@@ -26,8 +26,7 @@
       is_idle: Returns whether every exchange, call and run has ended.
       on_started: Called once when the drain starts.
       on_finished: Called once when the node may exit.
-      on_ending: Called once shortly before the longest time is over, if work is
-        still in progress.
+      on_ending: Called once shortly before the longest time is over.
       on_entry_closed: Called once when the entry listener must start to refuse
         callers, with the time in seconds until the exit at the latest.
       settle_s: Minimum time in seconds before the exit, in which other nodes
--- a/bergamotdeal/node/tests/test_drain.py
+++ b/bergamotdeal/node/tests/test_drain.py
@@ -128,3 +128,22 @@
     assert round(harness.drain.remaining_s, 3) == drain.MAX_DRAIN_S - 10.0
     harness.advance(drain.MAX_DRAIN_S)
     assert harness.drain.remaining_s == 0.0
+
+
+# Guards against a drain that asks other nodes for answers too late to get them.
+def test_end_is_announced_before_the_longest_time_is_over():
+    clock = task.Clock()
+    steps = []
+    draining = drain.Drain(
+        reactor=clock,
+        is_idle=lambda: False,
+        on_started=lambda: None,
+        on_ending=lambda: steps.append(("ending", round(clock.seconds(), 1))),
+        on_finished=lambda: steps.append(
+            ("finished", round(clock.seconds(), 1))
+        ),
+        max_drain_s=5.0,
+    )
+    draining.start()
+    clock.pump([0.02] * 300)
+    assert steps == [("ending", 4.8), ("finished", 5.0)]
