Calls that name their run in the context header aren't withdrawn

Cause: the withdrawal at the end of a drain spared only calls whose ids continue that of a run. Servers that copy the context header instead lost their work 0.2 s before the end of the drain, by a refusal of a call that the drain would have waited for.

Change: a call with a parent counts as well. Callers of the platform's dialect have no context, so that nothing changes for them.

Conclusion: both ways to name a run are treated alike.

--- a/bergamotdeal/calls/exchanges.py
+++ b/bergamotdeal/calls/exchanges.py
@@ -113,6 +113,11 @@
     tried_host_ids: frozenset[str] = frozenset()
     timer: deadlines.Timer | None = None
 
+    @property
+    def is_call_of_run(self) -> bool:
+        """Whether this is known to be a call of a run of the local server."""
+        return self.is_matched or self.parent is not None
+
     @property
     def may_have_run_despite_refusal(self) -> bool:
         """Whether the request may have run although this node refuses it.
--- a/bergamotdeal/calls/final_answers.py
+++ b/bergamotdeal/calls/final_answers.py
@@ -50,7 +50,7 @@
             match self._get_exchange_state(exchange):
                 case shutdown.AwaitingCap() | shutdown.AwaitingLink():
                     self._end_exchange(exchange)
-                case shutdown.AwaitingPeer() if not exchange.is_matched:
+                case shutdown.AwaitingPeer() if not exchange.is_call_of_run:
                     self._state.emit(
                         messages.SendCancel(
                             host_id=exchange.host_id,
--- a/bergamotdeal/calls/tests/test_shutdown.py
+++ b/bergamotdeal/calls/tests/test_shutdown.py
@@ -325,3 +325,40 @@
     for answer in refused:
         assert answer.answer.error is errors.ErrorKind.DRAINING
         assert answer.answer.outcome is NOT_RUN
+
+
+# The same for servers that name their runs in the context header.
+def test_call_with_the_context_of_a_run_is_not_withdrawn():
+    sim = scenarios.make_chain(scenarios.make_preset())
+    sim.kill_node("orderline")
+    sim.add_node(
+        HOST,
+        service="orderline",
+        slots=1,
+        program=scenarios.work_program(5.0),
+    )
+    call(sim, HOST, "running")
+    reply = call(sim, "stencilhub", "tree", scenarios.get_request("stencilhub"))
+    assert "AwaitingPeer" in (
+        sim.nodes_by_id["stencilhub"].engine.count_open_by_state()
+    )
+    sim.send_event("stencilhub", messages.DrainEnding())
+    sim.run_for(0.1)
+    assert not reply.done
+    assert "AwaitingSlot" in sim.nodes_by_id[HOST].engine.count_open_by_state()
+
+
+def test_withdrawn_call_that_waits_for_a_connection_is_not_run():
+    sim, _ = make_busy_host()
+    sim.kill_server(HOST)
+    sim.start_server(HOST)
+    sim.run_for(0.1)
+    reply = call(sim, "entry-1", "held")
+    run_id = sim.servers.runs[-1].start.run_id
+    sim.send_event(HOST, messages.RunHeld(run_id=run_id, is_held=True))
+    sim.send_event("entry-1", messages.DrainEnding())
+    sim.run_for(0.1)
+    assert (reply.done, reply.outcome) == (True, NOT_RUN)
+    engine = sim.nodes_by_id[HOST].engine
+    assert engine.is_idle()
+    assert engine.load().running == 0
