Log why a draining node accepts a request

The log had the refusals of a drain and the lost calls, not what was accepted and why.

Change: CALL_ACCEPTED_IN_DRAIN (114), at info, with the reason, the time limit and the exit.

--- a/bergamotdeal/calls/intake.py
+++ b/bergamotdeal/calls/intake.py
@@ -195,10 +195,29 @@
         server has runs that may have made it and if it likely ends in time.
         """
         if exchange.is_matched:
+            self._record_acceptance(exchange, "its id names a run")
             return True
-        if not exchange.is_internal:
-            return False
-        return self._run_table.has_running() and self._can_end_in_time(exchange)
+        is_accepted = (
+            exchange.is_internal
+            and self._run_table.has_running()
+            and self._can_end_in_time(exchange)
+        )
+        if is_accepted:
+            self._record_acceptance(exchange, "it likely ends in time")
+        return is_accepted
+
+    def _record_acceptance(
+        self, exchange: exchanges.Exchange, reason: str
+    ) -> None:
+        """Records why a draining node accepts a request."""
+        state = self._state
+        state.record_event(
+            catalogue.EventCode.CALL_ACCEPTED_IN_DRAIN,
+            exchange.user_request_id,
+            reason=reason,
+            limit_s=round(exchange.deadline - state.now, 3),
+            exit_s=round(state.exits_at - state.now, 3),
+        )
 
     def _can_end_in_time(self, exchange: exchanges.Exchange) -> bool:
         """Returns whether a request likely ends before the node exits."""
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -28,6 +28,7 @@
     CALL_REFUSED = 111
     CALL_LOST = 112
     RUN_HUNG = 113
+    CALL_ACCEPTED_IN_DRAIN = 114
 
     # 200 tickets
     TICKET_ISSUED = 200
@@ -134,6 +135,10 @@
     EventCode.RUN_HUNG: (
         "run {run} gave no sign for {ran_ms} ms, its connection is dropped"
     ),
+    EventCode.CALL_ACCEPTED_IN_DRAIN: (
+        "accepted in the drain, {reason}; time limit in {limit_s} s, exit in "
+        "{exit_s} s at the latest"
+    ),
     EventCode.TICKET_ISSUED: "ticket {serial} issued",
     EventCode.TICKET_USED: "ticket {serial} used",
     EventCode.TICKET_REFUSED: "ticket refused: {error}",
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -43,6 +43,7 @@
     catalogue.EventCode.KEY_REFUSED: INFO,
     catalogue.EventCode.QUOTA_REFUSED: INFO,
     catalogue.EventCode.CALL_LOST: INFO,
+    catalogue.EventCode.CALL_ACCEPTED_IN_DRAIN: INFO,
     catalogue.EventCode.RUN_HUNG: INFO,
     catalogue.EventCode.DISPATCH_FAILED: INFO,
     catalogue.EventCode.LATE_ANSWER_DROPPED: INFO,
