Tell the others at once of a server that is back

Callers saw: requests refused as no-server, not run, for up to 0.2 s after a server was back that its node had just reported as stopped.

Cause: changes travel in gossip rounds at least 0.2 s apart. The news that the server stopped was sent at once, the news that it is back with the next round. The tests took a request that completed for a sign that no news is under way.

Change: a change of a node's own record makes a round due at once. The status has the number of the own record and of the records that a node routes by; each test of the file begins when both nodes route by the server's latest one, within 2 s. The verdicts of a node move to the replica of the view.

--- a/bergamotdeal/membership/gossip.py
+++ b/bergamotdeal/membership/gossip.py
@@ -143,6 +143,7 @@
         return list(self._effects)
 
     def _on_local_change(self, event: messages.LocalChange, now: float) -> None:
+        own_record = self.own_record
         match event:
             case messages.ServerChanged(server=server):
                 if server != self.own_record.server:
@@ -164,6 +165,8 @@
                     self._replica.rumour_queue.add_header_change()
             case messages.StoreEraChanged(era=era):
                 self._adopt_store_era(era)
+        if self.own_record is not own_record:
+            self._next_gossip_at = now
 
     def answer_sync(
         self, request: messages.SyncMessage, now: float
@@ -239,7 +242,7 @@
         entries = self._replica.view.list_others(worst=Health.DEAD)
         decision = self._eviction_policy.decide(entries, now)
         for record in decision.evicted:
-            self._mark(record, Health.DEAD, now)
+            self._replica.mark(record, Health.DEAD, now)
         for host_id in decision.forgotten:
             self._replica.view.forget(host_id)
             self._effects.append(messages.ViewChanged())
@@ -297,12 +300,9 @@
             return
         self._eviction_policy.record_probe(acked=False)
         if entry.health is Health.ALIVE:
-            self._mark(entry.record, Health.SUSPECT, now)
+            self._replica.mark(entry.record, Health.SUSPECT, now)
             self._ping(probe.host_id, self._prober.number())
 
-    def _mark(self, record: core.Member, health: Health, now: float) -> None:
-        self._replica.merge_verdict(knowledge.make_verdict(record, health), now)
-
     def _on_datagram(
         self,
         datagram: messages.Datagram,
--- a/bergamotdeal/membership/knowledge.py
+++ b/bergamotdeal/membership/knowledge.py
@@ -101,6 +101,16 @@
         if health is not Health.ALIVE:
             self.rumour_queue.add(make_verdict(record, health))
 
+    def mark(self, record: core.Member, health: Health, now: float) -> None:
+        """Applies and passes on this node's own verdict on a member.
+
+        Args:
+          record: The member's record.
+          health: Health to assert.
+          now: Current time in monotonic seconds.
+        """
+        self.merge_verdict(make_verdict(record, health), now)
+
     def merge_verdict(
         self, verdict: messages.VerdictRumour, now: float
     ) -> None:
--- a/bergamotdeal/membership/tests/test_gossip.py
+++ b/bergamotdeal/membership/tests/test_gossip.py
@@ -43,6 +43,30 @@
     assert fleet.run_until(is_known, within_s=5) < 3
 
 
+# Guards against a server that is back at once but refused everywhere until the
+# next gossip round, since the news that it stopped has just been sent.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_change_soon_after_another_is_sent_at_once(seed):
+    fleet = make_joined_fleet(seed, size=2)
+    server = core.Server(service="kitview", slots=50, connections=400)
+    fleet.send_event("host-1", messages.ServerChanged(server=server))
+    fleet.run(5)
+    fleet.send_event("host-1", messages.ServerChanged(server=None))
+    fleet.run(0.002)
+    fleet.send_event("host-1", messages.ServerChanged(server=server))
+    (other,) = (
+        node for host, node in fleet.cores_by_id.items() if host != "host-1"
+    )
+    state_number = fleet.cores_by_id["host-1"].own_record.state_number
+
+    def is_known() -> bool:
+        record = other.members_by_id()["host-1"]
+        return record.state_number == state_number
+
+    known_s = fleet.run_until(is_known, within_s=5)
+    assert known_s < timings.DEFAULT_TIMING.gossip_interval_s / 4
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_drain_reaches_all_members_within_three_seconds(seed):
     fleet = make_joined_fleet(seed)
--- a/bergamotdeal/node/app.py
+++ b/bergamotdeal/node/app.py
@@ -275,6 +275,7 @@
             body_memory=self._bodies.memory,
             quotas=self._quotas.build_status(),
             members=self._membership.routed_by_id() if with_members else {},
+            state_number=self._membership.state_number,
             node_metrics=self._recorder.metrics,
         )
 
--- a/bergamotdeal/node/membership.py
+++ b/bergamotdeal/node/membership.py
@@ -220,6 +220,11 @@
             return ()
         return self._gossip.list_confirmed_crashes(self._clock())
 
+    @property
+    def state_number(self) -> int:
+        """Number of this node's own record, zero before the start."""
+        return self._gossip.own_record.state_number if self._gossip else 0
+
     def members_by_id(self) -> dict[str, core.Member]:
         """Returns the known members with their state in this node's view."""
         if self._gossip is None:
--- a/bergamotdeal/node/status.py
+++ b/bergamotdeal/node/status.py
@@ -23,6 +23,8 @@
       admin_port: TCP port of the member's admin listener, zero when it can't
         be reached from other hosts.
       service: Service of the member's backend server, or empty.
+      state_number: Number of the member's latest record that this node
+        routes by.
     """
 
     host_id: str
@@ -33,6 +35,7 @@
     address: str
     admin_port: _Port = 0
     service: str = ""
+    state_number: int = 0
 
 
 class ServerStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,6 +102,8 @@
       resident_bytes: Resident memory in bytes.
       body_bytes: Bytes of bodies that the node holds.
       body_capacity_bytes: Bytes of bodies that the node may hold.
+      state_number: Number of the record that the node spreads of itself. The
+        other nodes know its state once they route by this number.
       server: Backend server, or None before its first announcement.
       quotas: Caps of organisations, or None without caps.
       members: Members of the fleet as this node sees them.
@@ -119,6 +124,7 @@
     resident_bytes: int = 0
     body_bytes: int = 0
     body_capacity_bytes: int = 0
+    state_number: int = 0
     server: ServerStatus | None = None
     quotas: QuotaStatus | None = None
     members: list[MemberStatus] = msgspec.field(default_factory=list)
--- a/bergamotdeal/node/status_report.py
+++ b/bergamotdeal/node/status_report.py
@@ -50,6 +50,7 @@
     body_memory: memory.BodyMemory,
     quotas: status.QuotaStatus | None,
     members: Mapping[str, membership.Member],
+    state_number: int,
     node_metrics: metrics.Metrics,
 ) -> status.NodeStatus:
     """Builds the status of a node.
@@ -66,6 +67,7 @@
       body_memory: Memory for bodies.
       quotas: Caps of organisations, or None without caps.
       members: Members to report, by host id.
+      state_number: Number of the node's own record.
       node_metrics: Metrics of the node.
     """
     preset = presets.preset
@@ -84,6 +86,7 @@
         resident_bytes=measure_resident_bytes(),
         body_bytes=body_memory.used_bytes,
         body_capacity_bytes=body_memory.capacity_bytes,
+        state_number=state_number,
         server=build_server_status(engine, server=server, preset=preset),
         quotas=quotas,
         members=[build_member_status(member) for member in members.values()],
@@ -136,6 +139,7 @@
         address=member.address,
         admin_port=member.admin_port,
         service=member.server.service if member.server else "",
+        state_number=member.state_number,
     )
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -292,6 +292,26 @@
                 f"{host.host_id} knows all servers",
             )
 
+    def wait_until_known(self, host: Host, *, timeout_s: float) -> None:
+        """Waits until all nodes know that the server of a host is available.
+
+        Args:
+          host: Host of the server.
+          timeout_s: Time in seconds after which waiting is given up.
+        """
+
+        def is_known() -> bool:
+            status = self.status(host)
+            if not status.get("server"):
+                return False
+            expected = (host.host_id, status["state_number"], "alive")
+            return all(
+                expected in _list_routed(self.status(each))
+                for each in self.hosts_by_id.values()
+            )
+
+        wait_for(is_known, f"all know the server of {host.host_id}", timeout_s)
+
     def wait_until_granting(self) -> None:
         """Waits until every node grants tokens of caps."""
         wait_for(
@@ -428,6 +448,18 @@
         connection.close()
 
 
+def _list_routed(status: dict) -> list[tuple[str, int, str]]:
+    """Returns host id, number and state of the records that a node routes by.
+
+    Args:
+      status: Status of the node, empty if it is unreachable.
+    """
+    return [
+        (member["host_id"], member["state_number"], member["state"])
+        for member in status.get("members", [])
+    ]
+
+
 def wait_for(
     condition, description: str, timeout_s: float = START_TIMEOUT_S
 ) -> None:
--- a/tests/matrix/kernel.py
+++ b/tests/matrix/kernel.py
@@ -20,6 +20,8 @@
 _ANNOUNCE_INTERVAL_S = 0.3
 _MAX_RESENDS = 4
 _CALLER_TIMEOUT_S = 2.0
+_NEW_SERVER_KNOWN_S = 2.0
+"""Time within which all nodes have to use a new server."""
 
 
 class Server:
@@ -146,13 +148,13 @@
         self._stack.callback(self.server.listener.server_close)
         self._stack.callback(self.server.listener.shutdown)
         self.server_proxy = self._start_proxy("127.0.0.1", self.server.port)
-        cluster = clusters.Cluster(
+        self._cluster = clusters.Cluster(
             folder=folder, preset=presets.build_controlled_preset((SERVICE,))
         )
-        self._stack.enter_context(cluster)
-        self.entry_host = cluster.add_host("gate", "prai")
-        self.server_host = cluster.add_host("callee", "prai")
-        cluster.start()
+        self._stack.enter_context(self._cluster)
+        self.entry_host = self._cluster.add_host("gate", "prai")
+        self.server_host = self._cluster.add_host("callee", "prai")
+        self._cluster.start()
         self.entry_proxy = self._start_proxy(
             self.entry_host.address, clusters.ENTRY_PORT
         )
@@ -169,6 +171,15 @@
         self.server_proxy.faults()
         self.entry_proxy.faults()
 
+    def wait_until_known(self) -> None:
+        """Waits until both nodes know that the server is available.
+
+        A fault may have made its node report that it stopped.
+        """
+        self._cluster.wait_until_known(
+            self.server_host, timeout_s=_NEW_SERVER_KNOWN_S
+        )
+
     def wait_until_serving(self, name: str) -> None:
         """Waits until a new browse request completes."""
         probe_numbers = iter(range(1000))
--- a/tests/matrix/test_real_processes.py
+++ b/tests/matrix/test_real_processes.py
@@ -54,6 +54,7 @@
 
 @pytest.fixture(autouse=True)
 def _clear_faults_after_test(fault_testbed):
+    fault_testbed.wait_until_known()
     fault_testbed.ledger_entries.clear()
     yield
     fault_testbed.clear_faults()
