Check the store for changes regularly, in case it lost the watches

Cause: a long poll that the store has lost, on a connection that stays open, is silent like one that waits. Nothing else asked the store for changes.

Evidence: no event at all in the logs of that time. STORE_CHECK_FAILED (806) and STORE_CHECK_RECOVERED (807) now tell of such an outage.

Change: with poll_ms some of the watchers also ask for changes regularly by a watch that doesn't wait.

--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -15,6 +15,7 @@
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import preset_news
+from bergamotdeal.node import preset_poll
 from bergamotdeal.node import store_watch
 from bergamotdeal.presets import epoch_wait
 from bergamotdeal.presets import follower
@@ -87,6 +88,7 @@
             has_seeds=bool(settings.peer.seeds),
             initial=initial_preset,
             watcher_count=settings.store.watchers,
+            poller_count=settings.store.pollers,
             read_retry_max_s=settings.store.longest_wait_ms / _MS_PER_S,
             rng=rng,
             now=clock(),
@@ -98,7 +100,20 @@
             read_store=None if store is None else self._read_store,
         )
         self._watch = None
+        self._poll = None
         if store is not None:
+            self._poll = preset_poll.PresetPoll(
+                store=store,
+                key=in_force.IN_FORCE_KEY,
+                reactor=reactor,
+                rng=rng,
+                interval_s=settings.store.poll_ms / _MS_PER_S,
+                is_due=lambda: self._follower.is_polling,
+                on_change=self._handle_stored,
+                on_answer=self._news.record,
+                on_recovery=self.handle_store_restored,
+                emit=self._emit,
+            )
             self._watch = store_watch.StoreWatch(
                 store=store,
                 key=in_force.IN_FORCE_KEY,
@@ -140,6 +155,8 @@
         self._running = True
         self._epoch_wait = epoch_wait.EpochWait(now=self._clock())
         self._news.start()
+        if self._poll is not None:
+            self._poll.start()
         self._handle(preset_messages.TimePassed())
 
     def stop(self) -> None:
@@ -148,6 +165,7 @@
         self._news.stop()
         if self._watch is not None:
             self._watch.stop()
+            self._poll.stop()
         for timer in (self._wakeup_timer, self._held_event_timer):
             if timer is not None and timer.active():
                 timer.cancel()
@@ -235,9 +253,11 @@
             for effect in self._follower.handle(event, self._clock()):
                 self._execute_effect(effect)
         except Exception:  # A fault in one event must not stop the task.
-            fields = {"task": "presets", "trace": traceback.format_exc()}
-            code = catalogue.EventCode.TASK_FAILED
-            self._record(records.EventRecord(code=code, fields=fields))
+            self._emit(
+                catalogue.EventCode.TASK_FAILED,
+                task="presets",
+                trace=traceback.format_exc(),
+            )
         self._schedule_wakeup()
 
     def _schedule_wakeup(self) -> None:
@@ -265,16 +285,18 @@
             case preset_messages.WatchStore():
                 self._watch.stop()
             case preset_messages.Reject(epoch=epoch, reason=reason):
-                fields = {"epoch": epoch, "reason": reason}
-                code = catalogue.EventCode.PRESET_REJECTED
-                self._record(records.EventRecord(code=code, fields=fields))
+                self._emit(
+                    catalogue.EventCode.PRESET_REJECTED,
+                    epoch=epoch,
+                    reason=reason,
+                )
 
     def _apply_preset(self, epoch: int, preset: model.Preset) -> None:
         self._post(calls.PresetInForce(epoch=epoch, preset=preset))
         self._membership.deliver(gossip.EpochChanged(epoch=epoch))
-        fields = {"name": preset.name, "epoch": epoch}
-        code = catalogue.EventCode.PRESET_IN_FORCE
-        self._record(records.EventRecord(code=code, fields=fields))
+        self._emit(
+            catalogue.EventCode.PRESET_IN_FORCE, name=preset.name, epoch=epoch
+        )
 
     def _send_pull(self, effect: preset_messages.Pull) -> None:
         member = self._membership.members_by_id().get(effect.host_id)
@@ -364,10 +386,11 @@
 
     def _record_store_availability(self, problem: str | None) -> None:
         if problem is None:
-            code, fields = catalogue.EventCode.STORE_AVAILABLE, {}
+            self._emit(catalogue.EventCode.STORE_AVAILABLE)
         else:
-            code = catalogue.EventCode.STORE_UNAVAILABLE
-            fields = {"reason": problem}
+            self._emit(catalogue.EventCode.STORE_UNAVAILABLE, reason=problem)
+
+    def _emit(self, code: catalogue.EventCode, **fields: str | int) -> None:
         self._record(records.EventRecord(code=code, fields=fields))
 
 
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -317,6 +317,38 @@
     assert started == WATCHER_COUNT
 
 
+# Guards against checks of the store that grow with the fleet.
+@pytest.mark.parametrize("size", [14, 60, 300])
+def test_one_watcher_per_data_centre_polls_the_store(size):
+    host_ids = [f"host-{n}" for n in range(size)]
+    members_by_id = make_members(*host_ids)
+    event = preset_messages.MembershipUpdated(members_by_id=members_by_id)
+    polling = []
+    for host_id in host_ids:
+        target = make_node(host_id)
+        push(target, 1)
+        target.handle(event, 0.0)
+        target.handle(preset_messages.TimePassed(), follower.WATCH_DELAY_S)
+        if target.is_polling:
+            assert target.is_watching
+            polling.append(host_id)
+    assert len(polling) == 1
+    (gone,) = polling
+    known = members_by_id | make_members(
+        gone, state=membership.MemberState.SUSPECT
+    )
+    event = preset_messages.MembershipUpdated(members_by_id=known)
+    successors = []
+    for host_id in host_ids:
+        target = make_node(host_id)
+        target.handle(event, 0.0)
+        target.handle(preset_messages.TimePassed(), follower.WATCH_DELAY_S)
+        if target.is_polling:
+            successors.append(host_id)
+    assert len(successors) == 1
+    assert successors != polling
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(st.sampled_from(["hand", "store", "pull"]), st.integers(1, 9))
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -67,6 +67,8 @@
     STORE_OBJECT_REJECTED = 803
     STORE_RESTORED = 804
     REGISTRY_ENTRY_REMOVED = 805
+    STORE_CHECK_FAILED = 806
+    STORE_CHECK_RECOVERED = 807
 
     # 900 node
     NODE_STARTED = 900
@@ -179,6 +181,12 @@
     EventCode.REGISTRY_ENTRY_REMOVED: (
         "registry: entry of {host} removed, the host is gone"
     ),
+    EventCode.STORE_CHECK_FAILED: (
+        "check of the store for a changed preset failed: {reason}"
+    ),
+    EventCode.STORE_CHECK_RECOVERED: (
+        "the store answers checks again, the watch starts anew"
+    ),
     EventCode.STORE_RESTORED: "store restored from a copy, era {era}",
     EventCode.NODE_STARTED: "node {host} started, incarnation {incarnation}",
     EventCode.NODE_READY: "node ready",
--- a/bergamotdeal/telemetry/log.py
+++ b/bergamotdeal/telemetry/log.py
@@ -27,6 +27,7 @@
     catalogue.EventCode.REQUEST_QUARANTINED: WARNING,
     catalogue.EventCode.PRESET_REJECTED: WARNING,
     catalogue.EventCode.STORE_UNAVAILABLE: WARNING,
+    catalogue.EventCode.STORE_CHECK_FAILED: WARNING,
     catalogue.EventCode.REGISTRY_FAILED: WARNING,
     catalogue.EventCode.STORE_OBJECT_REJECTED: WARNING,
     catalogue.EventCode.COST_REPORT_REJECTED: WARNING,
