Admit all requests once the services have recovered from an overload

Cause: without reports the share of a service only approaches 1, and below 1 the entry meters by a credit, in which callers that were let in at their assigned times leave a debt of up to five requests.

Evidence: shares of 0.9994 to 0.9999999 and credits of -1.3 to 0.3 at the refusals.

Change: a recovered share above 0.999 counts as 1, as it did when a report came.

Figures: test_first_request_long_after_an_overload_is_admitted failed before.

--- a/bergamotdeal/pricing/pressure.py
+++ b/bergamotdeal/pricing/pressure.py
@@ -62,6 +62,11 @@
 thirds of its distance to 1.0 in this time."""
 
 
+_RECOVERED_SHARE = 0.999
+"""Share above which a service counts as no longer overloaded. Without reports a
+share only approaches 1.0."""
+
+
 class BackpressureController:
     """Integral controller of the load share of one backend server.
 
@@ -215,7 +220,7 @@
         current = _recovered_share(reported, now)
         reported.share = current + _SMOOTHING * (share - current)
         reported.at = now
-        if reported.share > 0.999:
+        if reported.share > _RECOVERED_SHARE:
             del self._reported_by_service[service]
 
     def share(self, service: str, now: float) -> float:
@@ -230,8 +235,9 @@
     def shares_by_service(self, now: float) -> dict[str, float]:
         """Returns the shares of overloaded services by service name."""
         return {
-            service: _recovered_share(reported, now)
+            service: share
             for service, reported in self._reported_by_service.items()
+            if (share := _recovered_share(reported, now)) <= _RECOVERED_SHARE
         }
 
 
--- a/bergamotdeal/pricing/tests/test_pricing.py
+++ b/bergamotdeal/pricing/tests/test_pricing.py
@@ -413,6 +413,36 @@
     assert cost_model.shares_by_service(1.0) == {}
 
 
+# Guards against requests that are refused after an overload because of what
+# returning callers were let in ahead of, although all services are idle.
+def test_first_request_long_after_an_overload_is_admitted():
+    cost_model = book.CostModel(rng=random.Random(1), data_centre="prai")
+    charge = core.Charge(service="orderline", slot_s=0.1, share=0.05)
+    report = core.encode(
+        core.Report(origin=origins.Origin.CALLERS, charges=[charge])
+    )
+
+    def admits(now, *, is_reserved=False):
+        return cost_model.admits(
+            "kits",
+            "orderline",
+            rank=0,
+            fingerprint=None,
+            now=now,
+            is_reserved=is_reserved,
+        )
+
+    refused = 0
+    for step in range(100):
+        now = 1.0 + step * 0.02
+        cost_model.apply_report("kits", "orderline", report, now)
+        refused += not admits(now, is_reserved=step % 3 == 0)
+    assert refused > 50
+    for seconds in (15.0, 15.1, 40.0):
+        assert admits(3.0 + seconds)
+    assert cost_model.shares_by_service(18.0) == {}
+
+
 def test_reports_are_infrequent_without_overload():
     cost_model = book.CostModel(rng=random.Random(1), data_centre="prai")
     sent = [
