Check whether the store answers instead of asking it for changes

Cause: checks that ask for changes are priced as full reads.

Change: the check is a stale read of an object that doesn't exist, which costs a tenth and doesn't count toward the rates.

--- a/bergamotdeal/node/presets.py
+++ b/bergamotdeal/node/presets.py
@@ -15,7 +15,7 @@
 from bergamotdeal.membership import messages as gossip
 from bergamotdeal.node import membership as membership_task
 from bergamotdeal.node import preset_news
-from bergamotdeal.node import preset_poll
+from bergamotdeal.node import store_check
 from bergamotdeal.node import store_watch
 from bergamotdeal.presets import epoch_wait
 from bergamotdeal.presets import follower
@@ -88,7 +88,7 @@
             has_seeds=bool(settings.peer.seeds),
             initial=initial_preset,
             watcher_count=settings.store.watchers,
-            poller_count=settings.store.pollers,
+            checker_count=settings.store.checkers,
             read_retry_max_s=settings.store.longest_wait_ms / _MS_PER_S,
             rng=rng,
             now=clock(),
@@ -100,17 +100,14 @@
             read_store=None if store is None else self._read_store,
         )
         self._watch = None
-        self._poll = None
+        self._check = None
         if store is not None:
-            self._poll = preset_poll.PresetPoll(
+            self._check = store_check.StoreCheck(
                 store=store,
-                key=in_force.IN_FORCE_KEY,
                 reactor=reactor,
                 rng=rng,
-                interval_s=settings.store.poll_ms / _MS_PER_S,
-                is_due=lambda: self._follower.is_polling,
-                on_change=self._handle_stored,
-                on_answer=self._news.record,
+                interval_s=settings.store.check_ms / _MS_PER_S,
+                is_due=lambda: self._follower.is_checking,
                 on_recovery=self.handle_store_restored,
                 emit=self._emit,
             )
@@ -155,8 +152,8 @@
         self._running = True
         self._epoch_wait = epoch_wait.EpochWait(now=self._clock())
         self._news.start()
-        if self._poll is not None:
-            self._poll.start()
+        if self._check is not None:
+            self._check.start()
         self._handle(preset_messages.TimePassed())
 
     def stop(self) -> None:
@@ -165,7 +162,7 @@
         self._news.stop()
         if self._watch is not None:
             self._watch.stop()
-            self._poll.stop()
+            self._check.stop()
         for timer in (self._wakeup_timer, self._held_event_timer):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/bergamotdeal/presets/follower.py
+++ b/bergamotdeal/presets/follower.py
@@ -50,7 +50,7 @@
       has_seeds: Whether seed nodes are configured.
       initial: Preset from the settings, for a fleet without any switch yet.
       watcher_count: Number of nodes per data centre that watch the store.
-      poller_count: Number of these that also check it regularly.
+      checker_count: Number of these that also check whether it answers.
       read_retry_max_s: Maximum seconds between two attempts to read the store.
       rng: Random source of jitter and of the choice of pull sources.
       now: Current time in monotonic seconds.
@@ -71,14 +71,14 @@
         has_seeds: bool = False,
         initial: model.Preset | None = None,
         watcher_count: int = 2,
-        poller_count: int = 1,
+        checker_count: int = 1,
         read_retry_max_s: float = READ_BACKOFF_MAX_S,
         rng: random.Random,
         now: float,
     ) -> None:
         self._watcher_count = watcher_count
-        self._poller_count = poller_count
-        self._is_poller = False
+        self._checker_count = checker_count
+        self._is_checker = False
         self._read_retry_max_s = read_retry_max_s
         self._host_id = host_id
         self._data_centre = data_centre
@@ -117,9 +117,9 @@
         return self._is_watching
 
     @property
-    def is_polling(self) -> bool:
-        """Whether this node also checks the store regularly."""
-        return self._is_watching and self._is_poller
+    def is_checking(self) -> bool:
+        """Whether this node also checks whether the store answers."""
+        return self._is_watching and self._is_checker
 
     def explain_missing_preset(self) -> str | None:
         """Returns why this node has no preset, or None if it has one."""
@@ -361,7 +361,7 @@
         wrongly find itself selected.
         """
         is_chosen = self._has_store and self._is_among(self._watcher_count)
-        self._is_poller = is_chosen and self._is_among(self._poller_count)
+        self._is_checker = is_chosen and self._is_among(self._checker_count)
         if is_chosen:
             if not self._is_watching and self._watch_at is None:
                 self._watch_at = now + WATCH_DELAY_S
--- a/bergamotdeal/presets/tests/test_follower.py
+++ b/bergamotdeal/presets/tests/test_follower.py
@@ -319,21 +319,21 @@
 
 # Guards against checks of the store that grow with the fleet.
 @pytest.mark.parametrize("size", [14, 60, 300])
-def test_one_watcher_per_data_centre_polls_the_store(size):
+def test_one_watcher_per_data_centre_checks_the_store(size):
     host_ids = [f"host-{n}" for n in range(size)]
     members_by_id = make_members(*host_ids)
     event = preset_messages.MembershipUpdated(members_by_id=members_by_id)
-    polling = []
+    checking = []
     for host_id in host_ids:
         target = make_node(host_id)
         push(target, 1)
         target.handle(event, 0.0)
         target.handle(preset_messages.TimePassed(), follower.WATCH_DELAY_S)
-        if target.is_polling:
+        if target.is_checking:
             assert target.is_watching
-            polling.append(host_id)
-    assert len(polling) == 1
-    (gone,) = polling
+            checking.append(host_id)
+    assert len(checking) == 1
+    (gone,) = checking
     known = members_by_id | make_members(
         gone, state=membership.MemberState.SUSPECT
     )
@@ -343,10 +343,10 @@
         target = make_node(host_id)
         target.handle(event, 0.0)
         target.handle(preset_messages.TimePassed(), follower.WATCH_DELAY_S)
-        if target.is_polling:
+        if target.is_checking:
             successors.append(host_id)
     assert len(successors) == 1
-    assert successors != polling
+    assert successors != checking
 
 
 @hypothesis.given(
--- a/bergamotdeal/settings/derived.py
+++ b/bergamotdeal/settings/derived.py
@@ -8,8 +8,8 @@
 """Nodes that watch the preset in force, so that some of them reach a store that
 refuses a third of the hosts."""
 
-POLLERS = 2
-"""Nodes that check the store regularly; one of them may be cut off from it."""
+CHECKERS = 2
+"""Nodes that check whether the store answers; one of them may be cut off."""
 
 MIN_WATCHERS_PER_DATA_CENTRE = 2
 """Watchers of a data centre that is cut off from the others."""
@@ -33,13 +33,13 @@
     )
 
 
-def compute_pollers(data_centre_count: int) -> int:
+def compute_checkers(data_centre_count: int) -> int:
     """Returns the number of nodes of a data centre that check the store.
 
     Args:
       data_centre_count: Number of data centres, zero if unknown.
     """
-    return math.ceil(POLLERS / max(1, data_centre_count))
+    return math.ceil(CHECKERS / max(1, data_centre_count))
 
 
 def build_drain_section(
--- a/bergamotdeal/settings/model.py
+++ b/bergamotdeal/settings/model.py
@@ -105,9 +105,9 @@
       token: Bearer token, or empty.
       calls_per_minute: Rate limit of this node's store calls.
       watchers: Number of nodes per data centre that watch the preset in force.
-      pollers: Number of these nodes that also check for changes regularly, in
-        case the answers of watches are lost.
-      poll_ms: Interval of these checks, in milliseconds; zero for none.
+      checkers: Number of these nodes that also check regularly whether the
+        store answers, since a watch that was lost looks like one that waits.
+      check_ms: Interval of these checks, in milliseconds; zero for none.
       longest_wait_ms: Maximum delay between retries while the store fails, in
         milliseconds.
     """
@@ -117,8 +117,8 @@
     token: str = ""
     calls_per_minute: Annotated[int, msgspec.Meta(ge=1, le=6000)] = 60
     watchers: Annotated[int, msgspec.Meta(ge=1, le=100)] = 2
-    pollers: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
-    poll_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 0
+    checkers: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
+    check_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 0
     longest_wait_ms: Annotated[int, msgspec.Meta(ge=100, le=600_000)] = 30_000
 
 
--- a/bergamotdeal/settings/tests/test_derived.py
+++ b/bergamotdeal/settings/tests/test_derived.py
@@ -12,11 +12,11 @@
     assert derived.compute_watchers(data_centres) == watchers
 
 
-@pytest.mark.parametrize(("data_centres", "pollers"), [(0, 2), (1, 2), (3, 1)])
-def test_fleet_has_two_pollers_or_one_in_each_data_centre(
-    data_centres, pollers
+@pytest.mark.parametrize(("data_centres", "checkers"), [(0, 2), (1, 2), (3, 1)])
+def test_fleet_has_two_checkers_or_one_in_each_data_centre(
+    data_centres, checkers
 ):
-    assert derived.compute_pollers(data_centres) == pollers
+    assert derived.compute_checkers(data_centres) == checkers
 
 
 def test_drain_ends_within_the_grace_period():
--- a/bergamotdeal/store/core.py
+++ b/bergamotdeal/store/core.py
@@ -15,6 +15,9 @@
 MAX_VALUE_BYTES = 1024 * 1024
 """Maximum size of an object's content."""
 
+CHECK_KEY = "check"
+"""Key of an object that nobody writes, read to check that the store answers."""
+
 
 class FailureKind(enum.Enum):
     """Reasons why a store call fails."""
@@ -93,6 +96,9 @@
     def get(self, key: str) -> DeferredResult[StoredObject]:
         """Reads an object."""
 
+    def check(self) -> DeferredResult[None]:
+        """Checks whether the store answers, by the cheapest call."""
+
     def put(
         self, key: str, value: bytes, *, expected_version: int
     ) -> DeferredResult[int]:
--- a/bergamotdeal/store/http.py
+++ b/bergamotdeal/store/http.py
@@ -81,6 +81,13 @@
             _map_ok(lambda response: _parse_object(key, response))
         )
 
+    def check(self) -> core.DeferredResult[None]:
+        """Checks whether the store answers, by reading an unused key."""
+        pending_response = self._call(
+            "GET", f"/objects/{_quote(core.CHECK_KEY)}"
+        )
+        return pending_response.addCallback(http_calls.accept_absence)
+
     def put(
         self, key: str, value: bytes, *, expected_version: int
     ) -> core.DeferredResult[int]:
--- a/bergamotdeal/store/http_calls.py
+++ b/bergamotdeal/store/http_calls.py
@@ -166,6 +166,16 @@
         return _check_status(response._replace(era=era), is_write=is_write)
 
 
+def accept_absence(
+    outcome: result.Result[HttpResponse, core.Failure],
+) -> result.Result[None, core.Failure]:
+    """Returns success for an answer that says that there is no such object."""
+    match outcome:
+        case result.Err(failure) if failure.kind is not FailureKind.NOT_FOUND:
+            return outcome
+    return result.Ok(None)
+
+
 def build_conflict() -> result.Err[core.Failure]:
     """Returns the failure of a write that expects a version of an old era."""
     return result.Err(
--- a/bergamotdeal/store/tests/test_http.py
+++ b/bergamotdeal/store/tests/test_http.py
@@ -147,6 +147,13 @@
     assert failure_kind(wait(client.get("k"))) is Kind.NOT_FOUND
 
 
+def test_check_tells_whether_the_store_answers(store_server):
+    client = store_server.client()
+    assert wait(client.check()) == result.Ok(None)
+    store_server.control({"down": True})
+    assert wait(client.check()).is_err()
+
+
 def test_client_recovers_after_an_outage(store_server):
     client = store_server.client()
     store_server.control({"down": True})
--- a/bergamotdeal/telemetry/catalogue.py
+++ b/bergamotdeal/telemetry/catalogue.py
@@ -182,7 +182,7 @@
         "registry: entry of {host} removed, the host is gone"
     ),
     EventCode.STORE_CHECK_FAILED: (
-        "check of the store for a changed preset failed: {reason}"
+        "the store did not answer a check: {reason}"
     ),
     EventCode.STORE_CHECK_RECOVERED: (
         "the store answers checks again, the watch starts anew"
