--- a/bergamotdeal/pricing/pressure.py
+++ b/bergamotdeal/pricing/pressure.py
@@ -61,7 +61,6 @@
 """Time constant of recovery: without new reports, a share covers about two
 thirds of its distance to 1.0 in this time."""
 
-
 _RECOVERED_SHARE = 0.999
 """Share above which a service counts as no longer overloaded. Without reports a
 share only approaches 1.0."""
