--- a/bergamotdeal/settings/derived.py
+++ b/bergamotdeal/settings/derived.py
@@ -11,6 +11,10 @@
 CHECKERS = 2
 """Nodes that check whether the store answers; one of them may be cut off."""
 
+CHECK_PART = 0.5
+"""Interval of these checks as a part of the time in which a preset must be in
+force. The rest is left for a change to reach all nodes."""
+
 MIN_WATCHERS_PER_DATA_CENTRE = 2
 """Watchers of a data centre that is cut off from the others."""
 
