Derive the settings of the store in one place

How often the store is checked and how long a retry waits at most were the same half of the same time, in two places.

Change: settings.derived builds the store's section from that time; a retry waits 0.1 s at least. With the platform's 2 s nothing changes.

--- a/bergamotdeal/settings/derived.py
+++ b/bergamotdeal/settings/derived.py
@@ -11,9 +11,9 @@
 CHECKERS = 2
 """Nodes that check whether the store answers; one of them may be cut off."""
 
-CHECK_PART = 0.5
-"""Interval of these checks as a part of the time in which a preset must be in
-force. The rest is left for a change to reach all nodes."""
+RECOVERY_PART = 0.5
+"""Part of the time in which a preset must be in force for noticing that the
+store has recovered. The rest is left for a change to reach all nodes."""
 
 MIN_WATCHERS_PER_DATA_CENTRE = 2
 """Watchers of a data centre that is cut off from the others."""
@@ -25,6 +25,10 @@
 """Part of the grace period reserved for the exit itself."""
 
 
+MIN_RETRY_MS = 100
+"""Minimum of the longest delay between retries while the store fails."""
+
+
 def compute_watchers(data_centre_count: int) -> int:
     """Returns the number of nodes of a data centre that watch the store.
 
@@ -46,6 +50,33 @@
     return math.ceil(CHECKERS / max(1, data_centre_count))
 
 
+def build_store_section(
+    endpoint: model.Endpoint,
+    *,
+    data_centre_count: int,
+    apply_ms: int,
+    calls_per_minute: int,
+) -> model.StoreSection:
+    """Builds the settings of the store.
+
+    Args:
+      endpoint: Address of the store.
+      data_centre_count: Number of data centres, zero if unknown.
+      apply_ms: Time in which a preset must be in force, in milliseconds.
+      calls_per_minute: Rate limit of the node's store calls.
+    """
+    recovery_ms = int(apply_ms * RECOVERY_PART)
+    return model.StoreSection(
+        address=endpoint.address,
+        port=endpoint.port,
+        calls_per_minute=calls_per_minute,
+        watchers=compute_watchers(data_centre_count),
+        checkers=compute_checkers(data_centre_count),
+        check_ms=recovery_ms,
+        longest_wait_ms=max(MIN_RETRY_MS, recovery_ms),
+    )
+
+
 def build_drain_section(
     *, grace_ms: int, detection_ms: int
 ) -> model.DrainSection:
--- a/bergamotdeal/settings/tests/test_derived.py
+++ b/bergamotdeal/settings/tests/test_derived.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotdeal.settings import derived
+from bergamotdeal.settings import model
 
 
 @pytest.mark.parametrize(
@@ -19,6 +20,25 @@
     assert derived.compute_checkers(data_centres) == checkers
 
 
+@pytest.mark.parametrize(
+    ("apply_ms", "check_ms", "longest_wait_ms"),
+    [(2000, 1000, 1000), (0, 0, 100)],
+)
+def test_recovery_of_the_store_is_noticed_in_half_of_the_time(
+    apply_ms, check_ms, longest_wait_ms
+):
+    store = derived.build_store_section(
+        model.Endpoint(address="10.0.0.1", port=8309),
+        data_centre_count=3,
+        apply_ms=apply_ms,
+        calls_per_minute=600,
+    )
+    assert (store.address, store.port) == ("10.0.0.1", 8309)
+    assert (store.watchers, store.checkers) == (4, 1)
+    assert store.check_ms == check_ms
+    assert store.longest_wait_ms == longest_wait_ms
+
+
 def test_drain_ends_within_the_grace_period():
     drain = derived.build_drain_section(grace_ms=6000, detection_ms=2500)
     assert drain.entry_open_ms == 2500
