Describe a failed call of the store in one place

Cause: store_check built the failure of an unexpected error by itself, as store_watch does.

Change: store_watch.describe_error serves both. Behaviour stays as it is.

Figures: the tests of store_check, store_watch, the silent store, conventions and the platform's boundary pass.

Conclusion: one copy less.

--- a/bergamotdeal/node/store_check.py
+++ b/bergamotdeal/node/store_check.py
@@ -7,6 +7,7 @@
 from twisted.python import failure as twisted_failure
 from twisted.python import log
 
+from bergamotdeal.node import store_watch
 from bergamotdeal.store import core
 from bergamotdeal.telemetry import catalogue
 
@@ -108,8 +109,4 @@
 def _build_failure(error: twisted_failure.Failure) -> result.Err[core.Failure]:
     """Logs an unexpected error of the store's client as a failed check."""
     log.err(error, "check of the store failed")
-    return result.Err(
-        core.Failure(
-            kind=core.FailureKind.INVALID, detail=error.getErrorMessage()
-        )
-    )
+    return result.Err(store_watch.describe_error(error))
--- a/bergamotdeal/node/store_watch.py
+++ b/bergamotdeal/node/store_watch.py
@@ -115,7 +115,7 @@
         """Goes on watching after an error in the handling of an answer."""
         log.err(error, "handling of a change in the store failed")
         if self._running:
-            self._handle_failure(_describe_error(error))
+            self._handle_failure(describe_error(error))
 
     def _handle_success(self, stored: core.StoredObject | None) -> None:
         self._backoff.reset()
@@ -152,10 +152,11 @@
     """Logs an unexpected error of the store's client as a failed watch."""
     if not error.check(defer.CancelledError):
         log.err(error, "watch of the store failed")
-    return result.Err(_describe_error(error))
+    return result.Err(describe_error(error))
 
 
-def _describe_error(error: twisted_failure.Failure) -> core.Failure:
+def describe_error(error: twisted_failure.Failure) -> core.Failure:
+    """Returns an unexpected error as the failure of a store call."""
     return core.Failure(
         kind=core.FailureKind.INVALID, detail=error.getErrorMessage()
     )
